--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,947 @@
+//! Every decision of ochrewalk. A server builds one [`Decide`] at its start and calls one method for each thing
+//! that happens: `arrived`, `gone`, `needs_call`, `call_ended`, `settled`, `retire`, `timer`, and `turn` once all
+//! that happened at one moment has been told. The module acts by the `Host` it was handed; that trait and
+//! the small types are in src/host.rs. "DESIGN" and "paper" in comments: see docs/design.md.
+
+use crate::host::{
+    Advice, Arrival, Below, Crowd, Customer, Effect, Gauges, Host, Machine, Method, Outcome, RpcId, Shares,
+    Signal, Stopping,
+};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// The controller's period (DESIGN: start with 1 s) and gain (paper, 2.1).
+const PERIOD_US: u64 = 1_000_000;
+const K_I: f64 = 1.0;
+/// r climbs when calls came this near to it, and halves after this many periods with signs in a row.
+const NEARED: f64 = 0.9;
+const SIGNS_IN_A_ROW: u32 = 2;
+/// u stays below this multiple of r, so that quiet periods do not wind it up beyond any use.
+const U_OVER_R: f64 = 4.0;
+/// Prob_l: its floor, its fall and its rise per period, and how long a draw stands for the head of the lane.
+const PROB_FLOOR: f64 = 0.05;
+const PROB_FALL: f64 = 0.7;
+const PROB_RISE: f64 = 0.15;
+const DRAW_US: u64 = 100_000;
+/// Lanes part only where the methods' mean calls differ by this much.
+const LANES_APART: f64 = 0.2;
+/// How often gauges are read and advice is set, and answers' margin before they are due.
+const PULSE_US: u64 = 50_000;
+const MARGIN_US: u64 = 25_000;
+/// Shares of the survivable crowd and of the memory that the module uses.
+const CROWD_USED: f64 = 0.75;
+const MEMORY_USED: f64 = 0.95;
+/// The hold counts as full when its newest RPCs would wait past their latest start; newest first after this.
+const FULL_US: u64 = 3_000_000;
+
+/// A small histogram: bins grow by half, and all are halved when many samples are in.
+#[derive(Default)]
+struct Hist {
+    bins: [u16; 28],
+    total: u16,
+}
+
+impl Hist {
+    const FIRST: f64 = 500.0;
+
+    fn add(&mut self, value: u64) {
+        let bin = (value as f64 / Self::FIRST).max(1.0).log(1.5) as usize;
+        self.bins[bin.min(27)] += 1;
+        self.total += 1;
+        if self.total >= 48 {
+            self.bins.iter_mut().for_each(|n| *n /= 2);
+            self.total = self.bins.iter().sum();
+        }
+    }
+
+    /// The middle of the bin that holds the given quantile; nothing before the first few samples.
+    fn at(&self, quantile: f64) -> Option<u64> {
+        let mut left = (f64::from(self.total) * quantile) as u16;
+        for (i, n) in self.bins.iter().enumerate() {
+            if *n > left {
+                return (self.total >= 4).then(|| (Self::FIRST * 1.5f64.powf(i as f64 + 0.5)) as u64);
+            }
+            left -= *n;
+        }
+        None
+    }
+}
+
+/// What is learned of one method. Times are kept over the hint where RPCs carry one (1,000 = as hinted).
+#[derive(Default)]
+struct Learned {
+    on_core: Hist,
+    whole: Hist,
+    runs: f64,
+    calls: f64,
+    /// The longest that a first try's caller waits.
+    longest_us: u64,
+}
+
+impl Learned {
+    fn time(hist: &Hist, quantile: f64, effort_us: Option<u64>, unknown_us: u64) -> u64 {
+        match (hist.at(quantile), effort_us) {
+            (Some(ratio), Some(hint)) => hint * ratio / 1_000,
+            (Some(time), None) => time,
+            (None, hint) => hint.map_or(unknown_us, |hint| hint * 3 / 2),
+        }
+    }
+
+    fn add(hist: &mut Hist, took_us: u64, effort_us: Option<u64>) {
+        hist.add(effort_us.map_or(took_us, |hint| took_us * 1_000 / hint.max(1)));
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Held,
+    /// Waiting for the outcome of the RPC that it repeats.
+    Sharing,
+    Running,
+    /// Waits for our word on its call, from the given time on.
+    AtCall(u64),
+    Calling,
+}
+
+struct Rpc {
+    id: RpcId,
+    method: usize,
+    arrived_us: u64,
+    /// An answer must be out by then.
+    due_us: u64,
+    /// An answer is wanted by then.
+    target_us: u64,
+    kb: f64,
+    effort_us: Option<u64>,
+    /// Criticality as the deployment counts it, less beyond a customer's share.
+    value: f64,
+    stage: Stage,
+    answered: bool,
+    /// When it was started, when it last took a core, and its time on the cores before that.
+    started_us: u64,
+    on_core_us: u64,
+    core_us: u64,
+    calls: u32,
+    failed_calls: u32,
+}
+
+/// The integral loop (paper 2.1, DESIGN). Calls below are counted per period; u RPCs are admitted next period.
+/// It limits nothing until a sign of overload below: a time-out, a push-back, or calls above the told share.
+pub struct Loop {
+    pub bound: bool,
+    pub r: f64,
+    pub u: f64,
+    /// Calls and admissions of this period and of the last, and what the released mix will call.
+    y: f64,
+    last_y: f64,
+    admitted: f64,
+    last_admitted: f64,
+    predicted: f64,
+    sign: bool,
+    signs: u32,
+    ends_us: u64,
+}
+
+impl Loop {
+    pub fn new(now_us: u64) -> Loop {
+        Loop {
+            bound: false,
+            r: 0.0,
+            u: 0.0,
+            y: 0.0,
+            last_y: 0.0,
+            admitted: 0.0,
+            last_admitted: 0.0,
+            predicted: 0.0,
+            sign: false,
+            signs: 0,
+            ends_us: now_us + PERIOD_US,
+        }
+    }
+
+    /// A call below was placed.
+    pub fn called(&mut self) {
+        self.y += 1.0;
+    }
+
+    /// An RPC whose lane calls `mean` times was started; lanes that never call are not admissions (ours).
+    pub fn released(&mut self, mean: f64) {
+        self.predicted += mean;
+        self.admitted += f64::from(u8::from(mean > 0.0));
+    }
+
+    /// Below showed overload. The first sign binds r and u to what was just carried.
+    pub fn overloaded(&mut self) {
+        self.sign = true;
+        if !self.bound {
+            self.bound = true;
+            self.r = self.y.max(self.last_y).max(1.0);
+            self.u = self.admitted.max(self.last_admitted).max(1.0);
+        }
+    }
+
+    /// Whether one more RPC of a lane that calls `mean` times may start in this period.
+    pub fn room(&self, mean: f64) -> bool {
+        !self.bound || mean <= 0.0 || (self.admitted < self.u && self.predicted + mean <= self.r.max(mean))
+    }
+
+    /// Ends the period when its time has come, and says whether it did.
+    pub fn period(&mut self, now_us: u64) -> bool {
+        if now_us < self.ends_us {
+            return false;
+        }
+        if self.bound {
+            self.signs = if self.sign { self.signs + 1 } else { 0 };
+            if self.signs >= SIGNS_IN_A_ROW {
+                self.signs = 0;
+                self.r = (self.r / 2.0).max(1.0);
+            } else if !self.sign && self.y >= NEARED * self.r {
+                self.r *= 1.5;
+            }
+            let e = self.r - self.y;
+            self.u = (self.u + K_I * e).clamp(1.0, U_OVER_R * self.r);
+        }
+        (self.last_y, self.last_admitted) = (self.y, self.admitted);
+        (self.y, self.admitted, self.predicted, self.sign) = (0.0, 0.0, 0.0, false);
+        self.ends_us = now_us + PERIOD_US;
+        true
+    }
+}
+
+/// Small and large RPCs (paper 2.2 and 2.3): methods are parted by the mean calls seen of them.
+pub struct Lanes {
+    large: Vec<bool>,
+    /// Mean calls of the small and of the large lane.
+    pub means: [f64; 2],
+    pub prob_l: f64,
+    /// The last draw: the head it was for, when, and whether that may start.
+    draw: (u64, u64, bool),
+    /// Small RPCs were held in this period because u bound.
+    small_blocked: bool,
+}
+
+impl Lanes {
+    /// Methods that call are taken to call once until they are seen.
+    pub fn new(calls: &[bool]) -> Lanes {
+        let (large, means, draw) = (vec![false; calls.len()], [0.0; 2], (u64::MAX, 0, true));
+        let mut lanes = Lanes { large, means, prob_l: 1.0, draw, small_blocked: false };
+        lanes.part(&calls.iter().map(|c| (1.0, f64::from(u8::from(*c)))).collect::<Vec<_>>());
+        lanes
+    }
+
+    pub fn is_large(&self, method: usize) -> bool {
+        self.large[method]
+    }
+
+    /// Parts the methods at the middle between the fewest and the most mean calls, given (runs, calls) of each.
+    /// In place of the paper's offline k-means; one lane where they hardly differ.
+    pub fn part(&mut self, seen: &[(f64, f64)]) {
+        let mean = |s: &(f64, f64)| s.1 / s.0.max(0.01);
+        let most = seen.iter().map(mean).fold(0.0, f64::max);
+        let least = seen.iter().map(mean).fold(f64::MAX, f64::min);
+        let mut sums = [(0.0, 0.0); 2];
+        for (i, s) in seen.iter().enumerate() {
+            self.large[i] = most - least >= LANES_APART && mean(s) > (most + least) / 2.0;
+            let sum = &mut sums[usize::from(self.large[i])];
+            *sum = (sum.0 + s.0, sum.1 + s.1);
+        }
+        self.means = sums.map(|s: (f64, f64)| if s.0 > 0.0 { s.1 / s.0 } else { 0.0 });
+    }
+
+    /// Whether the large lane's head may start: drawn when it comes to the head, and anew after a while.
+    fn drawn(&mut self, head: u64, now_us: u64, rng: &mut fastrand::Rng) -> bool {
+        if self.draw.0 != head || now_us >= self.draw.1 + DRAW_US {
+            self.draw = (head, now_us, rng.f64() < self.prob_l);
+        }
+        self.draw.2
+    }
+
+    /// Adapts Prob_l at the end of a period from how long the head of each lane has waited. Large RPCs that wait
+    /// longer than small ones raise it, so they cannot starve; so does a period that held no small one back.
+    pub fn adapt(&mut self, small_wait: Option<u64>, large_wait: Option<u64>) {
+        if self.small_blocked && small_wait >= large_wait {
+            self.prob_l = (self.prob_l * PROB_FALL).max(PROB_FLOOR);
+        } else {
+            self.prob_l = (self.prob_l + PROB_RISE).min(1.0);
+        }
+        self.small_blocked = false;
+    }
+
+    pub fn small_was_blocked(&mut self) {
+        self.small_blocked = true;
+    }
+}
+
+/// The running limit (DESIGN): it starts at the cores, grows while they idle with work held, and stays below the
+/// crowd that the server survives, which is lower while it is cold.
+pub struct Cores {
+    cores: f64,
+    crowd: Crowd,
+    started_us: u64,
+    extra: f64,
+    next_us: u64,
+}
+
+impl Cores {
+    pub fn new(cores: u32, crowd: Crowd, now_us: u64) -> Cores {
+        Cores { cores: f64::from(cores), crowd, started_us: now_us, extra: 0.0, next_us: 0 }
+    }
+
+    /// The least share of its speed that the server can have by now.
+    pub fn warmth(&self, now_us: u64) -> f64 {
+        if !self.crowd.cold {
+            return 1.0;
+        }
+        let part = (now_us - self.started_us) as f64 / self.crowd.warm_within_us.max(1) as f64;
+        self.crowd.cold_from + (1.0 - self.crowd.cold_from) * part.min(1.0)
+    }
+
+    /// The most RPCs that may be on the cores or come back to them from calls.
+    pub fn ceiling(&self, now_us: u64) -> usize {
+        let survived = 1.0 + (self.crowd.multiple - 1.0) * self.warmth(now_us);
+        ((survived * self.cores * CROWD_USED) as usize).max(1)
+    }
+
+    pub fn limit(&self, now_us: u64) -> usize {
+        ((self.cores + self.extra) as usize).clamp(1, self.ceiling(now_us))
+    }
+
+    /// Reads the gauges. `waiting`: work is held only because the limit is reached.
+    pub fn gauge(&mut self, now_us: u64, gauges: Gauges, waiting: bool) {
+        if now_us < self.next_us {
+            return;
+        }
+        self.next_us = now_us + 250_000;
+        let (busy, runnable) = (gauges.busy.unwrap_or(1.0), gauges.runnable.unwrap_or(self.cores));
+        if waiting && busy < 0.92 && runnable < self.cores {
+            self.extra = (self.extra + 1.0).min(self.ceiling(now_us) as f64 - self.cores).max(0.0);
+        } else if runnable > 1.3 * self.cores {
+            self.extra = (self.extra - 0.5).max(0.0);
+        }
+    }
+}
+
+/// Each customer's share here, as a bucket of RPCs that fills at its part of the fleet's rate.
+struct Buckets {
+    rates: Vec<f64>,
+    full: Vec<f64>,
+    at_us: u64,
+}
+
+impl Buckets {
+    /// Seconds of its rate that a customer may save up, as traffic reaches servers unevenly.
+    const SAVED: f64 = 3.0;
+
+    fn new(customers: &[Customer], servers: u32) -> Buckets {
+        let rates: Vec<f64> = customers.iter().map(|c| c.per_second / f64::from(servers.max(1))).collect();
+        Buckets { full: rates.iter().map(|r| r * Self::SAVED).collect(), rates, at_us: 0 }
+    }
+
+    fn within(&mut self, customer: Option<usize>, now_us: u64) -> bool {
+        let passed = (now_us - self.at_us) as f64 / 1e6;
+        self.at_us = now_us;
+        for (full, rate) in self.full.iter_mut().zip(&self.rates) {
+            *full = (*full + rate * passed).min(rate * Self::SAVED);
+        }
+        let Some(full) = customer.and_then(|c| self.full.get_mut(c)) else { return true };
+        let within = *full >= 1.0;
+        *full -= f64::from(u8::from(within));
+        within
+    }
+}
+
+/// The decisions of one server.
+pub struct Decide<H: Host> {
+    host: H,
+    rng: fastrand::Rng,
+    machine: Machine,
+    methods: Vec<Method>,
+    below: Below,
+    advice: Advice,
+    by_work: bool,
+    over_share: f64,
+    buckets: Buckets,
+    fresh_us: u64,
+    drain_grace_us: u64,
+    /// All RPCs that hold memory here, oldest first, and where to find them.
+    rpcs: BTreeMap<u64, Rpc>,
+    by_id: HashMap<RpcId, u64>,
+    next: u64,
+    learned: Vec<Learned>,
+    call_times: Hist,
+    /// Remembered keys: when they lapse, and whose they are.
+    keys: BTreeMap<(u64, RpcId), ()>,
+    control: Loop,
+    lanes: Lanes,
+    cores: Cores,
+    /// When abandoned calls leave the hands of what lies below, and the mean calls in hand.
+    lingering: VecDeque<u64>,
+    in_hand: f64,
+    in_hand_at_us: u64,
+    /// When the hold became full.
+    full_since_us: Option<u64>,
+    /// Since when we leave, and when the process ends.
+    leaving: Option<(u64, u64)>,
+    /// How much of the usual traffic is wanted, and what the callers were last told.
+    wanted: f64,
+    told: f64,
+    /// How long the hold would take to run, and that over the patience of what is in it.
+    hold_us: u64,
+    pressure: f64,
+    pulse_us: u64,
+    armed_us: u64,
+}
+
+impl<H: Host> Decide<H> {
+    #[allow(clippy::too_many_arguments)] // each part takes its own few settings
+    pub fn start(
+        host: H,
+        now_us: u64,
+        seed: u64,
+        machine: Machine,
+        crowd: Crowd,
+        methods: Vec<Method>,
+        below: Below,
+        advice: Advice,
+        shares: Shares,
+        fresh_us: u64,
+        drain_grace_us: u64,
+    ) -> Decide<H> {
+        let calls: Vec<bool> = methods.iter().map(|m| m.calls).collect();
+        let mut decide = Decide {
+            host,
+            rng: fastrand::Rng::with_seed(seed),
+            learned: methods.iter().map(|_| Learned::default()).collect(),
+            lanes: Lanes::new(&calls),
+            cores: Cores::new(machine.cores, crowd, now_us),
+            control: Loop::new(now_us),
+            buckets: Buckets::new(&shares.customers, shares.servers),
+            by_work: shares.by_work,
+            over_share: shares.over_share,
+            machine,
+            methods,
+            below,
+            advice,
+            fresh_us,
+            drain_grace_us,
+            rpcs: BTreeMap::new(),
+            by_id: HashMap::new(),
+            next: 0,
+            call_times: Hist::default(),
+            keys: BTreeMap::new(),
+            lingering: VecDeque::new(),
+            in_hand: 0.0,
+            in_hand_at_us: now_us,
+            full_since_us: None,
+            leaving: None,
+            wanted: 1.0,
+            told: -1.0,
+            hold_us: 0,
+            pressure: 0.0,
+            pulse_us: now_us,
+            armed_us: u64::MAX,
+        };
+        // Health checks from store: a check that does real work loads what lies below.
+        decide.host.readiness(true, true);
+        decide.turn(now_us);
+        decide
+    }
+
+    pub fn host(&mut self) -> &mut H {
+        &mut self.host
+    }
+
+    /// An RPC has been read into the hold.
+    pub fn arrived(&mut self, now_us: u64, new: Arrival) {
+        let method = &self.methods[new.method];
+        let came_us = now_us.saturating_sub(new.queued_us);
+        let left_us = new.left_us.unwrap_or(method.deadline_us.saturating_sub(new.queued_us));
+        let stretch = method.target_stretch * new.effort_us.unwrap_or(0) as f64;
+        let wanted_us = (method.latency_target_us + stretch as u64).min(method.deadline_us);
+        // A further try is older than it looks: by what its caller waits less than a first try's.
+        let learned = &mut self.learned[new.method];
+        let age_us = match new.left_us {
+            Some(left) if new.further_try => learned.longest_us.saturating_sub(left),
+            Some(left) => {
+                learned.longest_us = learned.longest_us.max(left + new.queued_us);
+                0
+            }
+            None => 0,
+        };
+        let work_us = Learned::time(&learned.on_core, 0.5, None, method.latency_target_us / 4).max(1);
+        let mut value = method.criticality / if self.by_work { 1.0 } else { work_us as f64 / 1e6 };
+        if !self.buckets.within(new.customer, now_us) {
+            value *= self.over_share;
+        }
+        let rpc = Rpc {
+            id: new.id.clone(),
+            method: new.method,
+            arrived_us: came_us,
+            due_us: now_us + left_us,
+            target_us: (came_us + wanted_us.saturating_sub(age_us)).min(now_us + left_us),
+            kb: new.kb,
+            effort_us: new.effort_us.filter(|hint| *hint > 0),
+            value,
+            stage: Stage::Held,
+            answered: false,
+            started_us: 0,
+            on_core_us: 0,
+            core_us: 0,
+            calls: 0,
+            failed_calls: 0,
+        };
+        let effect = method.effect;
+        let ttl_us = (came_us + method.window_us).saturating_sub(now_us) + 1_000;
+        let prior = new.repeats.as_ref().and_then(|id| self.by_id.get(id)).map(|n| self.rpcs[n].stage);
+        let seq = self.next;
+        self.next += 1;
+        self.by_id.insert(new.id.clone(), seq);
+        self.rpcs.insert(seq, rpc);
+        if effect == Effect::Tokened && new.repeats.is_some() {
+            // Guards against a second effect: a repeat of a tokened RPC never runs, it shares the outcome.
+            self.share(seq);
+        } else if effect == Effect::Tokened {
+            self.record(&new.id, now_us, ttl_us);
+        } else if effect == Effect::Idempotent && self.fresh_us > 0 {
+            match new.repeats {
+                Some(_) if prior != Some(Stage::Held) => self.share(seq),
+                None if new.has_subject => self.record(&new.id, now_us, self.fresh_us),
+                _ => {}
+            }
+        }
+    }
+
+    /// The caller has gone; nothing is owed.
+    pub fn gone(&mut self, now_us: u64, id: &str) {
+        let Some(&seq) = self.by_id.get(id) else { return };
+        match self.rpcs[&seq].stage {
+            Stage::Held | Stage::Sharing => self.forget(seq),
+            Stage::Running | Stage::AtCall(_) | Stage::Calling => {
+                let rpc = self.rpcs.get_mut(&seq).expect("indexed");
+                rpc.answered = true;
+                // A tokened run may go on: its repeat can share the outcome. Other work serves nobody now.
+                if self.methods[rpc.method].effect != Effect::Tokened {
+                    self.take_off(seq);
+                }
+            }
+        }
+        self.control.period(now_us);
+    }
+
+    /// A running RPC waits for its call below; `turn` says when it goes.
+    pub fn needs_call(&mut self, now_us: u64, id: &str) {
+        let Some(&seq) = self.by_id.get(id) else { return };
+        let rpc = self.rpcs.get_mut(&seq).expect("indexed");
+        rpc.core_us += now_us - rpc.on_core_us;
+        rpc.calls += 1;
+        rpc.stage = Stage::AtCall(now_us);
+    }
+
+    /// A call below has ended.
+    pub fn call_ended(&mut self, now_us: u64, id: &str, outcome: Outcome, took_us: u64) {
+        self.count_in_hand(now_us);
+        if outcome == Outcome::TimedOut {
+            self.linger(now_us);
+        }
+        if matches!(outcome, Outcome::TimedOut | Outcome::PushedBack) {
+            self.control.overloaded();
+        }
+        let Some(&seq) = self.by_id.get(id) else { return };
+        let rpc = self.rpcs.get_mut(&seq).expect("indexed");
+        if outcome == Outcome::Ok {
+            self.call_times.add(took_us);
+            (rpc.stage, rpc.on_core_us) = (Stage::Running, now_us);
+            return;
+        }
+        // It waits again. A call whose effect may have happened is never repeated unless that is harmless.
+        rpc.failed_calls += 1;
+        let method = &self.methods[rpc.method];
+        rpc.stage = Stage::AtCall(now_us + (PULSE_US << rpc.failed_calls.min(5)));
+        if rpc.answered {
+        } else if method.skip_share > 0.0 {
+            self.skip(now_us, seq);
+        } else if !outcome.never_ran() && method.effect != Effect::Idempotent {
+            self.give_up(seq, false);
+        }
+    }
+
+    /// A run has ended: it holds neither core nor memory any more.
+    pub fn settled(&mut self, now_us: u64, id: &str, outcome: Outcome) {
+        let Some(&seq) = self.by_id.get(id) else { return };
+        let rpc = &self.rpcs[&seq];
+        if matches!(outcome, Outcome::Stopped | Outcome::Moot) && !rpc.answered {
+            return;
+        }
+        if rpc.stage == Stage::Running && outcome == Outcome::Ok && !rpc.answered {
+            let learned = &mut self.learned[rpc.method];
+            let core_us = rpc.core_us + now_us - rpc.on_core_us;
+            Learned::add(&mut learned.on_core, core_us, rpc.effort_us);
+            Learned::add(&mut learned.whole, now_us - rpc.started_us, rpc.effort_us);
+            learned.runs += 1.0;
+            learned.calls += f64::from(rpc.calls);
+            if learned.runs >= 64.0 {
+                (learned.runs, learned.calls) = (learned.runs / 2.0, learned.calls / 2.0);
+            }
+        }
+        if rpc.stage == Stage::Calling {
+            self.linger(now_us);
+        }
+        self.forget(seq);
+    }
+
+    /// This server leaves: its process ends after `left_us`.
+    pub fn retire(&mut self, now_us: u64, left_us: u64) {
+        self.leaving = Some((now_us, now_us + left_us));
+        self.host.readiness(false, true);
+        self.tell(0.0);
+    }
+
+    /// The timer asked for has come, with the server's gauges.
+    pub fn timer(&mut self, now_us: u64, gauges: Gauges) {
+        self.armed_us = u64::MAX;
+        if now_us < self.pulse_us {
+            return;
+        }
+        self.pulse_us = now_us + PULSE_US;
+        let waiting = self.on_cores() >= self.cores.limit(now_us) && self.held().next().is_some();
+        self.cores.gauge(now_us, gauges, waiting);
+        let idle_stop: Vec<u64> = self.rpcs.iter().filter(|(_, r)| r.answered).map(|(n, _)| *n).collect();
+        // Guards against a standstill, in which stopping does nothing: ask again.
+        idle_stop.into_iter().for_each(|seq| self.take_off(seq));
+        self.advise(now_us);
+    }
+
+    /// All that happened at this moment has been told: the ordinary path of every RPC that is held.
+    pub fn turn(&mut self, now_us: u64) {
+        // The end of a period: the law for u, the lanes by mean calls, and Prob_l.
+        if self.control.period(now_us) {
+            let seen: Vec<(f64, f64)> = self
+                .learned
+                .iter()
+                .zip(&self.methods)
+                .map(|(l, m)| (l.runs + 1.0, l.calls + f64::from(u8::from(m.calls))))
+                .collect();
+            self.lanes.part(&seen);
+            let [small, large] = [false, true].map(|lane| self.head(lane, false));
+            let wait = |seq: Option<u64>| seq.map(|n| now_us - self.rpcs[&n].arrived_us);
+            self.lanes.adapt(wait(small), wait(large));
+        }
+        // What can no longer be answered, or started, in time goes at once.
+        self.overdue(now_us);
+        self.fit_memory(now_us);
+        self.crowded_out(now_us);
+        // The rest starts: small RPCs first, a large one that has waited longer with probability Prob_l; newest
+        // first once the hold has stood full a while. Cores, memory, then the loop must have room.
+        let newest = self.full_since_us.is_some_and(|since| now_us >= since + FULL_US);
+        let mut memory_kb = self.memory_kb();
+        loop {
+            let (small, large) = (self.head(false, newest), self.head(true, newest));
+            let large_waited_longer = match (small, large) {
+                (Some(s), Some(l)) => l < s,
+                (None, l) => l.is_some(),
+                _ => false,
+            };
+            let seq = match (small, large) {
+                (_, Some(l)) if large_waited_longer && self.lanes.drawn(l, now_us, &mut self.rng) => l,
+                (Some(s), _) => s,
+                _ => break,
+            };
+            let rpc = &self.rpcs[&seq];
+            let lane = usize::from(self.lanes.is_large(rpc.method));
+            let more_kb = rpc.kb * (self.machine.run_factor - 1.0);
+            if self.on_cores() >= self.cores.limit(now_us)
+                || self.active() >= self.cores.ceiling(now_us)
+                || memory_kb + more_kb > self.machine.memory_kb * MEMORY_USED
+            {
+                break;
+            }
+            let mean = if self.methods[rpc.method].calls { self.lanes.means[lane] } else { 0.0 };
+            if !self.control.room(mean) {
+                if lane == 0 {
+                    self.lanes.small_was_blocked();
+                }
+                break;
+            }
+            self.control.released(mean);
+            memory_kb += more_kb;
+            let rpc = self.rpcs.get_mut(&seq).expect("indexed");
+            (rpc.stage, rpc.started_us, rpc.on_core_us) = (Stage::Running, now_us, now_us);
+            self.host.run(&rpc.id);
+        }
+        // Those already under way go on to their calls, oldest first.
+        self.place_calls(now_us);
+        self.arm(now_us);
+    }
+
+    /// Places the calls that RPCs wait for, within the told share, or leaves them out where that earns a part.
+    fn place_calls(&mut self, now_us: u64) {
+        self.count_in_hand(now_us);
+        let typical_us = self.call_times.at(0.5).unwrap_or(0);
+        let at_call: Vec<(u64, u64)> = self
+            .rpcs
+            .iter()
+            .filter_map(|(n, r)| match r.stage {
+                Stage::AtCall(from) if !r.answered => Some((*n, from)),
+                _ => None,
+            })
+            .collect();
+        for (seq, from_us) in at_call {
+            let rpc = &self.rpcs[&seq];
+            let method = &self.methods[rpc.method];
+            let rest_us = rpc.core_us; // what remains after the call is taken to be like what came before it
+            let due_us = rpc.due_us.saturating_sub(MARGIN_US);
+            let can_skip = method.skip_share > 0.0;
+            let until_us = if can_skip { rpc.target_us.saturating_sub(rest_us).min(due_us) } else { due_us };
+            if can_skip && now_us + typical_us >= until_us {
+                self.skip(now_us, seq);
+            } else if now_us >= from_us && self.below_has_room() {
+                let rpc = self.rpcs.get_mut(&seq).expect("indexed");
+                rpc.stage = Stage::Calling;
+                self.host.call(&rpc.id, until_us.max(now_us + 1_000));
+                self.control.called();
+            }
+        }
+    }
+
+    fn skip(&mut self, now_us: u64, seq: u64) {
+        let rpc = self.rpcs.get_mut(&seq).expect("indexed");
+        (rpc.stage, rpc.on_core_us) = (Stage::Running, now_us);
+        self.host.skip_call(&rpc.id);
+    }
+
+    /// Guards what all servers call: calls in hand, abandoned ones too, stay within the share told, both now and
+    /// as a mean over its window; above it is a sign of overload.
+    fn below_has_room(&mut self) -> bool {
+        let Below::Shared { share, .. } = self.below else { return true };
+        let room = (self.calls_in_hand() as f64) < share.max(1.0) && self.in_hand < share;
+        if !room {
+            self.control.overloaded();
+        }
+        room
+    }
+
+    fn calls_in_hand(&self) -> usize {
+        self.rpcs.values().filter(|r| r.stage == Stage::Calling).count() + self.lingering.len()
+    }
+
+    fn count_in_hand(&mut self, now_us: u64) {
+        let Below::Shared { window_us, .. } = self.below else { return };
+        let part = (now_us - self.in_hand_at_us) as f64 / window_us.max(1) as f64;
+        self.in_hand += (self.calls_in_hand() as f64 - self.in_hand) * part.min(1.0);
+        self.in_hand_at_us = now_us;
+        while self.lingering.front().is_some_and(|ends| *ends <= now_us) {
+            self.lingering.pop_front();
+        }
+    }
+
+    fn linger(&mut self, now_us: u64) {
+        if let Below::Shared { linger_us, .. } = self.below {
+            self.lingering.push_back(now_us + linger_us);
+        }
+    }
+
+    /// Gives up what is due, what came too late in a drain, and what is held but cannot start in time.
+    fn overdue(&mut self, now_us: u64) {
+        let late_us = self.leaving.map_or(u64::MAX, |(since, _)| since + self.drain_grace_us);
+        let over: Vec<u64> = self
+            .rpcs
+            .iter()
+            .filter(|(_, r)| {
+                let held = r.stage == Stage::Held;
+                !r.answered
+                    && (now_us >= self.answer_by(r)
+                        || held && (r.arrived_us > late_us || now_us > self.latest_start(r)))
+            })
+            .map(|(n, _)| *n)
+            .collect();
+        over.into_iter().for_each(|seq| self.give_up(seq, false));
+    }
+
+    /// The last moment for an answer: its due time, or the end of the process, with a margin.
+    fn answer_by(&self, rpc: &Rpc) -> u64 {
+        rpc.due_us.min(self.leaving.map_or(u64::MAX, |(_, ends)| ends)).saturating_sub(MARGIN_US)
+    }
+
+    /// An RPC started after this would miss its latency target.
+    fn latest_start(&self, rpc: &Rpc) -> u64 {
+        let ends_us = rpc.target_us.min(self.answer_by(rpc));
+        let unknown_us = self.methods[rpc.method].latency_target_us / 4;
+        ends_us.saturating_sub(Learned::time(&self.learned[rpc.method].whole, 0.5, rpc.effort_us, unknown_us))
+    }
+
+    /// Time on the cores that an RPC will likely take.
+    fn core_time(&self, rpc: &Rpc) -> u64 {
+        let unknown_us = self.methods[rpc.method].latency_target_us / 4;
+        Learned::time(&self.learned[rpc.method].on_core, 0.5, rpc.effort_us, unknown_us)
+    }
+
+    /// Guards against more memory than there is: the held RPCs of least value go until the rest fits.
+    fn fit_memory(&mut self, now_us: u64) {
+        while self.keys.first_key_value().is_some_and(|((lapses, _), _)| *lapses <= now_us) {
+            self.keys.pop_first();
+        }
+        while self.memory_kb() > self.machine.memory_kb * MEMORY_USED {
+            let Some(seq) = self.least(u64::MAX) else { return };
+            self.give_up(seq, false);
+        }
+    }
+
+    /// Walks the hold in the order of starting. Where one would start too late, the least valuable before it has
+    /// waited in vain: it goes, so that criticality decides who is turned away while age decides who starts.
+    fn crowded_out(&mut self, now_us: u64) {
+        let limit = self.cores.limit(now_us) as u64;
+        let mut walked: Vec<(u64, u64)> = Vec::new();
+        let (mut wait_us, mut pressure) = (0, 0.0f64);
+        let held: Vec<u64> = self.held().map(|(n, _)| *n).collect();
+        let mut full = false;
+        for seq in held {
+            let rpc = &self.rpcs[&seq];
+            let core_us = self.core_time(rpc) / limit;
+            let latest_us = self.latest_start(rpc);
+            let patience_us = latest_us.saturating_sub(rpc.arrived_us).max(1);
+            walked.push((seq, core_us));
+            if now_us + wait_us > latest_us {
+                full = true;
+                let value = rpc.value;
+                let least = (0..walked.len())
+                    .min_by(|a, b| {
+                        let value = |i: &usize| self.rpcs[&walked[*i].0].value;
+                        value(a).total_cmp(&value(b))
+                    })
+                    .expect("just pushed");
+                if self.rpcs[&walked[least].0].value < value {
+                    let (out, saved_us) = walked.remove(least);
+                    wait_us -= saved_us;
+                    self.give_up(out, false);
+                }
+            }
+            wait_us += core_us;
+            pressure = pressure.max(wait_us as f64 / patience_us as f64);
+        }
+        (self.hold_us, self.pressure) = (wait_us, pressure);
+        self.full_since_us = full.then(|| self.full_since_us.unwrap_or(now_us));
+    }
+
+    /// The least valuable held RPC, the oldest of equals.
+    fn least(&self, before: u64) -> Option<u64> {
+        let held = self.held().filter(|(n, _)| **n < before);
+        held.min_by(|a, b| a.1.value.total_cmp(&b.1.value)).map(|(n, _)| *n)
+    }
+
+    /// The final answer to an RPC we gave up on, at once. One that never ran is pushed back with a time to come
+    /// back; any other is aborted, as it may have had its effect, and taken off the cores.
+    fn give_up(&mut self, seq: u64, last: bool) {
+        let come_back_us = match self.leaving {
+            Some(_) => self.advice.max_come_back_us,
+            None => (self.hold_us / 2).min(self.advice.max_come_back_us),
+        };
+        let rpc = self.rpcs.get_mut(&seq).expect("given up once");
+        rpc.answered = true;
+        match rpc.stage {
+            Stage::Held => {
+                self.host.push_back(&rpc.id, last, come_back_us);
+                if self.methods[rpc.method].effect == Effect::Tokened {
+                    let id = rpc.id.clone();
+                    self.host.drop_key(&id);
+                    self.keys.retain(|(_, key), _| *key != id);
+                }
+                self.forget(seq);
+            }
+            Stage::Sharing => {
+                self.host.abort(&rpc.id);
+                self.forget(seq);
+            }
+            Stage::Running | Stage::AtCall(_) | Stage::Calling => {
+                self.host.abort(&rpc.id);
+                self.take_off(seq);
+            }
+        }
+    }
+
+    /// Asks for answered work to be taken off; it is counted until it settles.
+    fn take_off(&mut self, seq: u64) {
+        let rpc = &self.rpcs[&seq];
+        if rpc.stage == Stage::Running && self.machine.stopping != Stopping::Never {
+            self.host.stop(&rpc.id);
+        }
+    }
+
+    fn share(&mut self, seq: u64) {
+        let rpc = self.rpcs.get_mut(&seq).expect("just inserted");
+        rpc.stage = Stage::Sharing;
+        self.host.share(&rpc.id);
+    }
+
+    fn record(&mut self, id: &RpcId, now_us: u64, ttl_us: u64) {
+        self.host.record_key(id, ttl_us);
+        self.keys.insert((now_us + ttl_us + 1_000, id.clone()), ());
+    }
+
+    fn forget(&mut self, seq: u64) {
+        if let Some(rpc) = self.rpcs.remove(&seq) {
+            self.by_id.remove(&rpc.id);
+        }
+    }
+
+    fn held(&self) -> impl Iterator<Item = (&u64, &Rpc)> {
+        self.rpcs.iter().filter(|(_, r)| r.stage == Stage::Held)
+    }
+
+    fn head(&self, large: bool, newest: bool) -> Option<u64> {
+        let mut lane = self.held().filter(|(_, r)| self.lanes.is_large(r.method) == large).map(|(n, _)| *n);
+        if newest {
+            lane.last()
+        } else {
+            lane.next()
+        }
+    }
+
+    fn on_cores(&self) -> usize {
+        self.rpcs.values().filter(|r| r.stage == Stage::Running).count()
+    }
+
+    /// Those on the cores and those that calls may bring back to them.
+    fn active(&self) -> usize {
+        self.rpcs.values().filter(|r| r.stage != Stage::Held && r.stage != Stage::Sharing).count()
+    }
+
+    fn memory_kb(&self) -> f64 {
+        let kb = |r: &Rpc| r.kb * if r.stage == Stage::Held { 1.0 } else { self.machine.run_factor };
+        self.rpcs.values().map(kb).sum::<f64>() + self.keys.len() as f64 * self.machine.key_kb
+    }
+
+    /// How much of the usual traffic is wanted: an integral step on how far the hold outgrows what its RPCs can
+    /// wait; a cold server wants no more than its share of speed.
+    fn advise(&mut self, now_us: u64) {
+        let aim = 0.4;
+        self.wanted += 0.04 * (aim - self.pressure).clamp(-1.0, aim);
+        self.wanted = self.wanted.clamp(0.1, 1.0);
+        if self.leaving.is_none() {
+            let wanted = self.wanted.min(self.cores.warmth(now_us));
+            self.tell((wanted * 50.0).round() / 50.0);
+        }
+    }
+
+    fn tell(&mut self, wanted: f64) {
+        if wanted == self.told {
+            return;
+        }
+        self.told = wanted;
+        let room = f64::from(self.machine.cores) * 4.0 / f64::from(self.advice.callers.max(1));
+        match self.advice.signal {
+            Signal::Silent => {}
+            Signal::Weight => self.host.signal(wanted),
+            Signal::Level => self.host.signal(0.9 * (1.0 - wanted)),
+            Signal::Credit => self.host.signal(room * wanted),
+        }
+    }
+
+    /// One timer, for the earliest thing that time alone brings.
+    fn arm(&mut self, now_us: u64) {
+        let first = self.rpcs.values().filter(|r| !r.answered).map(|r| self.answer_by(r)).min();
+        let at_us = self.pulse_us.min(first.unwrap_or(u64::MAX)).max(now_us + 1_000);
+        if at_us < self.armed_us {
+            self.armed_us = at_us;
+            self.host.wake(at_us, at_us);
+        }
+    }
+}
