r climbs when calls came within one of it; the told share binds as a mean

The share guard also took 5 calls in hand at one moment for its mean. Latest start now uses the 85th percentile of run time (was the median).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,6 +28,9 @@
 const PULSE_US: u64 = 50_000;
 const MARGIN_US: u64 = 25_000;
 /// Shares of the survivable crowd and of the memory that the module uses.
+const SHARE_USED: f64 = 0.8;
+const BURST: f64 = 2.0;
+const LATE_QUANTILE: f64 = 0.85;
 const CROWD_USED: f64 = 0.75;
 const MEMORY_USED: f64 = 0.95;
 /// The hold counts as full when its newest RPCs would wait past their latest start; newest first after this.
@@ -194,7 +197,7 @@
             if self.signs >= SIGNS_IN_A_ROW {
                 self.signs = 0;
                 self.r = (self.r / 2.0).max(1.0);
-            } else if !self.sign && self.y >= NEARED * self.r {
+            } else if !self.sign && self.y >= (NEARED * self.r).min(self.r - 1.0) {
                 self.r *= 1.5;
             }
             let e = self.r - self.y;
@@ -712,7 +715,8 @@
     /// as a mean over its window; above it is a sign of overload.
     fn below_has_room(&mut self) -> bool {
         let Below::Shared { share, .. } = self.below else { return true };
-        let room = (self.calls_in_hand() as f64) < share.max(1.0) && self.in_hand < share;
+        let room =
+            (self.calls_in_hand() as f64) < (BURST * share).max(1.0) && self.in_hand < SHARE_USED * share;
         if !room {
             self.control.overloaded();
         }
@@ -725,7 +729,7 @@
 
     fn count_in_hand(&mut self, now_us: u64) {
         let Below::Shared { window_us, .. } = self.below else { return };
-        let part = (now_us - self.in_hand_at_us) as f64 / window_us.max(1) as f64;
+        let part = (now_us - self.in_hand_at_us) as f64 / (window_us / 2).max(1) as f64;
         self.in_hand += (self.calls_in_hand() as f64 - self.in_hand) * part.min(1.0);
         self.in_hand_at_us = now_us;
         while self.lingering.front().is_some_and(|ends| *ends <= now_us) {
@@ -765,7 +769,12 @@
     fn latest_start(&self, rpc: &Rpc) -> u64 {
         let ends_us = rpc.target_us.min(self.answer_by(rpc));
         let unknown_us = self.methods[rpc.method].latency_target_us / 4;
-        ends_us.saturating_sub(Learned::time(&self.learned[rpc.method].whole, 0.5, rpc.effort_us, unknown_us))
+        ends_us.saturating_sub(Learned::time(
+            &self.learned[rpc.method].whole,
+            LATE_QUANTILE,
+            rpc.effort_us,
+            unknown_us,
+        ))
     }
 
     /// Time on the cores that an RPC will likely take.
