--- a/src/decide.rs
+++ b/src/decide.rs
@@ -765,16 +765,14 @@
         rpc.due_us.min(self.leaving.map_or(u64::MAX, |(_, ends)| ends)).saturating_sub(MARGIN_US)
     }
 
-    /// An RPC started after this would miss its latency target.
+    /// An RPC started after this would likely miss its latency target. One too long for its target in any case
+    /// still has a short while: guards against idle cores turning long RPCs away on a pessimistic estimate.
     fn latest_start(&self, rpc: &Rpc) -> u64 {
         let ends_us = rpc.target_us.min(self.answer_by(rpc));
-        let unknown_us = self.methods[rpc.method].latency_target_us / 4;
-        ends_us.saturating_sub(Learned::time(
-            &self.learned[rpc.method].whole,
-            LATE_QUANTILE,
-            rpc.effort_us,
-            unknown_us,
-        ))
+        let target_us = self.methods[rpc.method].latency_target_us;
+        let learned = &self.learned[rpc.method];
+        let whole_us = Learned::time(&learned.whole, LATE_QUANTILE, rpc.effort_us, target_us / 4);
+        ends_us.saturating_sub(whole_us).max((rpc.arrived_us + target_us / 8).min(ends_us))
     }
 
     /// Time on the cores that an RPC will likely take.
