--- a/src/decide.rs
+++ b/src/decide.rs
@@ -29,7 +29,7 @@
 const MARGIN_US: u64 = 25_000;
 /// Shares of the survivable crowd and of the memory that the module uses.
 const SHARE_USED: f64 = 0.8;
-const BURST: f64 = 2.0;
+const AT_ONCE: f64 = 0.4;
 const LATE_QUANTILE: f64 = 0.85;
 const CROWD_USED: f64 = 0.75;
 const MEMORY_USED: f64 = 0.95;
@@ -711,16 +711,16 @@
         self.host.skip_call(&rpc.id);
     }
 
-    /// Guards what all servers call: calls in hand, abandoned ones too, stay within the share told, both now and
-    /// as a mean over its window; above it is a sign of overload.
+    /// Guards what all servers call. It slows long before the told share of calls in hand, so that fewer are placed
+    /// at once and the rest wait here; more calls wanted than the share is a sign of overload.
     fn below_has_room(&mut self) -> bool {
         let Below::Shared { share, .. } = self.below else { return true };
-        let room =
-            (self.calls_in_hand() as f64) < (BURST * share).max(1.0) && self.in_hand < SHARE_USED * share;
-        if !room {
+        let in_hand = self.calls_in_hand() as f64;
+        let waiting = self.rpcs.values().filter(|r| matches!(r.stage, Stage::AtCall(_))).count() as f64;
+        if in_hand + waiting > share.max(1.0) {
             self.control.overloaded();
         }
-        room
+        in_hand < (AT_ONCE * share).max(1.0) && self.in_hand < SHARE_USED * share
     }
 
     fn calls_in_hand(&self) -> usize {
