--- a/src/decide.rs
+++ b/src/decide.rs
@@ -379,6 +379,7 @@
     /// When abandoned calls leave the hands of what lies below, and the mean calls in hand.
     lingering: VecDeque<u64>,
     in_hand: f64,
+    wanted_calls: f64,
     in_hand_at_us: u64,
     /// When the hold became full.
     full_since_us: Option<u64>,
@@ -433,6 +434,7 @@
             keys: BTreeMap::new(),
             lingering: VecDeque::new(),
             in_hand: 0.0,
+            wanted_calls: 0.0,
             in_hand_at_us: now_us,
             full_since_us: None,
             leaving: None,
@@ -545,7 +547,9 @@
         if outcome == Outcome::TimedOut {
             self.linger(now_us);
         }
-        if matches!(outcome, Outcome::TimedOut | Outcome::PushedBack) {
+        // A call that we cut short ourselves says nothing of what lies below (ours).
+        let fair_us = self.call_times.at(0.9).map_or(0, |typical| 2 * typical);
+        if outcome == Outcome::PushedBack || outcome == Outcome::TimedOut && took_us >= fair_us {
             self.control.overloaded();
         }
         let Some(&seq) = self.by_id.get(id) else { return };
@@ -678,7 +682,7 @@
     /// Places the calls that RPCs wait for, within the told share, or leaves them out where that earns a part.
     fn place_calls(&mut self, now_us: u64) {
         self.count_in_hand(now_us);
-        let typical_us = self.call_times.at(0.5).unwrap_or(0);
+        let typical_us = self.call_times.at(0.9).unwrap_or(0);
         let at_call: Vec<(u64, u64)> = self
             .rpcs
             .iter()
@@ -712,15 +716,10 @@
     }
 
     /// Guards what all servers call. It slows long before the told share of calls in hand, so that fewer are placed
-    /// at once and the rest wait here; more calls wanted than the share is a sign of overload.
-    fn below_has_room(&mut self) -> bool {
+    /// at once and the rest wait here; more wanted in the mean than the share is a sign of overload.
+    fn below_has_room(&self) -> bool {
         let Below::Shared { share, .. } = self.below else { return true };
-        let in_hand = self.calls_in_hand() as f64;
-        let waiting = self.rpcs.values().filter(|r| matches!(r.stage, Stage::AtCall(_))).count() as f64;
-        if in_hand + waiting > share.max(1.0) {
-            self.control.overloaded();
-        }
-        in_hand < (AT_ONCE * share).max(1.0) && self.in_hand < SHARE_USED * share
+        (self.calls_in_hand() as f64) < (AT_ONCE * share).max(1.0) && self.in_hand < SHARE_USED * share
     }
 
     fn calls_in_hand(&self) -> usize {
@@ -728,9 +727,15 @@
     }
 
     fn count_in_hand(&mut self, now_us: u64) {
-        let Below::Shared { window_us, .. } = self.below else { return };
+        let Below::Shared { share, window_us, .. } = self.below else { return };
         let part = (now_us - self.in_hand_at_us) as f64 / (window_us / 2).max(1) as f64;
-        self.in_hand += (self.calls_in_hand() as f64 - self.in_hand) * part.min(1.0);
+        let in_hand = self.calls_in_hand() as f64;
+        let waiting = self.rpcs.values().filter(|r| matches!(r.stage, Stage::AtCall(_))).count() as f64;
+        self.in_hand += (in_hand - self.in_hand) * part.min(1.0);
+        self.wanted_calls += (in_hand + waiting - self.wanted_calls) * part.min(1.0);
+        if self.wanted_calls > share {
+            self.control.overloaded();
+        }
         self.in_hand_at_us = now_us;
         while self.lingering.front().is_some_and(|ends| *ends <= now_us) {
             self.lingering.pop_front();
