--- a/src/decide.rs
+++ b/src/decide.rs
@@ -391,6 +391,7 @@
     /// How long the hold would take to run, and that over the patience of what is in it.
     hold_us: u64,
     pressure: f64,
+    unread: f64,
     pulse_us: u64,
     armed_us: u64,
 }
@@ -442,6 +443,7 @@
             told: -1.0,
             hold_us: 0,
             pressure: 0.0,
+            unread: 0.0,
             pulse_us: now_us,
             armed_us: u64::MAX,
         };
@@ -458,6 +460,8 @@
     /// An RPC has been read into the hold.
     pub fn arrived(&mut self, now_us: u64, new: Arrival) {
         let method = &self.methods[new.method];
+        let unread = 4.0 * new.queued_us as f64 / method.latency_target_us as f64;
+        self.unread += (unread - self.unread) / 16.0;
         let came_us = now_us.saturating_sub(new.queued_us);
         let left_us = new.left_us.unwrap_or(method.deadline_us.saturating_sub(new.queued_us));
         let stretch = method.target_stretch * new.effort_us.unwrap_or(0) as f64;
@@ -925,7 +929,8 @@
     /// wait; a cold server wants no more than its share of speed.
     fn advise(&mut self, now_us: u64) {
         let aim = 0.4;
-        self.wanted += 0.04 * (aim - self.pressure).clamp(-1.0, aim);
+        let e = aim - self.pressure.max(self.unread);
+        self.wanted += if e < 0.0 { 0.04 * e.max(-1.0) } else { 0.01 * e };
         self.wanted = self.wanted.clamp(0.1, 1.0);
         if self.leaving.is_none() {
             let wanted = self.wanted.min(self.cores.warmth(now_us));
