--- a/src/decide.rs
+++ b/src/decide.rs
@@ -30,6 +30,7 @@
 /// Shares of the survivable crowd and of the memory that the module uses.
 const SHARE_USED: f64 = 0.8;
 const AT_ONCE: f64 = 0.4;
+const UNREAD_LONG: f64 = 0.4;
 const LATE_QUANTILE: f64 = 0.85;
 const CROWD_USED: f64 = 0.75;
 const MEMORY_USED: f64 = 0.95;
@@ -308,15 +309,19 @@
         ((self.cores + self.extra) as usize).clamp(1, self.ceiling(now_us))
     }
 
-    /// Reads the gauges. `waiting`: work is held only because the limit is reached.
-    pub fn gauge(&mut self, now_us: u64, gauges: Gauges, waiting: bool) {
+    /// Reads the gauges. `waiting`: work is held only because the limit is reached. `unread`: how long RPCs wait
+    /// unread, over what they can; as reading shares the cores, the limit then yields to it, below the cores even:
+    /// guards against a server that reads RPCs only when it is too late for them.
+    pub fn gauge(&mut self, now_us: u64, gauges: Gauges, waiting: bool, unread: f64) {
         if now_us < self.next_us {
             return;
         }
         self.next_us = now_us + 250_000;
         let (busy, runnable) = (gauges.busy.unwrap_or(1.0), gauges.runnable.unwrap_or(self.cores));
-        if waiting && busy < 0.92 && runnable < self.cores {
-            self.extra = (self.extra + 1.0).min(self.ceiling(now_us) as f64 - self.cores).max(0.0);
+        if unread > UNREAD_LONG {
+            self.extra = (self.extra - 1.0).max(-0.7 * self.cores);
+        } else if self.extra < 0.0 || waiting && busy < 0.92 && runnable < self.cores {
+            self.extra = (self.extra + 1.0).min(self.ceiling(now_us) as f64 - self.cores);
         } else if runnable > 1.3 * self.cores {
             self.extra = (self.extra - 0.5).max(0.0);
         }
@@ -614,7 +619,7 @@
         }
         self.pulse_us = now_us + PULSE_US;
         let waiting = self.on_cores() >= self.cores.limit(now_us) && self.held().next().is_some();
-        self.cores.gauge(now_us, gauges, waiting);
+        self.cores.gauge(now_us, gauges, waiting, self.unread);
         let idle_stop: Vec<u64> = self.rpcs.iter().filter(|(_, r)| r.answered).map(|(n, _)| *n).collect();
         // Guards against a standstill, in which stopping does nothing: ask again.
         idle_stop.into_iter().for_each(|seq| self.take_off(seq));
@@ -930,11 +935,11 @@
     fn advise(&mut self, now_us: u64) {
         let aim = 0.4;
         let e = aim - self.pressure.max(self.unread);
-        self.wanted += if e < 0.0 { 0.04 * e.max(-1.0) } else { 0.01 * e };
-        self.wanted = self.wanted.clamp(0.1, 1.0);
+        self.wanted *= 1.0 + if e < 0.0 { 0.08 * e.max(-1.0) } else { 0.1 * e };
+        self.wanted = self.wanted.clamp(0.02, 1.0);
         if self.leaving.is_none() {
             let wanted = self.wanted.min(self.cores.warmth(now_us));
-            self.tell((wanted * 50.0).round() / 50.0);
+            self.tell((wanted * 100.0).round() / 100.0);
         }
     }
 
