--- a/src/decide.rs
+++ b/src/decide.rs
@@ -30,7 +30,6 @@
 /// Shares of the survivable crowd and of the memory that the module uses.
 const SHARE_USED: f64 = 0.8;
 const AT_ONCE: f64 = 0.4;
-const UNREAD_LONG: f64 = 0.4;
 const LATE_QUANTILE: f64 = 0.85;
 const CROWD_USED: f64 = 0.75;
 const MEMORY_USED: f64 = 0.95;
@@ -110,6 +109,8 @@
     id: RpcId,
     method: usize,
     arrived_us: u64,
+    /// Another server, or this one, has had it before.
+    further: bool,
     /// An answer must be out by then.
     due_us: u64,
     /// An answer is wanted by then.
@@ -309,19 +310,15 @@
         ((self.cores + self.extra) as usize).clamp(1, self.ceiling(now_us))
     }
 
-    /// Reads the gauges. `waiting`: work is held only because the limit is reached. `unread`: how long RPCs wait
-    /// unread, over what they can; as reading shares the cores, the limit then yields to it, below the cores even:
-    /// guards against a server that reads RPCs only when it is too late for them.
-    pub fn gauge(&mut self, now_us: u64, gauges: Gauges, waiting: bool, unread: f64) {
+    /// Reads the gauges. `waiting`: work is held only because the limit is reached.
+    pub fn gauge(&mut self, now_us: u64, gauges: Gauges, waiting: bool) {
         if now_us < self.next_us {
             return;
         }
         self.next_us = now_us + 250_000;
         let (busy, runnable) = (gauges.busy.unwrap_or(1.0), gauges.runnable.unwrap_or(self.cores));
-        if unread > UNREAD_LONG {
-            self.extra = (self.extra - 1.0).max(-0.7 * self.cores);
-        } else if self.extra < 0.0 || waiting && busy < 0.92 && runnable < self.cores {
-            self.extra = (self.extra + 1.0).min(self.ceiling(now_us) as f64 - self.cores);
+        if waiting && busy < 0.92 && runnable < self.cores {
+            self.extra = (self.extra + 1.0).min(self.ceiling(now_us) as f64 - self.cores).max(0.0);
         } else if runnable > 1.3 * self.cores {
             self.extra = (self.extra - 0.5).max(0.0);
         }
@@ -490,6 +487,7 @@
             id: new.id.clone(),
             method: new.method,
             arrived_us: came_us,
+            further: new.further_try,
             due_us: now_us + left_us,
             target_us: (came_us + wanted_us.saturating_sub(age_us)).min(now_us + left_us),
             kb: new.kb,
@@ -576,7 +574,7 @@
         } else if method.skip_share > 0.0 {
             self.skip(now_us, seq);
         } else if !outcome.never_ran() && method.effect != Effect::Idempotent {
-            self.give_up(seq, false);
+            self.give_up(seq);
         }
     }
 
@@ -619,7 +617,7 @@
         }
         self.pulse_us = now_us + PULSE_US;
         let waiting = self.on_cores() >= self.cores.limit(now_us) && self.held().next().is_some();
-        self.cores.gauge(now_us, gauges, waiting, self.unread);
+        self.cores.gauge(now_us, gauges, waiting);
         let idle_stop: Vec<u64> = self.rpcs.iter().filter(|(_, r)| r.answered).map(|(n, _)| *n).collect();
         // Guards against a standstill, in which stopping does nothing: ask again.
         idle_stop.into_iter().for_each(|seq| self.take_off(seq));
@@ -771,7 +769,7 @@
             })
             .map(|(n, _)| *n)
             .collect();
-        over.into_iter().for_each(|seq| self.give_up(seq, false));
+        over.into_iter().for_each(|seq| self.give_up(seq));
     }
 
     /// The last moment for an answer: its due time, or the end of the process, with a margin.
@@ -802,7 +800,7 @@
         }
         while self.memory_kb() > self.machine.memory_kb * MEMORY_USED {
             let Some(seq) = self.least(u64::MAX) else { return };
-            self.give_up(seq, false);
+            self.give_up(seq);
         }
     }
 
@@ -832,7 +830,7 @@
                 if self.rpcs[&walked[least].0].value < value {
                     let (out, saved_us) = walked.remove(least);
                     wait_us -= saved_us;
-                    self.give_up(out, false);
+                    self.give_up(out);
                 }
             }
             wait_us += core_us;
@@ -849,8 +847,9 @@
     }
 
     /// The final answer to an RPC we gave up on, at once. One that never ran is pushed back with a time to come
-    /// back; any other is aborted, as it may have had its effect, and taken off the cores.
-    fn give_up(&mut self, seq: u64, last: bool) {
+    /// back, and a further try is asked to be the last: guards against repeats that feed themselves, as each costs its
+    /// reading everywhere; harms where only the servers tried so far are busy. Any other is aborted, as it may have had its effect, and taken off the cores.
+    fn give_up(&mut self, seq: u64) {
         let come_back_us = match self.leaving {
             Some(_) => self.advice.max_come_back_us,
             None => (self.hold_us / 2).min(self.advice.max_come_back_us),
@@ -859,7 +858,7 @@
         rpc.answered = true;
         match rpc.stage {
             Stage::Held => {
-                self.host.push_back(&rpc.id, last, come_back_us);
+                self.host.push_back(&rpc.id, rpc.further, come_back_us);
                 if self.methods[rpc.method].effect == Effect::Tokened {
                     let id = rpc.id.clone();
                     self.host.drop_key(&id);
@@ -935,11 +934,11 @@
     fn advise(&mut self, now_us: u64) {
         let aim = 0.4;
         let e = aim - self.pressure.max(self.unread);
-        self.wanted *= 1.0 + if e < 0.0 { 0.08 * e.max(-1.0) } else { 0.1 * e };
-        self.wanted = self.wanted.clamp(0.02, 1.0);
+        self.wanted += if e < 0.0 { 0.04 * e.max(-1.0) } else { 0.01 * e };
+        self.wanted = self.wanted.clamp(0.1, 1.0);
         if self.leaving.is_none() {
             let wanted = self.wanted.min(self.cores.warmth(now_us));
-            self.tell((wanted * 100.0).round() / 100.0);
+            self.tell((wanted * 50.0).round() / 50.0);
         }
     }
 
