--- a/src/decide.rs
+++ b/src/decide.rs
@@ -394,6 +394,7 @@
     hold_us: u64,
     pressure: f64,
     unread: f64,
+    unread_us: f64,
     pulse_us: u64,
     armed_us: u64,
 }
@@ -446,6 +447,7 @@
             hold_us: 0,
             pressure: 0.0,
             unread: 0.0,
+            unread_us: 0.0,
             pulse_us: now_us,
             armed_us: u64::MAX,
         };
@@ -462,8 +464,8 @@
     /// An RPC has been read into the hold.
     pub fn arrived(&mut self, now_us: u64, new: Arrival) {
         let method = &self.methods[new.method];
-        let unread = 4.0 * new.queued_us as f64 / method.latency_target_us as f64;
-        self.unread += (unread - self.unread) / 16.0;
+        self.unread_us += (new.queued_us as f64 - self.unread_us) / 16.0;
+        self.unread = 4.0 * self.unread_us / method.latency_target_us as f64;
         let came_us = now_us.saturating_sub(new.queued_us);
         let left_us = new.left_us.unwrap_or(method.deadline_us.saturating_sub(new.queued_us));
         let stretch = method.target_stretch * new.effort_us.unwrap_or(0) as f64;
@@ -852,7 +854,7 @@
     fn give_up(&mut self, seq: u64) {
         let come_back_us = match self.leaving {
             Some(_) => self.advice.max_come_back_us,
-            None => (self.hold_us / 2).min(self.advice.max_come_back_us),
+            None => (self.hold_us + self.unread_us as u64).min(self.advice.max_come_back_us),
         };
         let rpc = self.rpcs.get_mut(&seq).expect("given up once");
         rpc.answered = true;
