--- a/src/decide.rs
+++ b/src/decide.rs
@@ -811,14 +811,14 @@
     fn crowded_out(&mut self, now_us: u64) {
         let limit = self.cores.limit(now_us) as u64;
         let mut walked: Vec<(u64, u64)> = Vec::new();
-        let (mut wait_us, mut pressure) = (0, 0.0f64);
+        let (mut wait_us, mut patience_us) = (0, 1);
         let held: Vec<u64> = self.held().map(|(n, _)| *n).collect();
-        let mut full = false;
+        let (mut full, walks) = (false, held.len() as u64);
         for seq in held {
             let rpc = &self.rpcs[&seq];
             let core_us = self.core_time(rpc) / limit;
             let latest_us = self.latest_start(rpc);
-            let patience_us = latest_us.saturating_sub(rpc.arrived_us).max(1);
+            patience_us += latest_us.saturating_sub(rpc.arrived_us);
             walked.push((seq, core_us));
             if now_us + wait_us > latest_us {
                 full = true;
@@ -836,9 +836,9 @@
                 }
             }
             wait_us += core_us;
-            pressure = pressure.max(wait_us as f64 / patience_us as f64);
         }
-        (self.hold_us, self.pressure) = (wait_us, pressure);
+        self.hold_us = wait_us;
+        self.pressure = (wait_us * walks) as f64 / patience_us as f64;
         self.full_since_us = full.then(|| self.full_since_us.unwrap_or(now_us));
     }
 
