--- a/src/decide.rs
+++ b/src/decide.rs
@@ -820,7 +820,10 @@
             let latest_us = self.latest_start(rpc);
             patience_us += latest_us.saturating_sub(rpc.arrived_us);
             walked.push((seq, core_us));
-            if now_us + wait_us > latest_us {
+            let target_us = self.methods[rpc.method].latency_target_us;
+            // Guards against many going for one that is too long to be helped.
+            let helped = latest_us > rpc.arrived_us + target_us / 4;
+            if helped && now_us + wait_us > latest_us {
                 full = true;
                 let value = rpc.value;
                 let least = (0..walked.len())
