--- a/src/decide.rs
+++ b/src/decide.rs
@@ -141,6 +141,8 @@
     admitted: f64,
     last_admitted: f64,
     predicted: f64,
+    /// The prediction reached r in this period: calls neared r, though fewer whole ones may have been placed.
+    reached: bool,
     sign: bool,
     signs: u32,
     ends_us: u64,
@@ -157,6 +159,7 @@
             admitted: 0.0,
             last_admitted: 0.0,
             predicted: 0.0,
+            reached: false,
             sign: false,
             signs: 0,
             ends_us: now_us + PERIOD_US,
@@ -185,8 +188,22 @@
     }
 
     /// Whether one more RPC of a lane that calls `mean` times may start in this period.
-    pub fn room(&self, mean: f64) -> bool {
-        !self.bound || mean <= 0.0 || (self.admitted < self.u && self.predicted + mean <= self.r.max(mean))
+    pub fn room(&mut self, mean: f64) -> bool {
+        if !self.bound || mean <= 0.0 {
+            return true;
+        }
+        let below_r = self.predicted + mean <= self.r.max(mean);
+        self.reached |= !below_r;
+        below_r && self.admitted < self.u
+    }
+
+    /// How long the loop takes to let one RPC of such a lane go.
+    fn pace_us(&self, mean: f64) -> u64 {
+        if self.bound {
+            (PERIOD_US as f64 * (mean / self.r).max(if mean > 0.0 { 1.0 / self.u } else { 0.0 })) as u64
+        } else {
+            0
+        }
     }
 
     /// Ends the period when its time has come, and says whether it did.
@@ -199,14 +216,15 @@
             if self.signs >= SIGNS_IN_A_ROW {
                 self.signs = 0;
                 self.r = (self.r / 2.0).max(1.0);
-            } else if !self.sign && self.y >= (NEARED * self.r).min(self.r - 1.0) {
+            } else if !self.sign && (self.reached || self.y >= NEARED * self.r) {
                 self.r *= 1.5;
             }
             let e = self.r - self.y;
             self.u = (self.u + K_I * e).clamp(1.0, U_OVER_R * self.r);
         }
         (self.last_y, self.last_admitted) = (self.y, self.admitted);
-        (self.y, self.admitted, self.predicted, self.sign) = (0.0, 0.0, 0.0, false);
+        (self.y, self.admitted, self.predicted) = (0.0, 0.0, 0.0);
+        (self.sign, self.reached) = (false, false);
         self.ends_us = now_us + PERIOD_US;
         true
     }
@@ -670,7 +688,7 @@
             {
                 break;
             }
-            let mean = if self.methods[rpc.method].calls { self.lanes.means[lane] } else { 0.0 };
+            let mean = self.mean_calls(rpc.method);
             if !self.control.room(mean) {
                 if lane == 0 {
                     self.lanes.small_was_blocked();
@@ -816,7 +834,8 @@
         let (mut full, walks) = (false, held.len() as u64);
         for seq in held {
             let rpc = &self.rpcs[&seq];
-            let core_us = self.core_time(rpc) / limit;
+            let pace_us = self.control.pace_us(self.mean_calls(rpc.method));
+            let core_us = (self.core_time(rpc) / limit).max(pace_us);
             let latest_us = self.latest_start(rpc);
             patience_us += latest_us.saturating_sub(rpc.arrived_us);
             walked.push((seq, core_us));
@@ -920,6 +939,16 @@
         }
     }
 
+    /// What the lane of a method calls in the mean; nothing where the method never calls.
+    fn mean_calls(&self, method: usize) -> f64 {
+        let lane = usize::from(self.lanes.is_large(method));
+        if self.methods[method].calls {
+            self.lanes.means[lane]
+        } else {
+            0.0
+        }
+    }
+
     fn on_cores(&self) -> usize {
         self.rpcs.values().filter(|r| r.stage == Stage::Running).count()
     }
