--- a/crates/ochrewalk-wirehost/src/wire.rs
+++ b/crates/ochrewalk-wirehost/src/wire.rs
@@ -85,7 +85,7 @@
                     queued_us: fields.maybe_whole("queued-for-ns")?.unwrap_or(0) / 1_000,
                     left_us: fields
                         .maybe_whole("expires-in-ns")?
-                        .filter(|left| *left > 0 && server.passes_deadline)
+                        .filter(|_| server.passes_deadline)
                         .map(|ns| ns / 1_000),
                     effort_us: fields
                         .maybe_whole("effort-ns")?
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -546,7 +546,8 @@
     pub fn gone(&mut self, now_us: u64, id: &str) {
         let Some(&seq) = self.by_id.get(id) else { return };
         match self.rpcs[&seq].stage {
-            Stage::Held | Stage::Sharing => self.forget(seq),
+            Stage::Held => self.unrecord(seq),
+            Stage::Sharing => self.forget(seq),
             Stage::Running | Stage::AtCall(_) | Stage::Calling => {
                 let rpc = self.rpcs.get_mut(&seq).expect("indexed");
                 rpc.answered = true;
@@ -602,9 +603,6 @@
     pub fn settled(&mut self, now_us: u64, id: &str, outcome: Outcome) {
         let Some(&seq) = self.by_id.get(id) else { return };
         let rpc = &self.rpcs[&seq];
-        if matches!(outcome, Outcome::Stopped | Outcome::Moot) && !rpc.answered {
-            return;
-        }
         if rpc.stage == Stage::Running && outcome == Outcome::Ok && !rpc.answered {
             let learned = &mut self.learned[rpc.method];
             let core_us = rpc.core_us + now_us - rpc.on_core_us;
@@ -778,14 +776,20 @@
     /// Gives up what is due, what came too late in a drain, and what is held but cannot start in time.
     fn overdue(&mut self, now_us: u64) {
         let late_us = self.leaving.map_or(u64::MAX, |(since, _)| since + self.drain_grace_us);
+        let work_held = self.held().next().is_some();
         let over: Vec<u64> = self
             .rpcs
             .iter()
             .filter(|(_, r)| {
-                let held = r.stage == Stage::Held;
+                let method = &self.methods[r.method];
+                let worthless = now_us > r.target_us && method.late_share <= 0.0;
                 !r.answered
                     && (now_us >= self.answer_by(r)
-                        || held && (r.arrived_us > late_us || now_us > self.latest_start(r)))
+                        || match r.stage {
+                            Stage::Held => r.arrived_us > late_us || now_us > self.latest_start(r),
+                            Stage::Running => work_held && worthless && method.effect == Effect::Idempotent,
+                            _ => false,
+                        })
             })
             .map(|(n, _)| *n)
             .collect();
@@ -883,12 +887,7 @@
         match rpc.stage {
             Stage::Held => {
                 self.host.push_back(&rpc.id, rpc.further, come_back_us);
-                if self.methods[rpc.method].effect == Effect::Tokened {
-                    let id = rpc.id.clone();
-                    self.host.drop_key(&id);
-                    self.keys.retain(|(_, key), _| *key != id);
-                }
-                self.forget(seq);
+                self.unrecord(seq);
             }
             Stage::Sharing => {
                 self.host.abort(&rpc.id);
@@ -920,6 +919,17 @@
         self.keys.insert((now_us + ttl_us + 1_000, id.clone()), ());
     }
 
+    /// Forgets a held RPC and its key: it never ran, so that a repeat may.
+    fn unrecord(&mut self, seq: u64) {
+        let id = self.rpcs[&seq].id.clone();
+        let keys = self.keys.len();
+        self.keys.retain(|(_, key), _| *key != id);
+        if self.keys.len() < keys {
+            self.host.drop_key(&id);
+        }
+        self.forget(seq);
+    }
+
     fn forget(&mut self, seq: u64) {
         if let Some(rpc) = self.rpcs.remove(&seq) {
             self.by_id.remove(&rpc.id);
