--- a/crates/ochrewalk-wirehost/src/wire.rs
+++ b/crates/ochrewalk-wirehost/src/wire.rs
@@ -165,7 +165,6 @@
             latency_target_us: category.whole("on-time-ns")? / 1_000,
             target_stretch: category.maybe_number("aim-stretch")?.unwrap_or(0.0),
             deadline_us: category.whole("deadline-ns")? / 1_000,
-            late_share: category.maybe_number("late-value")?.unwrap_or(0.0),
             effect: match category.text("idempotency")? {
                 "free" => Effect::Idempotent,
                 "guarded" => Effect::Tokened,
@@ -204,10 +203,6 @@
             Some(most) if heeds => most / 1_000,
             _ => 0,
         },
-        marks_tries: match options.maybe_object("clients")? {
-            Some(clients) => clients.maybe_bool("marks-retry")?.unwrap_or(false),
-            None => false,
-        },
     };
     let shares = Shares {
         by_work: options.maybe_text("value-by")? == Some("work"),
@@ -299,13 +294,9 @@
             .ok_or_else(|| self.bad(field, "an array"))
     }
 
-    fn maybe_object(&self, field: &str) -> Result<Option<Fields<'a>>, String> {
-        let value = self.maybe(field, "an object", |v| v.is_object().then_some(v))?;
-        Ok(value.map(|value| Fields { msg: self.msg, value }))
-    }
-
     fn object(&self, field: &str) -> Result<Fields<'a>, String> {
-        self.maybe_object(field)?.ok_or_else(|| self.bad(field, "an object"))
+        let value = self.maybe(field, "an object", |v| v.is_object().then_some(v))?;
+        value.map(|value| Fields { msg: self.msg, value }).ok_or_else(|| self.bad(field, "an object"))
     }
 
     fn outcome(&self) -> Result<Outcome, String> {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -564,6 +564,9 @@
     pub fn needs_call(&mut self, now_us: u64, id: &str) {
         let Some(&seq) = self.by_id.get(id) else { return };
         let rpc = self.rpcs.get_mut(&seq).expect("indexed");
+        if rpc.stage != Stage::Running {
+            return;
+        }
         rpc.core_us += now_us - rpc.on_core_us;
         rpc.calls += 1;
         rpc.stage = Stage::AtCall(now_us);
@@ -776,20 +779,14 @@
     /// Gives up what is due, what came too late in a drain, and what is held but cannot start in time.
     fn overdue(&mut self, now_us: u64) {
         let late_us = self.leaving.map_or(u64::MAX, |(since, _)| since + self.drain_grace_us);
-        let work_held = self.held().next().is_some();
         let over: Vec<u64> = self
             .rpcs
             .iter()
             .filter(|(_, r)| {
-                let method = &self.methods[r.method];
-                let worthless = now_us > r.target_us && method.late_share <= 0.0;
+                let held = r.stage == Stage::Held;
                 !r.answered
                     && (now_us >= self.answer_by(r)
-                        || match r.stage {
-                            Stage::Held => r.arrived_us > late_us || now_us > self.latest_start(r),
-                            Stage::Running => work_held && worthless && method.effect == Effect::Idempotent,
-                            _ => false,
-                        })
+                        || held && (r.arrived_us > late_us || now_us > self.latest_start(r)))
             })
             .map(|(n, _)| *n)
             .collect();
@@ -823,7 +820,8 @@
             self.keys.pop_first();
         }
         while self.memory_kb() > self.machine.memory_kb * MEMORY_USED {
-            let Some(seq) = self.least(u64::MAX) else { return };
+            let least = self.held().min_by(|a, b| a.1.value.total_cmp(&b.1.value)).map(|(n, _)| *n);
+            let Some(seq) = least else { return };
             self.give_up(seq);
         }
     }
@@ -849,12 +847,8 @@
             if helped && now_us + wait_us > latest_us {
                 full = true;
                 let value = rpc.value;
-                let least = (0..walked.len())
-                    .min_by(|a, b| {
-                        let value = |i: &usize| self.rpcs[&walked[*i].0].value;
-                        value(a).total_cmp(&value(b))
-                    })
-                    .expect("just pushed");
+                let value_of = |i: &usize| self.rpcs[&walked[*i].0].value;
+                let least = (0..walked.len()).min_by(|a, b| value_of(a).total_cmp(&value_of(b))).unwrap_or(0);
                 if self.rpcs[&walked[least].0].value < value {
                     let (out, saved_us) = walked.remove(least);
                     wait_us -= saved_us;
@@ -868,12 +862,6 @@
         self.full_since_us = full.then(|| self.full_since_us.unwrap_or(now_us));
     }
 
-    /// The least valuable held RPC, the oldest of equals.
-    fn least(&self, before: u64) -> Option<u64> {
-        let held = self.held().filter(|(n, _)| **n < before);
-        held.min_by(|a, b| a.1.value.total_cmp(&b.1.value)).map(|(n, _)| *n)
-    }
-
     /// The final answer to an RPC we gave up on, at once. One that never ran is pushed back with a time to come
     /// back, and a further try is asked to be the last: guards against repeats that feed themselves, as each costs its
     /// reading everywhere; harms where only the servers tried so far are busy. Any other is aborted, as it may have had its effect, and taken off the cores.
--- a/src/host.rs
+++ b/src/host.rs
@@ -61,8 +61,6 @@
     pub target_stretch: f64,
     /// The client gives up after this time.
     pub deadline_us: u64,
-    /// What an answer after the latency target still earns, as a share.
-    pub late_share: f64,
     pub effect: Effect,
     /// How long a tokened RPC may come again after its arrival.
     pub window_us: u64,
@@ -140,8 +138,6 @@
     pub callers: u32,
     /// The longest time to keep away that is heeded; 0 where none is.
     pub max_come_back_us: u64,
-    /// Callers mark further tries of an RPC.
-    pub marks_tries: bool,
 }
 
 /// A customer's share: RPCs a second over the whole fleet, beyond which its RPCs count for little.
--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,213 @@
+//! The control law against periods worked by hand, the lanes, the running limit and the value sent back.
+mod helper;
+use helper::*;
+use ochrewalk::decide::{Cores, Lanes, Loop};
+use ochrewalk::host::*;
+
+const S: u64 = 1_000_000;
+
+#[test]
+fn the_integral_loop_follows_its_law() {
+    // Each period: calls placed, RPCs released (each predicted to call once), a sign; then r and u after it.
+    let table = [
+        (8, 8, false, 0.0, 0.0),    // free: nothing binds before a sign
+        (8, 8, true, 8.0, 8.0),     // bound to what was carried; e = 8 - 8
+        (8, 8, false, 12.0, 12.0),  // neared r: r grows by half; u = 8 + (12 - 8)
+        (6, 6, false, 12.0, 18.0),  // not neared; u = 12 + (12 - 6)
+        (14, 12, true, 12.0, 16.0), // one sign alone leaves r; u = 18 + (12 - 14)
+        (12, 12, true, 6.0, 10.0),  // the second in a row halves r; u = 16 + (6 - 12)
+        (0, 0, false, 6.0, 16.0),
+        (0, 0, false, 6.0, 22.0),
+        (0, 0, false, 6.0, 24.0), // u stays within four times r
+    ];
+    let mut it = Loop::new(0);
+    for (k, (calls, released, sign, r, u)) in table.into_iter().enumerate() {
+        (0..calls).for_each(|_| it.called());
+        (0..released).for_each(|_| it.released(1.0));
+        if sign {
+            it.overloaded();
+        }
+        let ends = (k as u64 + 1) * S;
+        assert!(!it.period(ends - 1) && it.period(ends));
+        assert_eq!((it.r, it.u), (r, u), "period {k}");
+    }
+}
+
+#[test]
+fn release_stops_when_the_prediction_reaches_r() {
+    let mut it = Loop::new(0);
+    (0..3).for_each(|_| it.called());
+    (0..9).for_each(|_| it.released(0.5));
+    assert!(it.room(100.0), "free before any sign");
+    it.overloaded();
+    it.period(S); // r 3, u 9
+    let started = (0..20)
+        .filter(|_| {
+            it.room(1.0) && {
+                it.released(1.0);
+                true
+            }
+        })
+        .count();
+    assert_eq!(started, 3);
+    assert!(it.room(0.0), "RPCs that never call are not held back");
+    it.period(2 * S); // stopped at r, so that calls neared it: r 4.5
+    assert_eq!(it.r, 4.5);
+}
+
+#[test]
+fn r_and_u_recover_within_a_few_periods() {
+    let mut it = Loop::new(0);
+    it.overloaded();
+    for k in 1..=30u64 {
+        it.overloaded();
+        it.period(k * S);
+    }
+    assert_eq!((it.r, it.u), (1.0, 4.0));
+    let mut k = 30;
+    while it.r < 20.0 {
+        k += 1;
+        while it.room(1.0) {
+            it.called();
+            it.released(1.0);
+        }
+        it.period(k * S);
+    }
+    assert!(k - 30 <= 9, "{} periods", k - 30);
+}
+
+#[test]
+fn lanes_part_methods_by_the_calls_seen() {
+    for (seen, large) in [
+        (vec![(10.0, 10.0), (10.0, 11.0)], vec![false, false]),
+        (vec![(10.0, 0.0), (10.0, 10.0)], vec![false, true]),
+        (vec![(10.0, 10.0), (10.0, 20.0), (10.0, 19.0)], vec![false, true, true]),
+    ] {
+        let mut lanes = Lanes::new(&vec![true; seen.len()]);
+        lanes.part(&seen);
+        assert_eq!((0..seen.len()).map(|m| lanes.is_large(m)).collect::<Vec<_>>(), large, "{seen:?}");
+    }
+    let mut lanes = Lanes::new(&[true, true, true]);
+    lanes.part(&[(10.0, 10.0), (10.0, 20.0), (30.0, 60.0)]);
+    assert_eq!(lanes.means, [1.0, 2.0]);
+}
+
+#[test]
+fn prob_l_falls_while_small_wait_and_rises_while_large_wait_longer() {
+    let mut lanes = Lanes::new(&[false, true]);
+    assert_eq!(lanes.prob_l, 1.0);
+    lanes.small_was_blocked();
+    lanes.adapt(Some(900), Some(100));
+    let low = lanes.prob_l;
+    assert!(low < 1.0);
+    lanes.small_was_blocked();
+    lanes.adapt(Some(100), Some(900));
+    assert!(lanes.prob_l > low, "no starvation: large ones wait longer");
+    (0..20).for_each(|_| lanes.adapt(None, None));
+    assert_eq!(lanes.prob_l, 1.0, "back to one when nothing is held back");
+}
+
+#[test]
+fn a_large_rpc_is_not_starved_by_small_ones() {
+    let mut given = Given::default();
+    given.methods[IDEM].calls = false;
+    let mut s = given.start();
+    s.fill();
+    s.arrives(Arrival { left_us: Some(60 * S), ..rpc("big", ONCE) });
+    let mut ran = false;
+    for i in 0..30 {
+        s.now += 100_000;
+        s.arrive(&format!("small{i}"), IDEM);
+        let done = if i < 6 { format!("r{i}") } else { format!("small{}", i - 6) };
+        ran |= s.settle(&done).contains(&"run big".into());
+    }
+    assert!(ran);
+}
+
+#[test]
+fn small_rpcs_lead_while_the_loop_binds() {
+    // One lane calls once, the other twice; r is 2 after the sign.
+    let mut lanes = Lanes::new(&[true, true]);
+    lanes.part(&[(10.0, 10.0), (10.0, 20.0)]);
+    let mut it = Loop::new(0);
+    (0..2).for_each(|_| it.called());
+    (0..2).for_each(|_| it.released(1.0));
+    it.overloaded();
+    it.period(S);
+    assert!(it.room(lanes.means[0]) && it.room(lanes.means[1]));
+    it.released(lanes.means[0]);
+    assert!(it.room(lanes.means[0]) && !it.room(lanes.means[1]), "room is left for a small one only");
+}
+
+#[test]
+fn the_running_limit_grows_while_cores_idle_with_work_held() {
+    let crowd = Crowd { multiple: 2.0, cold: false, cold_from: 1.0, warm_within_us: 1 };
+    let mut cores = Cores::new(6, crowd, 0);
+    let gauges = |busy, runnable| Gauges { busy: Some(busy), runnable: Some(runnable) };
+    assert_eq!(cores.limit(0), 6);
+    let mut at = 0;
+    for (busy, runnable, waiting, want) in [
+        (0.5, 3.0, false, 6), // nothing is held
+        (0.99, 6.0, true, 6), // the cores are busy
+        (0.5, 3.0, true, 7),
+        (0.5, 3.0, true, 8),
+        (0.5, 3.0, true, 9),
+        (0.5, 3.0, true, 9), // three quarters of the crowd that it survives
+        (0.99, 20.0, true, 8),
+        (0.99, 20.0, true, 8),
+        (0.99, 20.0, true, 7),
+    ] {
+        at += 250_000;
+        cores.gauge(at, gauges(busy, runnable), waiting);
+        assert_eq!(cores.limit(at), want, "at {at}");
+    }
+}
+
+#[test]
+fn the_value_sent_back_falls_under_pressure_and_recovers() {
+    for (signal, beyond, rest) in
+        [(Signal::Weight, 0.5, 1.0), (Signal::Level, 0.45, 0.0), (Signal::Credit, 3.0, 6.0)]
+    {
+        let mut s = Given { signal, ..Given::default() }.start();
+        s.fill();
+        for i in 0..10 {
+            s.arrives(Arrival { effort_us: Some(1_200_000), ..rpc(&format!("a{i}"), IDEM) });
+        }
+        let last =
+            |did: Vec<String>| did.iter().rev().find_map(|d| d.strip_prefix("signal ")?.parse::<f64>().ok());
+        let low = (1..60).filter_map(|k| last(s.pulse(k * 50_000, 1.0, 9.0))).last().unwrap();
+        (0..10).for_each(|i| s.it.gone(s.now, &format!("a{i}")));
+        let high = (60..400).filter_map(|k| last(s.pulse(k * 50_000, 1.0, 9.0))).last().unwrap();
+        assert!(if rest > beyond { low < beyond } else { low > beyond }, "{signal:?} {low}");
+        assert_eq!(high, rest, "{signal:?}");
+    }
+}
+
+#[test]
+fn a_cold_server_wants_no_more_than_its_speed() {
+    let mut given = Given::default();
+    given.crowd.cold = true;
+    let mut s = given.start();
+    assert_eq!(s.pulse(50_000, 0.0, 0.0), ["signal 0.26"]);
+}
+
+#[test]
+fn a_time_out_binds_unless_we_cut_the_call_short() {
+    for (took, pushes) in [(400_000, true), (150_000, false)] {
+        let mut s = Given::default().start();
+        for i in 0..5 {
+            s.arrive(&format!("a{i}"), IDEM);
+            s.needs(&format!("a{i}"));
+            s.it.call_ended(s.now, &format!("a{i}"), Outcome::Ok, 100_000);
+            s.settle(&format!("a{i}"));
+        }
+        s.at(10 * S);
+        s.at(20 * S);
+        s.arrive("b", IDEM);
+        s.needs("b");
+        s.it.call_ended(s.now, "b", Outcome::TimedOut, took);
+        s.turn();
+        // Once bound, r and u are what this period carried: one RPC, so that the next is held.
+        assert_eq!(s.arrive("c", IDEM).is_empty(), pushes, "took {took}");
+    }
+}
