--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,6 +15,7 @@
 /// r climbs when calls came this near to it, and halves after this many periods with signs in a row.
 const NEARED: f64 = 0.9;
 const SIGNS_IN_A_ROW: u32 = 2;
+const SIGNS_SHARE: f64 = 0.1;
 /// u stays below this multiple of r, so that quiet periods do not wind it up beyond any use.
 const U_OVER_R: f64 = 4.0;
 /// Prob_l: its floor, its fall and its rise per period, and how long a draw stands for the head of the lane.
@@ -143,8 +144,8 @@
     predicted: f64,
     /// The prediction reached r in this period: calls neared r, though fewer whole ones may have been placed.
     reached: bool,
-    sign: bool,
-    signs: u32,
+    signs: f64,
+    in_a_row: u32,
     ends_us: u64,
 }
 
@@ -160,8 +161,8 @@
             last_admitted: 0.0,
             predicted: 0.0,
             reached: false,
-            sign: false,
-            signs: 0,
+            signs: 0.0,
+            in_a_row: 0,
             ends_us: now_us + PERIOD_US,
         }
     }
@@ -179,7 +180,7 @@
 
     /// Below showed overload. The first sign binds r and u to what was just carried.
     pub fn overloaded(&mut self) {
-        self.sign = true;
+        self.signs += 1.0;
         if !self.bound {
             self.bound = true;
             self.r = self.y.max(self.last_y).max(1.0);
@@ -212,11 +213,13 @@
             return false;
         }
         if self.bound {
-            self.signs = if self.sign { self.signs + 1 } else { 0 };
-            if self.signs >= SIGNS_IN_A_ROW {
-                self.signs = 0;
+            // A period counts as one of a run where signs are more than a stray few among its calls (ours).
+            let overloaded = self.signs >= 1.0 && self.signs >= SIGNS_SHARE * self.y;
+            self.in_a_row = if overloaded { self.in_a_row + 1 } else { 0 };
+            if self.in_a_row >= SIGNS_IN_A_ROW {
+                self.in_a_row = 0;
                 self.r = (self.r / 2.0).max(1.0);
-            } else if !self.sign && (self.reached || self.y >= NEARED * self.r) {
+            } else if !overloaded && (self.reached || self.y >= NEARED * self.r) {
                 self.r *= 1.5;
             }
             let e = self.r - self.y;
@@ -224,7 +227,7 @@
         }
         (self.last_y, self.last_admitted) = (self.y, self.admitted);
         (self.y, self.admitted, self.predicted) = (0.0, 0.0, 0.0);
-        (self.sign, self.reached) = (false, false);
+        (self.signs, self.reached) = (0.0, false);
         self.ends_us = now_us + PERIOD_US;
         true
     }
