--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,7 @@
 const SHARE_USED: f64 = 0.8;
 const AT_ONCE: f64 = 0.4;
 const LATE_QUANTILE: f64 = 0.85;
-const CROWD_USED: f64 = 0.75;
+const CROWD_USED: f64 = 0.9;
 const MEMORY_USED: f64 = 0.95;
 /// The hold counts as full when its newest RPCs would wait past their latest start; newest first after this.
 const FULL_US: u64 = 3_000_000;
