--- a/src/decide.rs
+++ b/src/decide.rs
@@ -598,7 +598,7 @@
         let method = &self.methods[rpc.method];
         rpc.stage = Stage::AtCall(now_us + (PULSE_US << rpc.failed_calls.min(5)));
         if rpc.answered {
-        } else if method.skip_share > 0.0 && rpc.failed_calls > 1 {
+        } else if method.skip_share > 0.0 {
             self.skip(now_us, seq);
         } else if !outcome.never_ran() && method.effect != Effect::Idempotent {
             self.give_up(seq);
