--- a/src/decide.rs
+++ b/src/decide.rs
@@ -415,6 +415,7 @@
     hold_us: u64,
     pressure: f64,
     unread: f64,
+    further: f64,
     unread_us: f64,
     pulse_us: u64,
     armed_us: u64,
@@ -468,6 +469,7 @@
             hold_us: 0,
             pressure: 0.0,
             unread: 0.0,
+            further: 0.0,
             unread_us: 0.0,
             pulse_us: now_us,
             armed_us: u64::MAX,
@@ -485,6 +487,7 @@
     /// An RPC has been read into the hold.
     pub fn arrived(&mut self, now_us: u64, new: Arrival) {
         let method = &self.methods[new.method];
+        self.further += (f64::from(u8::from(new.further_try)) - self.further) / 64.0;
         self.unread_us += (new.queued_us as f64 - self.unread_us) / 16.0;
         self.unread = 4.0 * self.unread_us / method.latency_target_us as f64;
         let came_us = now_us.saturating_sub(new.queued_us);
@@ -501,7 +504,8 @@
             }
             None => 0,
         };
-        let work_us = Learned::time(&learned.on_core, 0.5, None, method.latency_target_us / 4).max(1);
+        let work_us =
+            Learned::time(&learned.on_core, 0.5, new.effort_us, method.latency_target_us / 4).max(1);
         let mut value = method.criticality / if self.by_work { 1.0 } else { work_us as f64 / 1e6 };
         if !self.buckets.within(new.customer, now_us) {
             value *= self.over_share;
@@ -539,7 +543,7 @@
         } else if effect == Effect::Idempotent && self.fresh_us > 0 {
             match new.repeats {
                 Some(_) if prior != Some(Stage::Held) => self.share(seq),
-                None if new.has_subject => self.record(&new.id, now_us, self.fresh_us),
+                None if new.has_subject => self.record(&new.id, now_us, wanted_us + self.fresh_us),
                 _ => {}
             }
         }
@@ -877,7 +881,7 @@
         rpc.answered = true;
         match rpc.stage {
             Stage::Held => {
-                self.host.push_back(&rpc.id, rpc.further, come_back_us);
+                self.host.push_back(&rpc.id, rpc.further || self.further > 0.15, come_back_us);
                 self.unrecord(seq);
             }
             Stage::Sharing => {
