--- a/src/decide.rs
+++ b/src/decide.rs
@@ -415,7 +415,6 @@
     hold_us: u64,
     pressure: f64,
     unread: f64,
-    further: f64,
     unread_us: f64,
     pulse_us: u64,
     armed_us: u64,
@@ -469,7 +468,6 @@
             hold_us: 0,
             pressure: 0.0,
             unread: 0.0,
-            further: 0.0,
             unread_us: 0.0,
             pulse_us: now_us,
             armed_us: u64::MAX,
@@ -487,7 +485,6 @@
     /// An RPC has been read into the hold.
     pub fn arrived(&mut self, now_us: u64, new: Arrival) {
         let method = &self.methods[new.method];
-        self.further += (f64::from(u8::from(new.further_try)) - self.further) / 64.0;
         self.unread_us += (new.queued_us as f64 - self.unread_us) / 16.0;
         self.unread = 4.0 * self.unread_us / method.latency_target_us as f64;
         let came_us = now_us.saturating_sub(new.queued_us);
@@ -881,7 +878,7 @@
         rpc.answered = true;
         match rpc.stage {
             Stage::Held => {
-                self.host.push_back(&rpc.id, rpc.further || self.further > 0.15, come_back_us);
+                self.host.push_back(&rpc.id, rpc.further, come_back_us);
                 self.unrecord(seq);
             }
             Stage::Sharing => {
@@ -974,10 +971,10 @@
         let aim = 0.4;
         let e = aim - self.pressure.max(self.unread);
         self.wanted += if e < 0.0 { 0.04 * e.max(-1.0) } else { 0.01 * e };
-        self.wanted = self.wanted.clamp(0.1, 1.0);
+        self.wanted = self.wanted.clamp(0.03, 1.0);
         if self.leaving.is_none() {
             let wanted = self.wanted.min(self.cores.warmth(now_us));
-            self.tell((wanted * 50.0).round() / 50.0);
+            self.tell((wanted * 100.0).round() / 100.0);
         }
     }
 
