--- a/src/decide.rs
+++ b/src/decide.rs
@@ -341,7 +341,7 @@
         if waiting && busy < 0.92 && runnable < self.cores {
             self.extra = (self.extra + 1.0).min(self.ceiling(now_us) as f64 - self.cores).max(0.0);
         } else if runnable > 1.3 * self.cores {
-            self.extra = (self.extra - 0.5).max(0.0);
+            self.extra = (self.extra - 2.0).max(0.0);
         }
     }
 }
@@ -971,7 +971,7 @@
         let aim = 0.4;
         let e = aim - self.pressure.max(self.unread);
         self.wanted += if e < 0.0 { 0.04 * e.max(-1.0) } else { 0.01 * e };
-        self.wanted = self.wanted.clamp(0.5, 1.0);
+        self.wanted = self.wanted.clamp(0.4, 1.0);
         if self.leaving.is_none() {
             let wanted = self.wanted.min(self.cores.warmth(now_us));
             self.tell((wanted * 100.0).round() / 100.0);
