Running limit falls back slowly, and only when twice the cores are wanted

Cause: where RPCs wait for disk and reading costs much, a limit near the cores leaves most of the cores to reading what is then pushed back; runs that wait for disk are counted as on a core. Harm: where runs do not wait, the cores are shared by more of them for longer.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -340,8 +340,8 @@
         let (busy, runnable) = (gauges.busy.unwrap_or(1.0), gauges.runnable.unwrap_or(self.cores));
         if waiting && busy < 0.92 && runnable < self.cores {
             self.extra = (self.extra + 1.0).min(self.ceiling(now_us) as f64 - self.cores).max(0.0);
-        } else if runnable > 1.3 * self.cores {
-            self.extra = (self.extra - 2.0).max(0.0);
+        } else if runnable > 2.0 * self.cores {
+            self.extra = (self.extra - 0.25).max(0.0);
         }
     }
 }
