--- a/src/decide.rs
+++ b/src/decide.rs
@@ -338,7 +338,7 @@
         }
         self.next_us = now_us + 250_000;
         let (busy, runnable) = (gauges.busy.unwrap_or(1.0), gauges.runnable.unwrap_or(self.cores));
-        if waiting && busy < 0.92 && runnable < self.cores {
+        if waiting && busy < 0.92 && runnable < 1.5 * self.cores {
             self.extra = (self.extra + 1.0).min(self.ceiling(now_us) as f64 - self.cores).max(0.0);
         } else if runnable > 2.0 * self.cores {
             self.extra = (self.extra - 0.25).max(0.0);
