--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,7 +31,7 @@
 /// Shares of the survivable crowd and of the memory that the module uses.
 const SHARE_USED: f64 = 0.8;
 const AT_ONCE: f64 = 0.4;
-const LATE_QUANTILE: f64 = 0.85;
+const LATE_QUANTILE: f64 = 0.6;
 const CROWD_USED: f64 = 0.9;
 const MEMORY_USED: f64 = 0.95;
 /// The hold counts as full when its newest RPCs would wait past their latest start; newest first after this.
@@ -338,7 +338,7 @@
         }
         self.next_us = now_us + 250_000;
         let (busy, runnable) = (gauges.busy.unwrap_or(1.0), gauges.runnable.unwrap_or(self.cores));
-        if waiting && busy < 0.92 && runnable < 1.5 * self.cores {
+        if waiting && busy < 0.92 && runnable < self.cores {
             self.extra = (self.extra + 1.0).min(self.ceiling(now_us) as f64 - self.cores).max(0.0);
         } else if runnable > 2.0 * self.cores {
             self.extra = (self.extra - 0.25).max(0.0);
