Mend stale timers, a swallowed period end and stops of shared runs; fold parts

A timer overtaken by an earlier one no longer arms another; a caller's leaving no longer ends the loop's period unseen; a tokened run whose caller left goes on, as said; RPCs waiting for a shared outcome go when memory runs short.

--- a/crates/ochrewalk-wirehost/src/wire.rs
+++ b/crates/ochrewalk-wirehost/src/wire.rs
@@ -98,7 +98,7 @@
                 };
                 server.module.arrived(now_us, arrival);
             }
-            "HANGUP" => server.module.gone(now_us, fields.text("handle")?),
+            "HANGUP" => server.module.gone(fields.text("handle")?),
             "NEEDS" => server.module.needs_call(now_us, fields.text("handle")?),
             "CALL_RESULT" => {
                 let took_us = fields.maybe_whole("lag-ns")?.unwrap_or(0) / 1_000;
@@ -107,11 +107,11 @@
             "SETTLED" => server.module.settled(now_us, fields.text("handle")?, fields.outcome()?),
             "RETIRE_SOON" => server.module.retire(now_us, fields.whole("expires-in-ns")? / 1_000),
             "REMINDER" => {
-                fields.whole("token")?;
+                let token = fields.whole("token")?;
                 let row = fields.maybe_list("health-info")?;
                 let gauge = |name: &str| row.get(position(&server.gauges, name)?)?.as_f64();
                 let gauges = Gauges { busy: gauge("cpu_busy"), runnable: gauge("runnable") };
-                server.module.timer(now_us, gauges);
+                server.module.timer(now_us, token, gauges);
             }
             _ => {
                 self.servers.remove(&i);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,7 +31,7 @@
 /// Shares of the survivable crowd and of the memory that the module uses.
 const SHARE_USED: f64 = 0.8;
 const AT_ONCE: f64 = 0.4;
-const LATE_QUANTILE: f64 = 0.6;
+const LATE_QUANTILE: f64 = 0.85;
 const CROWD_USED: f64 = 0.9;
 const MEMORY_USED: f64 = 0.95;
 /// The hold counts as full when its newest RPCs would wait past their latest start; newest first after this.
@@ -95,8 +95,9 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Stage {
+    #[default]
     Held,
     /// Waiting for the outcome of the RPC that it repeats.
     Sharing,
@@ -106,6 +107,7 @@
     Calling,
 }
 
+#[derive(Default)]
 struct Rpc {
     id: RpcId,
     method: usize,
@@ -122,6 +124,8 @@
     value: f64,
     stage: Stage,
     answered: bool,
+    /// It was asked to leave the cores.
+    stopping: bool,
     /// When it was started, when it last took a core, and its time on the cores before that.
     started_us: u64,
     on_core_us: u64,
@@ -132,6 +136,7 @@
 
 /// The integral loop (paper 2.1, DESIGN). Calls below are counted per period; u RPCs are admitted next period.
 /// It limits nothing until a sign of overload below: a time-out, a push-back, or calls above the told share.
+#[derive(Default)]
 pub struct Loop {
     pub bound: bool,
     pub r: f64,
@@ -151,20 +156,7 @@
 
 impl Loop {
     pub fn new(now_us: u64) -> Loop {
-        Loop {
-            bound: false,
-            r: 0.0,
-            u: 0.0,
-            y: 0.0,
-            last_y: 0.0,
-            admitted: 0.0,
-            last_admitted: 0.0,
-            predicted: 0.0,
-            reached: false,
-            signs: 0.0,
-            in_a_row: 0,
-            ends_us: now_us + PERIOD_US,
-        }
+        Loop { ends_us: now_us + PERIOD_US, ..Loop::default() }
     }
 
     /// A call below was placed.
@@ -346,6 +338,17 @@
     }
 }
 
+/// The calls that what lies below has in its hands of ours.
+#[derive(Default)]
+struct Hands {
+    /// When abandoned calls leave them.
+    lingering: VecDeque<u64>,
+    /// Means over the told window: calls in hand, and those with the calls that wait here.
+    mean: f64,
+    wanted: f64,
+    at_us: u64,
+}
+
 /// Each customer's share here, as a bucket of RPCs that fills at its part of the fleet's rate.
 struct Buckets {
     rates: Vec<f64>,
@@ -399,11 +402,7 @@
     control: Loop,
     lanes: Lanes,
     cores: Cores,
-    /// When abandoned calls leave the hands of what lies below, and the mean calls in hand.
-    lingering: VecDeque<u64>,
-    in_hand: f64,
-    wanted_calls: f64,
-    in_hand_at_us: u64,
+    hands: Hands,
     /// When the hold became full.
     full_since_us: Option<u64>,
     /// Since when we leave, and when the process ends.
@@ -457,10 +456,7 @@
             next: 0,
             call_times: Hist::default(),
             keys: BTreeMap::new(),
-            lingering: VecDeque::new(),
-            in_hand: 0.0,
-            wanted_calls: 0.0,
-            in_hand_at_us: now_us,
+            hands: Hands { at_us: now_us, ..Hands::default() },
             full_since_us: None,
             leaving: None,
             wanted: 1.0,
@@ -515,15 +511,9 @@
             due_us: now_us + left_us,
             target_us: (came_us + wanted_us.saturating_sub(age_us)).min(now_us + left_us),
             kb: new.kb,
-            effort_us: new.effort_us.filter(|hint| *hint > 0),
+            effort_us: new.effort_us,
             value,
-            stage: Stage::Held,
-            answered: false,
-            started_us: 0,
-            on_core_us: 0,
-            core_us: 0,
-            calls: 0,
-            failed_calls: 0,
+            ..Rpc::default()
         };
         let effect = method.effect;
         let ttl_us = (came_us + method.window_us).saturating_sub(now_us) + 1_000;
@@ -547,7 +537,7 @@
     }
 
     /// The caller has gone; nothing is owed.
-    pub fn gone(&mut self, now_us: u64, id: &str) {
+    pub fn gone(&mut self, id: &str) {
         let Some(&seq) = self.by_id.get(id) else { return };
         match self.rpcs[&seq].stage {
             Stage::Held => self.unrecord(seq),
@@ -561,7 +551,6 @@
                 }
             }
         }
-        self.control.period(now_us);
     }
 
     /// A running RPC waits for its call below; `turn` says when it goes.
@@ -635,17 +624,20 @@
     }
 
     /// The timer asked for has come, with the server's gauges.
-    pub fn timer(&mut self, now_us: u64, gauges: Gauges) {
-        self.armed_us = u64::MAX;
+    pub fn timer(&mut self, now_us: u64, token: u64, gauges: Gauges) {
+        if token == self.armed_us {
+            self.armed_us = u64::MAX;
+        }
         if now_us < self.pulse_us {
             return;
         }
         self.pulse_us = now_us + PULSE_US;
         let waiting = self.on_cores() >= self.cores.limit(now_us) && self.held().next().is_some();
         self.cores.gauge(now_us, gauges, waiting);
-        let idle_stop: Vec<u64> = self.rpcs.iter().filter(|(_, r)| r.answered).map(|(n, _)| *n).collect();
         // Guards against a standstill, in which stopping does nothing: ask again.
-        idle_stop.into_iter().for_each(|seq| self.take_off(seq));
+        for rpc in self.rpcs.values().filter(|r| r.stopping) {
+            self.host.stop(&rpc.id);
+        }
         self.advise(now_us);
     }
 
@@ -747,36 +739,36 @@
         self.host.skip_call(&rpc.id);
     }
 
-    /// Guards what all servers call. It slows long before the told share of calls in hand, so that fewer are placed
-    /// at once and the rest wait here; more wanted in the mean than the share is a sign of overload.
+    /// Guards what all servers call. It slows long before the told share of calls in hand, so fewer are placed at
+    /// once and the rest wait here; more wanted in the mean than the share is a sign of overload.
     fn below_has_room(&self) -> bool {
         let Below::Shared { share, .. } = self.below else { return true };
-        (self.calls_in_hand() as f64) < (AT_ONCE * share).max(1.0) && self.in_hand < SHARE_USED * share
+        (self.calls_in_hand() as f64) < (AT_ONCE * share).max(1.0) && self.hands.mean < SHARE_USED * share
     }
 
     fn calls_in_hand(&self) -> usize {
-        self.rpcs.values().filter(|r| r.stage == Stage::Calling).count() + self.lingering.len()
+        self.rpcs.values().filter(|r| r.stage == Stage::Calling).count() + self.hands.lingering.len()
     }
 
     fn count_in_hand(&mut self, now_us: u64) {
         let Below::Shared { share, window_us, .. } = self.below else { return };
-        let part = (now_us - self.in_hand_at_us) as f64 / (window_us / 2).max(1) as f64;
+        let part = ((now_us - self.hands.at_us) as f64 / (window_us / 2).max(1) as f64).min(1.0);
         let in_hand = self.calls_in_hand() as f64;
         let waiting = self.rpcs.values().filter(|r| matches!(r.stage, Stage::AtCall(_))).count() as f64;
-        self.in_hand += (in_hand - self.in_hand) * part.min(1.0);
-        self.wanted_calls += (in_hand + waiting - self.wanted_calls) * part.min(1.0);
-        if self.wanted_calls > share {
+        self.hands.mean += (in_hand - self.hands.mean) * part;
+        self.hands.wanted += (in_hand + waiting - self.hands.wanted) * part;
+        self.hands.at_us = now_us;
+        if self.hands.wanted > share {
             self.control.overloaded();
         }
-        self.in_hand_at_us = now_us;
-        while self.lingering.front().is_some_and(|ends| *ends <= now_us) {
-            self.lingering.pop_front();
+        while self.hands.lingering.front().is_some_and(|ends| *ends <= now_us) {
+            self.hands.lingering.pop_front();
         }
     }
 
     fn linger(&mut self, now_us: u64) {
         if let Below::Shared { linger_us, .. } = self.below {
-            self.lingering.push_back(now_us + linger_us);
+            self.hands.lingering.push_back(now_us + linger_us);
         }
     }
 
@@ -824,8 +816,10 @@
             self.keys.pop_first();
         }
         while self.memory_kb() > self.machine.memory_kb * MEMORY_USED {
-            let least = self.held().min_by(|a, b| a.1.value.total_cmp(&b.1.value)).map(|(n, _)| *n);
-            let Some(seq) = least else { return };
+            // Held ones first: those that wait for a shared outcome can only be aborted.
+            let waiting = self.rpcs.iter().filter(|(_, r)| matches!(r.stage, Stage::Held | Stage::Sharing));
+            let value = |r: &Rpc| if r.stage == Stage::Held { r.value } else { f64::MAX };
+            let Some((&seq, _)) = waiting.min_by(|a, b| value(a.1).total_cmp(&value(b.1))) else { return };
             self.give_up(seq);
         }
     }
@@ -837,7 +831,7 @@
         let mut walked: Vec<(u64, u64)> = Vec::new();
         let (mut wait_us, mut patience_us) = (0, 1);
         let held: Vec<u64> = self.held().map(|(n, _)| *n).collect();
-        let (mut full, walks) = (false, held.len() as u64);
+        let (mut full, count) = (false, held.len() as u64);
         for seq in held {
             let rpc = &self.rpcs[&seq];
             let pace_us = self.control.pace_us(self.mean_calls(rpc.method));
@@ -850,10 +844,9 @@
             let helped = latest_us > rpc.arrived_us + target_us / 4;
             if helped && now_us + wait_us > latest_us {
                 full = true;
-                let value = rpc.value;
-                let value_of = |i: &usize| self.rpcs[&walked[*i].0].value;
-                let least = (0..walked.len()).min_by(|a, b| value_of(a).total_cmp(&value_of(b))).unwrap_or(0);
-                if self.rpcs[&walked[least].0].value < value {
+                let value = |i: usize| self.rpcs[&walked[i].0].value;
+                let least = (0..walked.len()).min_by(|a, b| value(*a).total_cmp(&value(*b))).unwrap_or(0);
+                if value(least) < rpc.value {
                     let (out, saved_us) = walked.remove(least);
                     wait_us -= saved_us;
                     self.give_up(out);
@@ -862,13 +855,14 @@
             wait_us += core_us;
         }
         self.hold_us = wait_us;
-        self.pressure = (wait_us * walks) as f64 / patience_us as f64;
+        self.pressure = (wait_us * count) as f64 / patience_us as f64;
         self.full_since_us = full.then(|| self.full_since_us.unwrap_or(now_us));
     }
 
     /// The final answer to an RPC we gave up on, at once. One that never ran is pushed back with a time to come
-    /// back, and a further try is asked to be the last: guards against repeats that feed themselves, as each costs its
-    /// reading everywhere; harms where only the servers tried so far are busy. Any other is aborted, as it may have had its effect, and taken off the cores.
+    /// back, and a further try is asked to be the last: guards against repeats that feed themselves, as each costs
+    /// its reading everywhere; harms where only the servers tried so far are busy. Any other is aborted, as it may
+    /// have had its effect, and taken off the cores.
     fn give_up(&mut self, seq: u64) {
         let come_back_us = match self.leaving {
             Some(_) => self.advice.max_come_back_us,
@@ -894,8 +888,9 @@
 
     /// Asks for answered work to be taken off; it is counted until it settles.
     fn take_off(&mut self, seq: u64) {
-        let rpc = &self.rpcs[&seq];
+        let rpc = self.rpcs.get_mut(&seq).expect("indexed");
         if rpc.stage == Stage::Running && self.machine.stopping != Stopping::Never {
+            rpc.stopping = true;
             self.host.stop(&rpc.id);
         }
     }
