--- a/src/decide.rs
+++ b/src/decide.rs
@@ -591,7 +591,7 @@
         } else if method.skip_share > 0.0 {
             self.skip(now_us, seq);
         } else if !outcome.never_ran() && method.effect != Effect::Idempotent {
-            self.give_up(now_us, seq);
+            self.give_up(seq);
         }
     }
 
@@ -786,7 +786,7 @@
             })
             .map(|(n, _)| *n)
             .collect();
-        over.into_iter().for_each(|seq| self.give_up(now_us, seq));
+        over.into_iter().for_each(|seq| self.give_up(seq));
     }
 
     /// The last moment for an answer: its due time, or the end of the process, with a margin.
@@ -820,7 +820,7 @@
             let waiting = self.rpcs.iter().filter(|(_, r)| matches!(r.stage, Stage::Held | Stage::Sharing));
             let value = |r: &Rpc| if r.stage == Stage::Held { r.value } else { f64::MAX };
             let Some((&seq, _)) = waiting.min_by(|a, b| value(a.1).total_cmp(&value(b.1))) else { return };
-            self.give_up(now_us, seq);
+            self.give_up(seq);
         }
     }
 
@@ -849,7 +849,7 @@
                 if value(least) < rpc.value {
                     let (out, saved_us) = walked.remove(least);
                     wait_us -= saved_us;
-                    self.give_up(now_us, out);
+                    self.give_up(out);
                 }
             }
             wait_us += core_us;
@@ -863,7 +863,7 @@
     /// back, and a further try is asked to be the last: guards against repeats that feed themselves, as each costs
     /// its reading everywhere; harms where only the servers tried so far are busy. Any other is aborted, as it may
     /// have had its effect, and taken off the cores.
-    fn give_up(&mut self, now_us: u64, seq: u64) {
+    fn give_up(&mut self, seq: u64) {
         let come_back_us = match self.leaving {
             Some(_) => self.advice.max_come_back_us,
             None => (self.hold_us + self.unread_us as u64).min(self.advice.max_come_back_us),
@@ -881,9 +881,6 @@
             }
             Stage::Running | Stage::AtCall(_) | Stage::Calling => {
                 self.host.abort(&rpc.id);
-                // Guards against cores so slow that no run ends to teach it: what it took so far counts.
-                let took_us = now_us - rpc.started_us;
-                Learned::add(&mut self.learned[rpc.method].whole, took_us, rpc.effort_us);
                 self.take_off(seq);
             }
         }
