While the loop binds, RPCs that may leave their call out start without it

Departure: such an RPC starts without its call once half its wait has passed; it is no admission. Harm: an RPC that could have had its call a little later earns only the part.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -132,6 +132,8 @@
     core_us: u64,
     calls: u32,
     failed_calls: u32,
+    /// It was started on the understanding that it leaves its calls out.
+    callless: bool,
 }
 
 /// The integral loop (paper 2.1, DESIGN). Calls below are counted per period; u RPCs are admitted next period.
@@ -686,15 +688,22 @@
                 break;
             }
             let mean = self.mean_calls(rpc.method);
-            if !self.control.room(mean) {
+            // Guards against cores that idle while the loop binds: an RPC that would soon be pushed back for the loop's
+            // sake starts without its call where that earns a part. It is no admission, as it will not call.
+            let room = self.control.room(mean);
+            if !room {
                 if lane == 0 {
                     self.lanes.small_was_blocked();
                 }
-                break;
+                let waited_half = 2 * now_us >= rpc.arrived_us + self.latest_start(rpc);
+                if self.methods[rpc.method].skip_share <= 0.0 || !waited_half {
+                    break;
+                }
             }
-            self.control.released(mean);
+            self.control.released(if room { mean } else { 0.0 });
             memory_kb += more_kb;
             let rpc = self.rpcs.get_mut(&seq).expect("indexed");
+            rpc.callless = !room;
             (rpc.stage, rpc.started_us, rpc.on_core_us) = (Stage::Running, now_us, now_us);
             self.host.run(&rpc.id);
         }
@@ -722,7 +731,7 @@
             let due_us = rpc.due_us.saturating_sub(MARGIN_US);
             let can_skip = method.skip_share > 0.0;
             let until_us = if can_skip { rpc.target_us.saturating_sub(rest_us).min(due_us) } else { due_us };
-            if can_skip && now_us + typical_us >= until_us {
+            if can_skip && (rpc.callless || now_us + typical_us >= until_us) {
                 self.skip(now_us, seq);
             } else if now_us >= from_us && self.below_has_room() {
                 let rpc = self.rpcs.get_mut(&seq).expect("indexed");
