--- a/src/decide.rs
+++ b/src/decide.rs
@@ -767,7 +767,7 @@
         self.hands.mean += (in_hand - self.hands.mean) * part;
         self.hands.wanted += (in_hand + waiting - self.hands.wanted) * part;
         self.hands.at_us = now_us;
-        if self.hands.wanted > share {
+        if self.hands.wanted > share && in_hand + waiting > share {
             self.control.overloaded();
         }
         while self.hands.lingering.front().is_some_and(|ends| *ends <= now_us) {
