--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,8 +23,8 @@
 const PROB_FALL: f64 = 0.7;
 const PROB_RISE: f64 = 0.15;
 const DRAW_US: u64 = 100_000;
-/// Lanes part only where the methods' mean calls differ by this much.
-const LANES_APART: f64 = 0.2;
+/// Lanes part only where the most mean calls are this multiple of the fewest: less is chance.
+const LANES_APART: f64 = 1.4;
 /// How often gauges are read and advice is set, and answers' margin before they are due.
 const PULSE_US: u64 = 50_000;
 const MARGIN_US: u64 = 25_000;
@@ -260,7 +260,7 @@
         let least = seen.iter().map(mean).fold(f64::MAX, f64::min);
         let mut sums = [(0.0, 0.0); 2];
         for (i, s) in seen.iter().enumerate() {
-            self.large[i] = most - least >= LANES_APART && mean(s) > (most + least) / 2.0;
+            self.large[i] = most >= LANES_APART * least.max(0.1) && mean(s) > (most + least) / 2.0;
             let sum = &mut sums[usize::from(self.large[i])];
             *sum = (sum.0 + s.0, sum.1 + s.1);
         }
