--- a/src/decide.rs
+++ b/src/decide.rs
@@ -843,7 +843,9 @@
         let (mut full, count) = (false, held.len() as u64);
         for seq in held {
             let rpc = &self.rpcs[&seq];
-            let pace_us = self.control.pace_us(self.mean_calls(rpc.method));
+            // The slower of cores and loop; one that may leave its call out does not wait for the loop.
+            let paced = self.methods[rpc.method].skip_share <= 0.0;
+            let pace_us = if paced { self.control.pace_us(self.mean_calls(rpc.method)) } else { 0 };
             let core_us = (self.core_time(rpc) / limit).max(pace_us);
             let latest_us = self.latest_start(rpc);
             patience_us += latest_us.saturating_sub(rpc.arrived_us);
