--- a/src/decide.rs
+++ b/src/decide.rs
@@ -807,10 +807,13 @@
     /// still has a short while: guards against idle cores turning long RPCs away on a pessimistic estimate.
     fn latest_start(&self, rpc: &Rpc) -> u64 {
         let ends_us = rpc.target_us.min(self.answer_by(rpc));
-        let target_us = self.methods[rpc.method].latency_target_us;
-        let learned = &self.learned[rpc.method];
-        let whole_us = Learned::time(&learned.whole, LATE_QUANTILE, rpc.effort_us, target_us / 4);
-        ends_us.saturating_sub(whole_us).max((rpc.arrived_us + target_us / 8).min(ends_us))
+        let (method, learned) = (&self.methods[rpc.method], &self.learned[rpc.method]);
+        let target_us = method.latency_target_us;
+        // While the loop binds, what may leave its call out needs only its time on the cores.
+        let callless = self.control.bound && method.skip_share > 0.0;
+        let took = if callless { &learned.on_core } else { &learned.whole };
+        let run_us = Learned::time(took, LATE_QUANTILE, rpc.effort_us, target_us / 4);
+        ends_us.saturating_sub(run_us).max((rpc.arrived_us + target_us / 8).min(ends_us))
     }
 
     /// Time on the cores that an RPC will likely take.
@@ -843,9 +846,7 @@
         let (mut full, count) = (false, held.len() as u64);
         for seq in held {
             let rpc = &self.rpcs[&seq];
-            // The slower of cores and loop; one that may leave its call out does not wait for the loop.
-            let paced = self.methods[rpc.method].skip_share <= 0.0;
-            let pace_us = if paced { self.control.pace_us(self.mean_calls(rpc.method)) } else { 0 };
+            let pace_us = self.control.pace_us(self.mean_calls(rpc.method));
             let core_us = (self.core_time(rpc) / limit).max(pace_us);
             let latest_us = self.latest_start(rpc);
             patience_us += latest_us.saturating_sub(rpc.arrived_us);
