--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,6 +31,8 @@
 /// Shares of the survivable crowd and of the memory that the module uses.
 const SHARE_USED: f64 = 0.8;
 const AT_ONCE: f64 = 0.4;
+/// A call that may not be left out gets at least this many times its usual time.
+const PATIENT: u64 = 4;
 const LATE_QUANTILE: f64 = 0.85;
 const CROWD_USED: f64 = 0.9;
 const MEMORY_USED: f64 = 0.95;
@@ -730,7 +732,11 @@
             let rest_us = rpc.core_us; // what remains after the call is taken to be like what came before it
             let due_us = rpc.due_us.saturating_sub(MARGIN_US);
             let can_skip = method.skip_share > 0.0;
-            let until_us = if can_skip { rpc.target_us.saturating_sub(rest_us).min(due_us) } else { due_us };
+            // Guards against calls into a silent place, which would fill the crowd until their RPCs are due: past
+            // the latency target a call gets a few times its usual time. Harms a late answer that still earns a part.
+            let target_us = rpc.target_us.saturating_sub(rest_us);
+            let patient_us = if can_skip { 0 } else { now_us + PATIENT * typical_us.max(PULSE_US) };
+            let until_us = target_us.max(patient_us).min(due_us);
             if can_skip && (rpc.callless || now_us + typical_us >= until_us) {
                 self.skip(now_us, seq);
             } else if now_us >= from_us && self.below_has_room() {
