--- a/src/decide.rs
+++ b/src/decide.rs
@@ -196,11 +196,10 @@
 
     /// How long the loop takes to let one RPC of such a lane go.
     fn pace_us(&self, mean: f64) -> u64 {
-        if self.bound {
-            (PERIOD_US as f64 * (mean / self.r).max(if mean > 0.0 { 1.0 / self.u } else { 0.0 })) as u64
-        } else {
-            0
+        if !self.bound || mean <= 0.0 {
+            return 0;
         }
+        (PERIOD_US as f64 * (mean / self.r).max(1.0 / self.u)) as u64
     }
 
     /// Ends the period when its time has come, and says whether it did.
@@ -238,15 +237,14 @@
     /// The last draw: the head it was for, when, and whether that may start.
     draw: (u64, u64, bool),
     /// Small RPCs were held in this period because u bound.
-    small_blocked: bool,
+    pub small_blocked: bool,
 }
 
 impl Lanes {
-    /// Methods that call are taken to call once until they are seen.
-    pub fn new(calls: &[bool]) -> Lanes {
-        let (large, means, draw) = (vec![false; calls.len()], [0.0; 2], (u64::MAX, 0, true));
+    pub fn new(seen: &[(f64, f64)]) -> Lanes {
+        let (large, means, draw) = (vec![false; seen.len()], [0.0; 2], (u64::MAX, 0, true));
         let mut lanes = Lanes { large, means, prob_l: 1.0, draw, small_blocked: false };
-        lanes.part(&calls.iter().map(|c| (1.0, f64::from(u8::from(*c)))).collect::<Vec<_>>());
+        lanes.part(seen);
         lanes
     }
 
@@ -287,10 +285,6 @@
         }
         self.small_blocked = false;
     }
-
-    pub fn small_was_blocked(&mut self) {
-        self.small_blocked = true;
-    }
 }
 
 /// The running limit (DESIGN): it starts at the cores, grows while they idle with work held, and stays below the
@@ -438,12 +432,14 @@
         fresh_us: u64,
         drain_grace_us: u64,
     ) -> Decide<H> {
-        let calls: Vec<bool> = methods.iter().map(|m| m.calls).collect();
+        // Methods that call are taken to call once until they are seen.
+        let seen = |m: &Method| (1.0, f64::from(u8::from(m.calls)));
+        let learn = |m| Learned { runs: seen(m).0, calls: seen(m).1, ..Learned::default() };
         let mut decide = Decide {
             host,
             rng: fastrand::Rng::with_seed(seed),
-            learned: methods.iter().map(|_| Learned::default()).collect(),
-            lanes: Lanes::new(&calls),
+            learned: methods.iter().map(learn).collect(),
+            lanes: Lanes::new(&methods.iter().map(seen).collect::<Vec<_>>()),
             cores: Cores::new(machine.cores, crowd, now_us),
             control: Loop::new(now_us),
             buckets: Buckets::new(&shares.customers, shares.servers),
@@ -649,12 +645,7 @@
     pub fn turn(&mut self, now_us: u64) {
         // The end of a period: the law for u, the lanes by mean calls, and Prob_l.
         if self.control.period(now_us) {
-            let seen: Vec<(f64, f64)> = self
-                .learned
-                .iter()
-                .zip(&self.methods)
-                .map(|(l, m)| (l.runs + 1.0, l.calls + f64::from(u8::from(m.calls))))
-                .collect();
+            let seen: Vec<(f64, f64)> = self.learned.iter().map(|l| (l.runs, l.calls)).collect();
             self.lanes.part(&seen);
             let [small, large] = [false, true].map(|lane| self.head(lane, false));
             let wait = |seq: Option<u64>| seq.map(|n| now_us - self.rpcs[&n].arrived_us);
@@ -681,7 +672,6 @@
                 _ => break,
             };
             let rpc = &self.rpcs[&seq];
-            let lane = usize::from(self.lanes.is_large(rpc.method));
             let more_kb = rpc.kb * (self.machine.run_factor - 1.0);
             if self.on_cores() >= self.cores.limit(now_us)
                 || self.active() >= self.cores.ceiling(now_us)
@@ -694,9 +684,7 @@
             // sake starts without its call where that earns a part. It is no admission, as it will not call.
             let room = self.control.room(mean);
             if !room {
-                if lane == 0 {
-                    self.lanes.small_was_blocked();
-                }
+                self.lanes.small_blocked |= !self.lanes.is_large(rpc.method);
                 let waited_half = 2 * now_us >= rpc.arrived_us + self.latest_start(rpc);
                 if self.methods[rpc.method].skip_share <= 0.0 || !waited_half {
                     break;
@@ -717,17 +705,12 @@
     /// Places the calls that RPCs wait for, within the told share, or leaves them out where that earns a part.
     fn place_calls(&mut self, now_us: u64) {
         self.count_in_hand(now_us);
-        let typical_us = self.call_times.at(0.9).unwrap_or(0);
-        let at_call: Vec<(u64, u64)> = self
-            .rpcs
-            .iter()
-            .filter_map(|(n, r)| match r.stage {
-                Stage::AtCall(from) if !r.answered => Some((*n, from)),
-                _ => None,
-            })
-            .collect();
-        for (seq, from_us) in at_call {
+        let usual_us = self.call_times.at(0.9);
+        let (typical_us, patience_us) = (usual_us.unwrap_or(0), usual_us.unwrap_or(PERIOD_US) * PATIENT);
+        let under_way: Vec<u64> = self.rpcs.iter().filter(|(_, r)| !r.answered).map(|(n, _)| *n).collect();
+        for seq in under_way {
             let rpc = &self.rpcs[&seq];
+            let Stage::AtCall(from_us) = rpc.stage else { continue };
             let method = &self.methods[rpc.method];
             let rest_us = rpc.core_us; // what remains after the call is taken to be like what came before it
             let due_us = rpc.due_us.saturating_sub(MARGIN_US);
@@ -735,7 +718,7 @@
             // Guards against calls into a silent place, which would fill the crowd until their RPCs are due: past
             // the latency target a call gets a few times its usual time. Harms a late answer that still earns a part.
             let target_us = rpc.target_us.saturating_sub(rest_us);
-            let patient_us = if can_skip { 0 } else { now_us + PATIENT * typical_us.max(PULSE_US) };
+            let patient_us = if can_skip { 0 } else { now_us + patience_us };
             let until_us = target_us.max(patient_us).min(due_us);
             if can_skip && (rpc.callless || now_us + typical_us >= until_us) {
                 self.skip(now_us, seq);
@@ -956,9 +939,9 @@
 
     /// What the lane of a method calls in the mean; nothing where the method never calls.
     fn mean_calls(&self, method: usize) -> f64 {
-        let lane = usize::from(self.lanes.is_large(method));
+        let mean = self.lanes.means[usize::from(self.lanes.is_large(method))];
         if self.methods[method].calls {
-            self.lanes.means[lane]
+            mean
         } else {
             0.0
         }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -81,24 +81,24 @@
         (vec![(10.0, 0.0), (10.0, 10.0)], vec![false, true]),
         (vec![(10.0, 10.0), (10.0, 20.0), (10.0, 19.0)], vec![false, true, true]),
     ] {
-        let mut lanes = Lanes::new(&vec![true; seen.len()]);
+        let mut lanes = Lanes::new(&vec![(1.0, 1.0); seen.len()]);
         lanes.part(&seen);
         assert_eq!((0..seen.len()).map(|m| lanes.is_large(m)).collect::<Vec<_>>(), large, "{seen:?}");
     }
-    let mut lanes = Lanes::new(&[true, true, true]);
+    let mut lanes = Lanes::new(&[(1.0, 1.0); 3]);
     lanes.part(&[(10.0, 10.0), (10.0, 20.0), (30.0, 60.0)]);
     assert_eq!(lanes.means, [1.0, 2.0]);
 }
 
 #[test]
 fn prob_l_falls_while_small_wait_and_rises_while_large_wait_longer() {
-    let mut lanes = Lanes::new(&[false, true]);
+    let mut lanes = Lanes::new(&[(1.0, 0.0), (1.0, 1.0)]);
     assert_eq!(lanes.prob_l, 1.0);
-    lanes.small_was_blocked();
+    lanes.small_blocked = true;
     lanes.adapt(Some(900), Some(100));
     let low = lanes.prob_l;
     assert!(low < 1.0);
-    lanes.small_was_blocked();
+    lanes.small_blocked = true;
     lanes.adapt(Some(100), Some(900));
     assert!(lanes.prob_l > low, "no starvation: large ones wait longer");
     (0..20).for_each(|_| lanes.adapt(None, None));
@@ -125,7 +125,7 @@
 #[test]
 fn small_rpcs_lead_while_the_loop_binds() {
     // One lane calls once, the other twice; r is 2 after the sign.
-    let mut lanes = Lanes::new(&[true, true]);
+    let mut lanes = Lanes::new(&[(1.0, 1.0); 2]);
     lanes.part(&[(10.0, 10.0), (10.0, 20.0)]);
     let mut it = Loop::new(0);
     (0..2).for_each(|_| it.called());
