--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,6 +14,8 @@
 const K_I: f64 = 1.0;
 /// r climbs when calls came this near to it, and halves after this many periods with signs in a row.
 const NEARED: f64 = 0.9;
+/// How fast the most that was carried in a period is forgotten.
+const FADE: f64 = 0.9;
 const SIGNS_IN_A_ROW: u32 = 2;
 const SIGNS_SHARE: f64 = 0.1;
 /// u stays below this multiple of r, so that quiet periods do not wind it up beyond any use.
@@ -145,11 +147,11 @@
     pub bound: bool,
     pub r: f64,
     pub u: f64,
-    /// Calls and admissions of this period and of the last, and what the released mix will call.
+    /// Calls and admissions of this period, the most of late, and what the released mix will call.
     y: f64,
-    last_y: f64,
+    most_y: f64,
     admitted: f64,
-    last_admitted: f64,
+    most_admitted: f64,
     predicted: f64,
     /// The prediction reached r in this period: calls neared r, though fewer whole ones may have been placed.
     reached: bool,
@@ -174,13 +176,14 @@
         self.admitted += f64::from(u8::from(mean > 0.0));
     }
 
-    /// Below showed overload. The first sign binds r and u to what was just carried.
+    /// Below showed overload. The first sign binds r and u to the most that was carried of late: calls that hang show
+    /// as signs only seconds later, when little is carried any more.
     pub fn overloaded(&mut self) {
         self.signs += 1.0;
         if !self.bound {
             self.bound = true;
-            self.r = self.y.max(self.last_y).max(1.0);
-            self.u = self.admitted.max(self.last_admitted).max(1.0);
+            self.r = self.y.max(self.most_y).max(1.0);
+            self.u = self.admitted.max(self.most_admitted).max(1.0);
         }
     }
 
@@ -220,7 +223,8 @@
             let e = self.r - self.y;
             self.u = (self.u + K_I * e).clamp(1.0, U_OVER_R * self.r);
         }
-        (self.last_y, self.last_admitted) = (self.y, self.admitted);
+        self.most_y = self.y.max(FADE * self.most_y);
+        self.most_admitted = self.admitted.max(FADE * self.most_admitted);
         (self.y, self.admitted, self.predicted) = (0.0, 0.0, 0.0);
         (self.signs, self.reached) = (0.0, false);
         self.ends_us = now_us + PERIOD_US;
