--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,10 +18,8 @@
 const FADE: f64 = 0.9;
 const SIGNS_IN_A_ROW: u32 = 2;
 const SIGNS_SHARE: f64 = 0.1;
-/// u stays between these multiples of r, so that neither quiet periods nor a burst of repeated calls winds it up
-/// beyond any use; the prediction still stops release at r.
+/// u stays below this multiple of r, so that quiet periods do not wind it up beyond any use.
 const U_OVER_R: f64 = 4.0;
-const U_UNDER_R: f64 = 0.5;
 /// Prob_l: its floor, its fall and its rise per period, and how long a draw stands for the head of the lane.
 const PROB_FLOOR: f64 = 0.05;
 const PROB_FALL: f64 = 0.7;
@@ -223,7 +221,7 @@
                 self.r *= 1.5;
             }
             let e = self.r - self.y;
-            self.u = (self.u + K_I * e).clamp((U_UNDER_R * self.r).max(1.0), U_OVER_R * self.r);
+            self.u = (self.u + K_I * e).clamp(1.0, U_OVER_R * self.r);
         }
         self.most_y = self.y.max(FADE * self.most_y);
         self.most_admitted = self.admitted.max(FADE * self.most_admitted);
