--- a/crates/ochrewalk-wirehost/src/main.rs
+++ b/crates/ochrewalk-wirehost/src/main.rs
@@ -1,5 +1,5 @@
-//! Speaks the simulator's wire on standard input and output, in front of one module for each server. It decides
-//! nothing: what it reads becomes calls on the module, and the module's answers become lines.
+//! Speaks the simulator's wire on standard input and output, in front of one module for each server. It
+//! decides nothing: what it reads becomes calls on the module, and the module's answers become lines.
 
 mod wire;
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,7 @@
-//! Every decision of ochrewalk. A server builds one [`Decide`] at its start and calls one method for each thing
-//! that happens: `arrived`, `gone`, `needs_call`, `call_ended`, `settled`, `retire`, `timer`, and `turn` once all
-//! that happened at one moment has been told. The module acts by the `Host` it was handed; that trait and
-//! the small types are in src/host.rs. "DESIGN" and "paper" in comments: see docs/design.md.
+//! Every decision of ochrewalk. A server builds one [`Decide`] at its start and calls one method for each
+//! thing that happens: `arrived`, `gone`, `needs_call`, `call_ended`, `settled`, `retire`, `timer`, and
+//! `turn` once all that happened at one moment has been told. The module acts by the `Host` it was handed;
+//! that trait and the small types are in src/host.rs. "DESIGN" and "paper" in comments: see docs/design.md.
 
 use crate::host::{
     Advice, Arrival, Below, Crowd, Customer, Effect, Gauges, Host, Machine, Method, Outcome, RpcId, Shares,
@@ -12,12 +12,12 @@
 /// The controller's period (DESIGN: start with 1 s) and gain (paper, 2.1).
 const PERIOD_US: u64 = 1_000_000;
 const K_I: f64 = 1.0;
-/// r climbs when calls came this near to it, and halves after this many periods with signs in a row.
+/// r climbs when calls came this near to it, and halves after so many periods in a row with signs in this share of
+/// their calls (ours). The most carried in a period is forgotten at this pace.
 const NEARED: f64 = 0.9;
-/// How fast the most that was carried in a period is forgotten.
-const FADE: f64 = 0.9;
 const SIGNS_IN_A_ROW: u32 = 2;
 const SIGNS_SHARE: f64 = 0.1;
+const FADE: f64 = 0.9;
 /// u stays below this multiple of r, so that quiet periods do not wind it up beyond any use.
 const U_OVER_R: f64 = 4.0;
 /// Prob_l: its floor, its fall and its rise per period, and how long a draw stands for the head of the lane.
@@ -27,17 +27,23 @@
 const DRAW_US: u64 = 100_000;
 /// Lanes part only where the most mean calls are this multiple of the fewest: less is chance.
 const LANES_APART: f64 = 1.4;
+/// The value sent back: how much of its patience the hold may wait, the steps per pulse, and the floor.
+const PRESSURE_AIM: f64 = 0.4;
+const WANTED_FALL: f64 = 0.04;
+const WANTED_RISE: f64 = 0.01;
+const WANTED_LEAST: f64 = 0.4;
 /// How often gauges are read and advice is set, and answers' margin before they are due.
 const PULSE_US: u64 = 50_000;
 const MARGIN_US: u64 = 25_000;
-/// Shares of the survivable crowd and of the memory that the module uses.
+/// Shares of the survivable crowd, of the memory, and of the told calls in hand (in the mean, and at once) in use.
+const CROWD_USED: f64 = 0.9;
+const MEMORY_USED: f64 = 0.95;
 const SHARE_USED: f64 = 0.8;
 const AT_ONCE: f64 = 0.4;
 /// A call that may not be left out gets at least this many times its usual time.
 const PATIENT: u64 = 4;
+/// The quantile of its run time for which an RPC must have time left when it starts.
 const LATE_QUANTILE: f64 = 0.85;
-const CROWD_USED: f64 = 0.9;
-const MEMORY_USED: f64 = 0.95;
 /// The hold counts as full when its newest RPCs would wait past their latest start; newest first after this.
 const FULL_US: u64 = 3_000_000;
 
@@ -140,8 +146,9 @@
     callless: bool,
 }
 
-/// The integral loop (paper 2.1, DESIGN). Calls below are counted per period; u RPCs are admitted next period.
-/// It limits nothing until a sign of overload below: a time-out, a push-back, or calls above the told share.
+/// The integral loop (paper 2.1, DESIGN). Calls below are counted per period; u RPCs are admitted next
+/// period. It limits nothing until a sign of overload below: a time-out, a push-back, or calls above the told
+/// share.
 #[derive(Default)]
 pub struct Loop {
     pub bound: bool,
@@ -176,8 +183,8 @@
         self.admitted += f64::from(u8::from(mean > 0.0));
     }
 
-    /// Below showed overload. The first sign binds r and u to the most that was carried of late: calls that hang show
-    /// as signs only seconds later, when little is carried any more.
+    /// Below showed overload. The first sign binds r and u to the most that was carried of late: calls that
+    /// hang show as signs only seconds later, when little is carried any more.
     pub fn overloaded(&mut self) {
         self.signs += 1.0;
         if !self.bound {
@@ -256,8 +263,8 @@
         self.large[method]
     }
 
-    /// Parts the methods at the middle between the fewest and the most mean calls, given (runs, calls) of each.
-    /// In place of the paper's offline k-means; one lane where they hardly differ.
+    /// Parts the methods at the middle between the fewest and the most mean calls, given (runs, calls) of
+    /// each. In place of the paper's offline k-means; one lane where they hardly differ.
     pub fn part(&mut self, seen: &[(f64, f64)]) {
         let mean = |s: &(f64, f64)| s.1 / s.0.max(0.01);
         let most = seen.iter().map(mean).fold(0.0, f64::max);
@@ -279,8 +286,9 @@
         self.draw.2
     }
 
-    /// Adapts Prob_l at the end of a period from how long the head of each lane has waited. Large RPCs that wait
-    /// longer than small ones raise it, so they cannot starve; so does a period that held no small one back.
+    /// Adapts Prob_l at the end of a period from how long the head of each lane has waited. Large RPCs that
+    /// wait longer than small ones raise it, so they cannot starve; so does a period that held no small one
+    /// back.
     pub fn adapt(&mut self, small_wait: Option<u64>, large_wait: Option<u64>) {
         if self.small_blocked && small_wait >= large_wait {
             self.prob_l = (self.prob_l * PROB_FALL).max(PROB_FLOOR);
@@ -291,8 +299,8 @@
     }
 }
 
-/// The running limit (DESIGN): it starts at the cores, grows while they idle with work held, and stays below the
-/// crowd that the server survives, which is lower while it is cold.
+/// The running limit (DESIGN): it starts at the cores, grows while they idle with work held, and stays below
+/// the crowd that the server survives, which is lower while it is cold.
 pub struct Cores {
     cores: f64,
     crowd: Crowd,
@@ -528,12 +536,12 @@
         self.rpcs.insert(seq, rpc);
         if effect == Effect::Tokened && new.repeats.is_some() {
             // Guards against a second effect: a repeat of a tokened RPC never runs, it shares the outcome.
-            self.share(seq);
+            self.share(seq, &new.id);
         } else if effect == Effect::Tokened {
             self.record(&new.id, now_us, ttl_us);
         } else if effect == Effect::Idempotent && self.fresh_us > 0 {
             match new.repeats {
-                Some(_) if prior != Some(Stage::Held) => self.share(seq),
+                Some(_) if prior != Some(Stage::Held) => self.share(seq, &new.id),
                 None if new.has_subject => self.record(&new.id, now_us, wanted_us + self.fresh_us),
                 _ => {}
             }
@@ -591,10 +599,9 @@
         rpc.failed_calls += 1;
         let method = &self.methods[rpc.method];
         rpc.stage = Stage::AtCall(now_us + (PULSE_US << rpc.failed_calls.min(5)));
-        if rpc.answered {
-        } else if method.skip_share > 0.0 {
+        if method.skip_share > 0.0 && !rpc.answered {
             self.skip(now_us, seq);
-        } else if !outcome.never_ran() && method.effect != Effect::Idempotent {
+        } else if !rpc.answered && !outcome.never_ran() && method.effect != Effect::Idempotent {
             self.give_up(seq);
         }
     }
@@ -659,8 +666,8 @@
         self.overdue(now_us);
         self.fit_memory(now_us);
         self.crowded_out(now_us);
-        // The rest starts: small RPCs first, a large one that has waited longer with probability Prob_l; newest
-        // first once the hold has stood full a while. Cores, memory, then the loop must have room.
+        // The rest starts: small RPCs first, a large one that has waited longer with probability Prob_l;
+        // newest first once the hold has stood full a while. Cores, memory, then the loop must have room.
         let newest = self.full_since_us.is_some_and(|since| now_us >= since + FULL_US);
         let mut memory_kb = self.memory_kb();
         loop {
@@ -684,8 +691,9 @@
                 break;
             }
             let mean = self.mean_calls(rpc.method);
-            // Guards against cores that idle while the loop binds: an RPC that would soon be pushed back for the loop's
-            // sake starts without its call where that earns a part. It is no admission, as it will not call.
+            // Guards against cores that idle while the loop binds: an RPC that would soon be pushed back for
+            // the loop's sake starts without its call where that earns a part. It is no admission, as it will
+            // not call.
             let room = self.control.room(mean);
             if !room {
                 self.lanes.small_blocked |= !self.lanes.is_large(rpc.method);
@@ -706,7 +714,8 @@
         self.arm(now_us);
     }
 
-    /// Places the calls that RPCs wait for, within the told share, or leaves them out where that earns a part.
+    /// Places the calls that RPCs wait for, within the told share, or leaves them out where that earns a
+    /// part.
     fn place_calls(&mut self, now_us: u64) {
         self.count_in_hand(now_us);
         let usual_us = self.call_times.at(0.9);
@@ -719,8 +728,9 @@
             let rest_us = rpc.core_us; // what remains after the call is taken to be like what came before it
             let due_us = rpc.due_us.saturating_sub(MARGIN_US);
             let can_skip = method.skip_share > 0.0;
-            // Guards against calls into a silent place, which would fill the crowd until their RPCs are due: past
-            // the latency target a call gets a few times its usual time. Harms a late answer that still earns a part.
+            // Guards against calls into a silent place, which would fill the crowd until their RPCs are due:
+            // past the latency target a call gets a few times its usual time. Harms a late answer that still
+            // earns a part.
             let target_us = rpc.target_us.saturating_sub(rest_us);
             let patient_us = if can_skip { 0 } else { now_us + patience_us };
             let until_us = target_us.max(patient_us).min(due_us);
@@ -741,8 +751,8 @@
         self.host.skip_call(&rpc.id);
     }
 
-    /// Guards what all servers call. It slows long before the told share of calls in hand, so fewer are placed at
-    /// once and the rest wait here; more wanted in the mean than the share is a sign of overload.
+    /// Guards what all servers call. It slows long before the told share of calls in hand, so fewer are
+    /// placed at once and the rest wait here; more wanted in the mean than the share is a sign of overload.
     fn below_has_room(&self) -> bool {
         let Below::Shared { share, .. } = self.below else { return true };
         (self.calls_in_hand() as f64) < (AT_ONCE * share).max(1.0) && self.hands.mean < SHARE_USED * share
@@ -796,8 +806,9 @@
         rpc.due_us.min(self.leaving.map_or(u64::MAX, |(_, ends)| ends)).saturating_sub(MARGIN_US)
     }
 
-    /// An RPC started after this would likely miss its latency target. One too long for its target in any case
-    /// still has a short while: guards against idle cores turning long RPCs away on a pessimistic estimate.
+    /// An RPC started after this would likely miss its latency target. One too long for its target in any
+    /// case still has a short while: guards against idle cores turning long RPCs away on a pessimistic
+    /// estimate.
     fn latest_start(&self, rpc: &Rpc) -> u64 {
         let ends_us = rpc.target_us.min(self.answer_by(rpc));
         let (method, learned) = (&self.methods[rpc.method], &self.learned[rpc.method]);
@@ -829,8 +840,9 @@
         }
     }
 
-    /// Walks the hold in the order of starting. Where one would start too late, the least valuable before it has
-    /// waited in vain: it goes, so that criticality decides who is turned away while age decides who starts.
+    /// Walks the hold in the order of starting. Where one would start too late, the least valuable before it
+    /// has waited in vain: it goes, so that criticality decides who is turned away while age decides who
+    /// starts.
     fn crowded_out(&mut self, now_us: u64) {
         let limit = self.cores.limit(now_us) as u64;
         let mut walked: Vec<(u64, u64)> = Vec::new();
@@ -864,10 +876,10 @@
         self.full_since_us = full.then(|| self.full_since_us.unwrap_or(now_us));
     }
 
-    /// The final answer to an RPC we gave up on, at once. One that never ran is pushed back with a time to come
-    /// back, and a further try is asked to be the last: guards against repeats that feed themselves, as each costs
-    /// its reading everywhere; harms where only the servers tried so far are busy. Any other is aborted, as it may
-    /// have had its effect, and taken off the cores.
+    /// The final answer to an RPC we gave up on, at once. One that never ran is pushed back with a time to
+    /// come back, and a further try is asked to be the last: guards against repeats that feed themselves, as
+    /// each costs its reading everywhere; harms where only the servers tried so far are busy. Any other is
+    /// aborted, as it may have had its effect, and taken off the cores.
     fn give_up(&mut self, seq: u64) {
         let come_back_us = match self.leaving {
             Some(_) => self.advice.max_come_back_us,
@@ -900,10 +912,9 @@
         }
     }
 
-    fn share(&mut self, seq: u64) {
-        let rpc = self.rpcs.get_mut(&seq).expect("just inserted");
-        rpc.stage = Stage::Sharing;
-        self.host.share(&rpc.id);
+    fn share(&mut self, seq: u64, id: &str) {
+        self.rpcs.get_mut(&seq).expect("just inserted").stage = Stage::Sharing;
+        self.host.share(id);
     }
 
     fn record(&mut self, id: &RpcId, now_us: u64, ttl_us: u64) {
@@ -965,13 +976,12 @@
         self.rpcs.values().map(kb).sum::<f64>() + self.keys.len() as f64 * self.machine.key_kb
     }
 
-    /// How much of the usual traffic is wanted: an integral step on how far the hold outgrows what its RPCs can
-    /// wait; a cold server wants no more than its share of speed.
+    /// How much of the usual traffic is wanted: an integral step on how far the hold outgrows what its RPCs
+    /// can wait; a cold server wants no more than its share of speed.
     fn advise(&mut self, now_us: u64) {
-        let aim = 0.4;
-        let e = aim - self.pressure.max(self.unread);
-        self.wanted += if e < 0.0 { 0.04 * e.max(-1.0) } else { 0.01 * e };
-        self.wanted = self.wanted.clamp(0.4, 1.0);
+        let e = PRESSURE_AIM - self.pressure.max(self.unread);
+        let step = if e < 0.0 { WANTED_FALL * e.max(-1.0) } else { WANTED_RISE * e };
+        self.wanted = (self.wanted + step).clamp(WANTED_LEAST, 1.0);
         if self.leaving.is_none() {
             let wanted = self.wanted.min(self.cores.warmth(now_us));
             self.tell((wanted * 100.0).round() / 100.0);
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,6 +1,6 @@
-//! The interface between a server and the decisions: the [`Host`] trait that the module acts by, and the small
-//! types that are handed to it. Nothing here decides; nothing here belongs to one protocol. Times are whole
-//! microseconds on any clock that only advances.
+//! The interface between a server and the decisions: the [`Host`] trait that the module acts by, and the
+//! small types that are handed to it. Nothing here decides; nothing here belongs to one protocol. Times are
+//! whole microseconds on any clock that only advances.
 
 use std::sync::Arc;
 
@@ -13,8 +13,8 @@
     fn run(&mut self, id: &str);
     /// Takes running work off the cores; a `settled` with `Stopped` attests it. It answers nobody.
     fn stop(&mut self, id: &str);
-    /// Final answer: turned away, and it never ran. `last` asks the caller not to try elsewhere; `come_back_us`
-    /// (0 for none) is how long to keep away from this server.
+    /// Final answer: turned away, and it never ran. `last` asks the caller not to try elsewhere;
+    /// `come_back_us` (0 for none) is how long to keep away from this server.
     fn push_back(&mut self, id: &str, last: bool, come_back_us: u64);
     /// Final answer: given up, with no word on whether it ran.
     fn abort(&mut self, id: &str);
@@ -108,8 +108,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Below {
     Nothing,
-    /// One dependency for the whole fleet; `share` is this server's part of the calls that it survives in hand, as
-    /// a mean over `window_us`, and an abandoned call stays in its hands for `linger_us`.
+    /// One dependency for the whole fleet; `share` is this server's part of the calls that it survives in
+    /// hand, as a mean over `window_us`, and an abandoned call stays in its hands for `linger_us`.
     Shared {
         share: f64,
         window_us: u64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
 //! ochrewalk decides, inside each server of a fleet, what that server takes, runs and turns away.
 //!
-//! The server tells a [`decide::Decide`] what happens to it, one method for each kind of event, and the module
-//! acts by calling the [`host::Host`] it was handed at start. It keeps no clock and opens no socket: time comes
-//! in with every call, so that any protocol can be put in front of the same decisions.
+//! The server tells a [`decide::Decide`] what happens to it, one method for each kind of event, and the
+//! module acts by calling the [`host::Host`] it was handed at start. It keeps no clock and opens no socket:
+//! time comes in with every call, so that any protocol can be put in front of the same decisions.
 //!
 //! * [`host`] is the interface: the `Host` trait and the small types handed over.
 //! * [`decide`] holds every decision, every tuned value and all state.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -200,8 +200,7 @@
             s.it.call_ended(s.now, &format!("a{i}"), Outcome::Ok, 100_000);
             s.settle(&format!("a{i}"));
         }
-        s.at(10 * S);
-        s.at(20 * S);
+        (1..=80).for_each(|k| drop(s.at(k * S)));
         s.arrive("b", IDEM);
         s.needs("b");
         s.it.call_ended(s.now, "b", Outcome::TimedOut, took);
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -48,7 +48,8 @@
     fn log(&mut self, _text: &str) {}
 }
 
-/// The methods of most tests, by position: idempotent, tokened, non-idempotent, idempotent that may skip its call.
+/// The methods of most tests, by position: idempotent, tokened, non-idempotent, idempotent that may skip its
+/// call.
 pub const IDEM: usize = 0;
 pub const TOKEN: usize = 1;
 pub const ONCE: usize = 2;
