--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,8 +12,8 @@
 /// The controller's period (DESIGN: start with 1 s) and gain (paper, 2.1).
 const PERIOD_US: u64 = 1_000_000;
 const K_I: f64 = 1.0;
-/// r climbs when calls came this near to it, and halves after so many periods in a row with signs in this share of
-/// their calls (ours). The most carried in a period is forgotten at this pace.
+/// r climbs when calls came this near to it, and halves after so many periods in a row with signs in this share
+/// of their calls (ours). The most carried in a period is forgotten at this pace.
 const NEARED: f64 = 0.9;
 const SIGNS_IN_A_ROW: u32 = 2;
 const SIGNS_SHARE: f64 = 0.1;
@@ -35,7 +35,7 @@
 /// How often gauges are read and advice is set, and answers' margin before they are due.
 const PULSE_US: u64 = 50_000;
 const MARGIN_US: u64 = 25_000;
-/// Shares of the survivable crowd, of the memory, and of the told calls in hand (in the mean, and at once) in use.
+/// Shares in use of the survivable crowd, of the memory, and of the told calls in hand (in the mean, at once).
 const CROWD_USED: f64 = 0.9;
 const MEMORY_USED: f64 = 0.95;
 const SHARE_USED: f64 = 0.8;
@@ -204,14 +204,6 @@
         below_r && self.admitted < self.u
     }
 
-    /// How long the loop takes to let one RPC of such a lane go.
-    fn pace_us(&self, mean: f64) -> u64 {
-        if !self.bound || mean <= 0.0 {
-            return 0;
-        }
-        (PERIOD_US as f64 * (mean / self.r).max(1.0 / self.u)) as u64
-    }
-
     /// Ends the period when its time has come, and says whether it did.
     pub fn period(&mut self, now_us: u64) -> bool {
         if now_us < self.ends_us {
@@ -851,8 +843,7 @@
         let (mut full, count) = (false, held.len() as u64);
         for seq in held {
             let rpc = &self.rpcs[&seq];
-            let pace_us = self.control.pace_us(self.mean_calls(rpc.method));
-            let core_us = (self.core_time(rpc) / limit).max(pace_us);
+            let core_us = self.core_time(rpc) / limit;
             let latest_us = self.latest_start(rpc);
             patience_us += latest_us.saturating_sub(rpc.arrived_us);
             walked.push((seq, core_us));
