--- a/src/decide.rs
+++ b/src/decide.rs
@@ -204,6 +204,16 @@
         below_r && self.admitted < self.u
     }
 
+    /// How long the loop takes to let one RPC of such a lane go.
+    fn pace_us(&self, mean: f64) -> u64 {
+        let periods = if mean > 0.0 { (mean / self.r).max(1.0 / self.u) } else { 0.0 };
+        if self.bound {
+            (PERIOD_US as f64 * periods) as u64
+        } else {
+            0
+        }
+    }
+
     /// Ends the period when its time has come, and says whether it did.
     pub fn period(&mut self, now_us: u64) -> bool {
         if now_us < self.ends_us {
@@ -844,6 +854,7 @@
         for seq in held {
             let rpc = &self.rpcs[&seq];
             let core_us = self.core_time(rpc) / limit;
+            let core_us = core_us.max(self.control.pace_us(self.mean_calls(rpc.method)));
             let latest_us = self.latest_start(rpc);
             patience_us += latest_us.saturating_sub(rpc.arrived_us);
             walked.push((seq, core_us));
