--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,13 +7,13 @@
     Advice, Arrival, Below, Crowd, Customer, Effect, Gauges, Host, Machine, Method, Outcome, RpcId, Shares,
     Signal, Stopping,
 };
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// The controller's period (DESIGN: start with 1 s) and gain (paper, 2.1).
 const PERIOD_US: u64 = 1_000_000;
 const K_I: f64 = 1.0;
-/// r climbs when calls came this near to it, and halves after so many periods in a row with signs in this share
-/// of their calls (ours). The most carried in a period is forgotten at this pace.
+/// r climbs when calls came this near to it, and halves after so many periods in a row with signs in this
+/// share of their calls (ours). The most carried in a period is forgotten at this pace.
 const NEARED: f64 = 0.9;
 const SIGNS_IN_A_ROW: u32 = 2;
 const SIGNS_SHARE: f64 = 0.1;
@@ -35,7 +35,7 @@
 /// How often gauges are read and advice is set, and answers' margin before they are due.
 const PULSE_US: u64 = 50_000;
 const MARGIN_US: u64 = 25_000;
-/// Shares in use of the survivable crowd, of the memory, and of the told calls in hand (in the mean, at once).
+/// Shares in use of the survivable crowd, the memory, and the told calls in hand (in the mean, and at once).
 const CROWD_USED: f64 = 0.9;
 const MEMORY_USED: f64 = 0.95;
 const SHARE_USED: f64 = 0.8;
@@ -363,8 +363,8 @@
 
 /// Each customer's share here, as a bucket of RPCs that fills at its part of the fleet's rate.
 struct Buckets {
-    rates: Vec<f64>,
-    full: Vec<f64>,
+    /// The rate and the level of each.
+    of: Vec<(f64, f64)>,
     at_us: u64,
 }
 
@@ -373,19 +373,19 @@
     const SAVED: f64 = 3.0;
 
     fn new(customers: &[Customer], servers: u32) -> Buckets {
-        let rates: Vec<f64> = customers.iter().map(|c| c.per_second / f64::from(servers.max(1))).collect();
-        Buckets { full: rates.iter().map(|r| r * Self::SAVED).collect(), rates, at_us: 0 }
+        let rates = customers.iter().map(|c| c.per_second / f64::from(servers.max(1)));
+        Buckets { of: rates.map(|rate| (rate, rate * Self::SAVED)).collect(), at_us: 0 }
     }
 
     fn within(&mut self, customer: Option<usize>, now_us: u64) -> bool {
         let passed = (now_us - self.at_us) as f64 / 1e6;
         self.at_us = now_us;
-        for (full, rate) in self.full.iter_mut().zip(&self.rates) {
-            *full = (*full + rate * passed).min(rate * Self::SAVED);
+        for (rate, level) in &mut self.of {
+            *level = (*level + *rate * passed).min(*rate * Self::SAVED);
         }
-        let Some(full) = customer.and_then(|c| self.full.get_mut(c)) else { return true };
-        let within = *full >= 1.0;
-        *full -= f64::from(u8::from(within));
+        let Some((_, level)) = customer.and_then(|c| self.of.get_mut(c)) else { return true };
+        let within = *level >= 1.0;
+        *level -= f64::from(u8::from(within));
         within
     }
 }
@@ -410,7 +410,7 @@
     learned: Vec<Learned>,
     call_times: Hist,
     /// Remembered keys: when they lapse, and whose they are.
-    keys: BTreeMap<(u64, RpcId), ()>,
+    keys: BTreeSet<(u64, RpcId)>,
     control: Loop,
     lanes: Lanes,
     cores: Cores,
@@ -469,7 +469,7 @@
             by_id: HashMap::new(),
             next: 0,
             call_times: Hist::default(),
-            keys: BTreeMap::new(),
+            keys: BTreeSet::new(),
             hands: Hands { at_us: now_us, ..Hands::default() },
             full_since_us: None,
             leaving: None,
@@ -503,14 +503,11 @@
         let wanted_us = (method.latency_target_us + stretch as u64).min(method.deadline_us);
         // A further try is older than it looks: by what its caller waits less than a first try's.
         let learned = &mut self.learned[new.method];
-        let age_us = match new.left_us {
-            Some(left) if new.further_try => learned.longest_us.saturating_sub(left),
-            Some(left) => {
-                learned.longest_us = learned.longest_us.max(left + new.queued_us);
-                0
-            }
-            None => 0,
-        };
+        let (first_left, further_left) =
+            if new.further_try { (None, new.left_us) } else { (new.left_us, None) };
+        let longest_us = first_left.map_or(0, |left| left + new.queued_us);
+        learned.longest_us = learned.longest_us.max(longest_us);
+        let age_us = further_left.map_or(0, |left| learned.longest_us.saturating_sub(left));
         let work_us =
             Learned::time(&learned.on_core, 0.5, new.effort_us, method.latency_target_us / 4).max(1);
         let mut value = method.criticality / if self.by_work { 1.0 } else { work_us as f64 / 1e6 };
@@ -556,7 +553,7 @@
         match self.rpcs[&seq].stage {
             Stage::Held => self.unrecord(seq),
             Stage::Sharing => self.forget(seq),
-            Stage::Running | Stage::AtCall(_) | Stage::Calling => {
+            _ => {
                 let rpc = self.rpcs.get_mut(&seq).expect("indexed");
                 rpc.answered = true;
                 // A tokened run may go on: its repeat can share the outcome. Other work serves nobody now.
@@ -674,16 +671,9 @@
         let mut memory_kb = self.memory_kb();
         loop {
             let (small, large) = (self.head(false, newest), self.head(true, newest));
-            let large_waited_longer = match (small, large) {
-                (Some(s), Some(l)) => l < s,
-                (None, l) => l.is_some(),
-                _ => false,
-            };
-            let seq = match (small, large) {
-                (_, Some(l)) if large_waited_longer && self.lanes.drawn(l, now_us, &mut self.rng) => l,
-                (Some(s), _) => s,
-                _ => break,
-            };
+            let waited_longer = large.filter(|l| small.is_none_or(|s| *l < s));
+            let drawn = waited_longer.filter(|l| self.lanes.drawn(*l, now_us, &mut self.rng));
+            let Some(seq) = drawn.or(small) else { break };
             let rpc = &self.rpcs[&seq];
             let more_kb = rpc.kb * (self.machine.run_factor - 1.0);
             if self.on_cores() >= self.cores.limit(now_us)
@@ -789,17 +779,10 @@
     /// Gives up what is due, what came too late in a drain, and what is held but cannot start in time.
     fn overdue(&mut self, now_us: u64) {
         let late_us = self.leaving.map_or(u64::MAX, |(since, _)| since + self.drain_grace_us);
-        let over: Vec<u64> = self
-            .rpcs
-            .iter()
-            .filter(|(_, r)| {
-                let held = r.stage == Stage::Held;
-                !r.answered
-                    && (now_us >= self.answer_by(r)
-                        || held && (r.arrived_us > late_us || now_us > self.latest_start(r)))
-            })
-            .map(|(n, _)| *n)
-            .collect();
+        let held_over = |r: &Rpc| r.arrived_us > late_us || now_us > self.latest_start(r);
+        let is_over = |r: &Rpc| now_us >= self.answer_by(r) || r.stage == Stage::Held && held_over(r);
+        let open = self.rpcs.iter().filter(|(_, r)| !r.answered);
+        let over: Vec<u64> = open.filter(|(_, r)| is_over(r)).map(|(n, _)| *n).collect();
         over.into_iter().for_each(|seq| self.give_up(seq));
     }
 
@@ -830,7 +813,7 @@
 
     /// Guards against more memory than there is: the held RPCs of least value go until the rest fits.
     fn fit_memory(&mut self, now_us: u64) {
-        while self.keys.first_key_value().is_some_and(|((lapses, _), _)| *lapses <= now_us) {
+        while self.keys.first().is_some_and(|(lapses, _)| *lapses <= now_us) {
             self.keys.pop_first();
         }
         while self.memory_kb() > self.machine.memory_kb * MEMORY_USED {
@@ -883,10 +866,8 @@
     /// each costs its reading everywhere; harms where only the servers tried so far are busy. Any other is
     /// aborted, as it may have had its effect, and taken off the cores.
     fn give_up(&mut self, seq: u64) {
-        let come_back_us = match self.leaving {
-            Some(_) => self.advice.max_come_back_us,
-            None => (self.hold_us + self.unread_us as u64).min(self.advice.max_come_back_us),
-        };
+        let busy_us = if self.leaving.is_some() { u64::MAX } else { self.hold_us + self.unread_us as u64 };
+        let come_back_us = busy_us.min(self.advice.max_come_back_us);
         let rpc = self.rpcs.get_mut(&seq).expect("given up once");
         rpc.answered = true;
         match rpc.stage {
@@ -898,7 +879,7 @@
                 self.host.abort(&rpc.id);
                 self.forget(seq);
             }
-            Stage::Running | Stage::AtCall(_) | Stage::Calling => {
+            _ => {
                 self.host.abort(&rpc.id);
                 self.take_off(seq);
             }
@@ -921,14 +902,14 @@
 
     fn record(&mut self, id: &RpcId, now_us: u64, ttl_us: u64) {
         self.host.record_key(id, ttl_us);
-        self.keys.insert((now_us + ttl_us + 1_000, id.clone()), ());
+        self.keys.insert((now_us + ttl_us + 1_000, id.clone()));
     }
 
     /// Forgets a held RPC and its key: it never ran, so that a repeat may.
     fn unrecord(&mut self, seq: u64) {
         let id = self.rpcs[&seq].id.clone();
         let keys = self.keys.len();
-        self.keys.retain(|(_, key), _| *key != id);
+        self.keys.retain(|(_, key)| *key != id);
         if self.keys.len() < keys {
             self.host.drop_key(&id);
         }
