--- a/tests/control.rs
+++ b/tests/control.rs
@@ -225,3 +225,32 @@
     s.it.turn(250_001);
     assert_eq!(s.it.host().1, armed);
 }
+
+#[test]
+fn what_may_go_without_its_call_starts_while_the_loop_has_no_room() {
+    // Bound to one RPC in this second by a push-back, with idle cores. The next can wait until its latency target
+    // less 0.15 s, and half of that wait is over before the period is.
+    for (method, want) in [(SKIP, vec!["run b", "skip b"]), (IDEM, vec![])] {
+        let mut given = Given::default();
+        given.methods[SKIP].latency_target_us = 1_000_000;
+        let mut s = given.start();
+        s.arrive("a", SKIP);
+        s.needs("a");
+        s.called("a", Outcome::PushedBack);
+        assert_eq!(s.arrive("b", method), [""; 0], "no room in this period");
+        assert_eq!(s.at(400_000), [""; 0]);
+        let mut did = s.at(430_000);
+        did.extend(s.needs("b"));
+        assert_eq!(did, want);
+    }
+}
+
+#[test]
+fn r_binds_to_the_most_carried_of_late() {
+    let mut it = Loop::new(0);
+    (0..20).for_each(|_| it.called());
+    it.period(S);
+    it.period(2 * S);
+    it.overloaded();
+    assert_eq!(it.r, 18.0, "hung calls show as time-outs when nothing is carried any more");
+}
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -1,11 +1,11 @@
-//! A host that writes down what it is asked and counts the timers, and a small server around the module.
+//! A host that writes down what it is asked counts the timers, keeps the last call's end, and a small server around the module.
 #![allow(dead_code)]
 
 use ochrewalk::decide::Decide;
 use ochrewalk::host::*;
 
 #[derive(Default)]
-pub struct Tape(pub Vec<String>, pub u64);
+pub struct Tape(pub Vec<String>, pub u64, pub u64);
 
 impl Host for Tape {
     fn run(&mut self, id: &str) {
@@ -20,7 +20,8 @@
     fn abort(&mut self, id: &str) {
         self.0.push(format!("abort {id}"));
     }
-    fn call(&mut self, id: &str, _until_us: u64) {
+    fn call(&mut self, id: &str, until_us: u64) {
+        self.2 = until_us;
         self.0.push(format!("call {id}"));
     }
     fn skip_call(&mut self, id: &str) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -297,3 +297,29 @@
         assert_eq!(s.arrives(Arrival { repeats: Some("a".into()), ..rpc("b", IDEM) }), [want]);
     }
 }
+
+#[test]
+fn a_call_into_silence_ends_near_the_latency_target() {
+    // Due at 10 s, wanted by 4 s; past that, four times the usual time, or 4 s before any was seen.
+    for (at, method, until) in [(0, ONCE, 4_000_000), (3_000_000, ONCE, 7_000_000), (0, SKIP, 4_000_000)] {
+        let mut s = Given::default().start();
+        s.arrive("a", method);
+        s.now = at;
+        s.needs("a");
+        assert_eq!(s.it.host().2, until, "{at} {method}");
+    }
+}
+
+#[test]
+fn an_rpc_too_long_for_its_target_runs_on_an_idle_server_and_crowds_nobody_out() {
+    let mut s = Given::default().start();
+    let long = || Arrival { effort_us: Some(9_000_000), ..rpc("long", ONCE) };
+    assert_eq!(s.arrives(long()), ["run long"]);
+    let mut given = Given::default();
+    given.methods[ONCE].criticality = 9.0;
+    let mut s = given.start();
+    s.fill();
+    (0..8).for_each(|i| drop(s.arrive(&format!("a{i}"), IDEM)));
+    assert_eq!(s.arrives(long()), [""; 0]);
+    assert_eq!(s.at(500_001), ["push long"], "it had an eighth of its target to start in");
+}
