--- a/src/decide.rs
+++ b/src/decide.rs
@@ -598,7 +598,9 @@
         rpc.failed_calls += 1;
         let method = &self.methods[rpc.method];
         rpc.stage = Stage::AtCall(now_us + (PULSE_US << rpc.failed_calls.min(5)));
-        if method.skip_share > 0.0 && !rpc.answered {
+        // An error is no sign of overload: one that may be left out is tried once more. Others would feed it.
+        let once_more = outcome == Outcome::Error && rpc.failed_calls == 1;
+        if method.skip_share > 0.0 && !rpc.answered && !(once_more && method.effect == Effect::Idempotent) {
             self.skip(now_us, seq);
         } else if !rpc.answered && !outcome.never_ran() && method.effect != Effect::Idempotent {
             self.give_up(seq);
