--- a/crates/ochrewalk-wirehost/src/wire.rs
+++ b/crates/ochrewalk-wirehost/src/wire.rs
@@ -2,8 +2,8 @@
 
 use ochrewalk::decide::Decide;
 use ochrewalk::host::{
-    Advice, Arrival, Below, Crowd, Customer, Effect, Gauges, Host, Machine, Method, Outcome, Shares, Signal,
-    Stopping,
+    Advice, Arrival, Below, Crowd, Customer, Effect, Gauges, Host, Machine, Method, Outcome, SentBack,
+    Shares, Stopping,
 };
 use serde_json::Value;
 use std::collections::HashMap;
@@ -104,8 +104,8 @@
                 let took_us = fields.maybe_whole("lag-ns")?.unwrap_or(0) / 1_000;
                 server.module.call_ended(now_us, fields.text("handle")?, fields.outcome()?, took_us);
             }
-            "SETTLED" => server.module.settled(now_us, fields.text("handle")?, fields.outcome()?),
-            "RETIRE_SOON" => server.module.retire(now_us, fields.whole("expires-in-ns")? / 1_000),
+            "SETTLED" => server.module.run_ended(now_us, fields.text("handle")?, fields.outcome()?),
+            "RETIRE_SOON" => server.module.leave(now_us, fields.whole("expires-in-ns")? / 1_000),
             "REMINDER" => {
                 let token = fields.whole("token")?;
                 let row = fields.maybe_list("health-info")?;
@@ -149,11 +149,11 @@
         Some("silent") | None => Below::Nothing,
         Some(_) => return Err(extra.bad("below", "shared, tier or silent")),
     };
-    let signal = match extra.maybe_text("signal")? {
-        Some("level") => Signal::Level,
-        Some("credit") => Signal::Credit,
-        Some("weight") => Signal::Weight,
-        Some("silent") | None => Signal::Silent,
+    let sent_back = match extra.maybe_text("signal")? {
+        Some("level") => SentBack::Level,
+        Some("credit") => SentBack::Credit,
+        Some("weight") => SentBack::Weight,
+        Some("silent") | None => SentBack::Nothing,
         Some(_) => return Err(extra.bad("signal", "level, credit, weight or silent")),
     };
     let (mut kinds, mut methods) = (Vec::new(), Vec::new());
@@ -197,7 +197,7 @@
         warm_within_us: rules.whole("warm-within-ns")? / 1_000,
     };
     let advice = Advice {
-        signal,
+        sent_back,
         callers: extra.maybe_whole("callers")?.unwrap_or(1) as u32,
         max_come_back_us: match limits.maybe_whole("max-retry-after-ns")? {
             Some(most) if heeds => most / 1_000,
@@ -361,36 +361,28 @@
         self.handle("GO_ON", id);
     }
 
-    fn record_key(&mut self, id: &str, ttl_us: u64) {
+    fn remember(&mut self, id: &str, ttl_us: u64) {
         let id = quoted(id);
         self.action("RECORD_KEY", format_args!(",\"handle\":{id},\"ttl-ns\":{}", ttl_us * 1_000));
     }
 
-    fn drop_key(&mut self, id: &str) {
+    fn forget_key(&mut self, id: &str) {
         self.handle("DROP_KEY", id);
     }
 
-    fn share(&mut self, id: &str) {
+    fn share_outcome(&mut self, id: &str) {
         self.handle("SHARE", id);
     }
 
-    fn readiness(&mut self, on: bool, cheap: bool) {
+    fn health(&mut self, on: bool, cheap: bool) {
         self.action("READINESS", format_args!(",\"on\":{on},\"cheap\":{cheap}"));
     }
 
-    fn signal(&mut self, value: f64) {
+    fn send_back(&mut self, value: f64) {
         self.action("SIGNAL", format_args!(",\"value\":{value}"));
     }
 
-    fn close_idle(&mut self, after_us: u64) {
-        self.action("KEEPALIVE", format_args!(",\"ttl-ns\":{}", after_us * 1_000));
-    }
-
     fn wake(&mut self, at_us: u64, token: u64) {
         self.action("REMIND", format_args!(",\"moment-ns\":{},\"token\":{token}", at_us * 1_000));
     }
-
-    fn log(&mut self, text: &str) {
-        self.action("REMARK", format_args!(",\"message\":{}", quoted(text)));
-    }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,11 +1,11 @@
 //! Every decision of ochrewalk. A server builds one [`Decide`] at its start and calls one method for each
-//! thing that happens: `arrived`, `gone`, `needs_call`, `call_ended`, `settled`, `retire`, `timer`, and
+//! thing that happens: `arrived`, `gone`, `needs_call`, `call_ended`, `run_ended`, `leave`, `timer`, and
 //! `turn` once all that happened at one moment has been told. The module acts by the `Host` it was handed;
 //! that trait and the small types are in src/host.rs. "DESIGN" and "paper" in comments: see docs/design.md.
 
 use crate::host::{
-    Advice, Arrival, Below, Crowd, Customer, Effect, Gauges, Host, Machine, Method, Outcome, RpcId, Shares,
-    Signal, Stopping,
+    Advice, Arrival, Below, Crowd, Customer, Effect, Gauges, Host, Machine, Method, Outcome, RpcId, SentBack,
+    Shares, Stopping,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -28,7 +28,7 @@
 /// Lanes part only where the most mean calls are this multiple of the fewest: less is chance.
 const LANES_APART: f64 = 1.4;
 /// The value sent back: how much of its patience the hold may wait, the steps per pulse, and the floor.
-const PRESSURE_AIM: f64 = 0.4;
+const PRESSURE_MEANT: f64 = 0.4;
 const WANTED_FALL: f64 = 0.04;
 const WANTED_RISE: f64 = 0.01;
 const WANTED_LEAST: f64 = 0.4;
@@ -141,7 +141,7 @@
     on_core_us: u64,
     core_us: u64,
     calls: u32,
-    failed_calls: u32,
+    lost_calls: u32,
     /// It was started on the understanding that it leaves its calls out.
     callless: bool,
 }
@@ -483,7 +483,7 @@
             armed_us: u64::MAX,
         };
         // Health checks from store: a check that does real work loads what lies below.
-        decide.host.readiness(true, true);
+        decide.host.health(true, true);
         decide.turn(now_us);
         decide
     }
@@ -595,12 +595,10 @@
             return;
         }
         // It waits again. A call whose effect may have happened is never repeated unless that is harmless.
-        rpc.failed_calls += 1;
+        rpc.lost_calls += 1;
         let method = &self.methods[rpc.method];
-        rpc.stage = Stage::AtCall(now_us + (PULSE_US << rpc.failed_calls.min(5)));
-        // An error is no sign of overload: one that may be left out is tried once more. Others would feed it.
-        let once_more = outcome == Outcome::Error && rpc.failed_calls == 1;
-        if method.skip_share > 0.0 && !rpc.answered && !(once_more && method.effect == Effect::Idempotent) {
+        rpc.stage = Stage::AtCall(now_us + (PULSE_US << rpc.lost_calls.min(5)));
+        if method.skip_share > 0.0 && !rpc.answered {
             self.skip(now_us, seq);
         } else if !rpc.answered && !outcome.never_ran() && method.effect != Effect::Idempotent {
             self.give_up(seq);
@@ -608,7 +606,7 @@
     }
 
     /// A run has ended: it holds neither core nor memory any more.
-    pub fn settled(&mut self, now_us: u64, id: &str, outcome: Outcome) {
+    pub fn run_ended(&mut self, now_us: u64, id: &str, outcome: Outcome) {
         let Some(&seq) = self.by_id.get(id) else { return };
         let rpc = &self.rpcs[&seq];
         if rpc.stage == Stage::Running && outcome == Outcome::Ok && !rpc.answered {
@@ -629,9 +627,9 @@
     }
 
     /// This server leaves: its process ends after `left_us`.
-    pub fn retire(&mut self, now_us: u64, left_us: u64) {
+    pub fn leave(&mut self, now_us: u64, left_us: u64) {
         self.leaving = Some((now_us, now_us + left_us));
-        self.host.readiness(false, true);
+        self.host.health(false, true);
         self.tell(0.0);
     }
 
@@ -899,11 +897,11 @@
 
     fn share(&mut self, seq: u64, id: &str) {
         self.rpcs.get_mut(&seq).expect("just inserted").stage = Stage::Sharing;
-        self.host.share(id);
+        self.host.share_outcome(id);
     }
 
     fn record(&mut self, id: &RpcId, now_us: u64, ttl_us: u64) {
-        self.host.record_key(id, ttl_us);
+        self.host.remember(id, ttl_us);
         self.keys.insert((now_us + ttl_us + 1_000, id.clone()));
     }
 
@@ -913,7 +911,7 @@
         let keys = self.keys.len();
         self.keys.retain(|(_, key)| *key != id);
         if self.keys.len() < keys {
-            self.host.drop_key(&id);
+            self.host.forget_key(&id);
         }
         self.forget(seq);
     }
@@ -964,7 +962,7 @@
     /// How much of the usual traffic is wanted: an integral step on how far the hold outgrows what its RPCs
     /// can wait; a cold server wants no more than its share of speed.
     fn advise(&mut self, now_us: u64) {
-        let e = PRESSURE_AIM - self.pressure.max(self.unread);
+        let e = PRESSURE_MEANT - self.pressure.max(self.unread);
         let step = if e < 0.0 { WANTED_FALL * e.max(-1.0) } else { WANTED_RISE * e };
         self.wanted = (self.wanted + step).clamp(WANTED_LEAST, 1.0);
         if self.leaving.is_none() {
@@ -979,11 +977,11 @@
         }
         self.told = wanted;
         let room = f64::from(self.machine.cores) * 4.0 / f64::from(self.advice.callers.max(1));
-        match self.advice.signal {
-            Signal::Silent => {}
-            Signal::Weight => self.host.signal(wanted),
-            Signal::Level => self.host.signal(0.9 * (1.0 - wanted)),
-            Signal::Credit => self.host.signal(room * wanted),
+        match self.advice.sent_back {
+            SentBack::Nothing => {}
+            SentBack::Weight => self.host.send_back(wanted),
+            SentBack::Level => self.host.send_back(0.9 * (1.0 - wanted)),
+            SentBack::Credit => self.host.send_back(room * wanted),
         }
     }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -11,7 +11,7 @@
 pub trait Host {
     /// Starts a held RPC, or takes a paused one up again.
     fn run(&mut self, id: &str);
-    /// Takes running work off the cores; a `settled` with `Stopped` attests it. It answers nobody.
+    /// Takes running work off the cores; a `run_ended` with `Stopped` attests it. It answers nobody.
     fn stop(&mut self, id: &str);
     /// Final answer: turned away, and it never ran. `last` asks the caller not to try elsewhere;
     /// `come_back_us` (0 for none) is how long to keep away from this server.
@@ -23,21 +23,17 @@
     /// Lets a running RPC go on without its call. Only where the method's `skip_share` is above 0.
     fn skip_call(&mut self, id: &str);
     /// Remembers the RPC for `ttl_us`, so that its repeats are known.
-    fn record_key(&mut self, id: &str, ttl_us: u64);
+    fn remember(&mut self, id: &str, ttl_us: u64);
     /// Forgets a remembered RPC.
-    fn drop_key(&mut self, id: &str);
+    fn forget_key(&mut self, id: &str);
     /// Answers a held RPC from the outcome of the one it repeats.
-    fn share(&mut self, id: &str);
+    fn share_outcome(&mut self, id: &str);
     /// What health checks are told; `cheap` answers them without real work.
-    fn readiness(&mut self, on: bool, cheap: bool);
-    /// Sets the value sent back with every answer. Only where [`Advice::signal`] is not `Silent`.
-    fn signal(&mut self, value: f64);
-    /// Closes connections that have been idle for `after_us`.
-    fn close_idle(&mut self, after_us: u64);
+    fn health(&mut self, on: bool, cheap: bool);
+    /// Sets the value sent back with every answer. Only where [`Advice::sent_back`] is not `Nothing`.
+    fn send_back(&mut self, value: f64);
     /// Asks for a `timer` call at `at_us` or soon after.
     fn wake(&mut self, at_us: u64, token: u64);
-    /// A line for the operators.
-    fn log(&mut self, text: &str);
 }
 
 /// Whether an RPC's effect may happen again.
@@ -121,8 +117,8 @@
 
 /// What callers take the value sent back for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Signal {
-    Silent,
+pub enum SentBack {
+    Nothing,
     /// They send nothing whose standing is below the value.
     Level,
     /// Each keeps at most so many RPCs outstanding here.
@@ -134,7 +130,7 @@
 /// What can be told to callers.
 #[derive(Clone, Copy, Debug)]
 pub struct Advice {
-    pub signal: Signal,
+    pub sent_back: SentBack,
     pub callers: u32,
     /// The longest time to keep away that is heeded; 0 where none is.
     pub max_come_back_us: u64,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -164,10 +164,10 @@
 
 #[test]
 fn the_value_sent_back_falls_under_pressure_and_recovers() {
-    for (signal, beyond, rest) in
-        [(Signal::Weight, 0.5, 1.0), (Signal::Level, 0.45, 0.0), (Signal::Credit, 3.0, 6.0)]
+    for (sent_back, beyond, rest) in
+        [(SentBack::Weight, 0.5, 1.0), (SentBack::Level, 0.45, 0.0), (SentBack::Credit, 3.0, 6.0)]
     {
-        let mut s = Given { signal, ..Given::default() }.start();
+        let mut s = Given { sent_back, ..Given::default() }.start();
         s.fill();
         for i in 0..10 {
             s.arrives(Arrival { effort_us: Some(1_200_000), ..rpc(&format!("a{i}"), IDEM) });
@@ -177,8 +177,8 @@
         let low = (1..60).filter_map(|k| last(s.pulse(k * 50_000, 1.0, 9.0))).last().unwrap();
         (0..10).for_each(|i| s.it.gone(&format!("a{i}")));
         let high = (60..400).filter_map(|k| last(s.pulse(k * 50_000, 1.0, 9.0))).last().unwrap();
-        assert!(if rest > beyond { low < beyond } else { low > beyond }, "{signal:?} {low}");
-        assert_eq!(high, rest, "{signal:?}");
+        assert!(if rest > beyond { low < beyond } else { low > beyond }, "{sent_back:?} {low}");
+        assert_eq!(high, rest, "{sent_back:?}");
     }
 }
 
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -27,26 +27,24 @@
     fn skip_call(&mut self, id: &str) {
         self.0.push(format!("skip {id}"));
     }
-    fn record_key(&mut self, id: &str, ttl_us: u64) {
+    fn remember(&mut self, id: &str, ttl_us: u64) {
         self.0.push(format!("key {id} {ttl_us}"));
     }
-    fn drop_key(&mut self, id: &str) {
+    fn forget_key(&mut self, id: &str) {
         self.0.push(format!("drop {id}"));
     }
-    fn share(&mut self, id: &str) {
+    fn share_outcome(&mut self, id: &str) {
         self.0.push(format!("share {id}"));
     }
-    fn readiness(&mut self, on: bool, _cheap: bool) {
+    fn health(&mut self, on: bool, _cheap: bool) {
         self.0.push(format!("ready {on}"));
     }
-    fn signal(&mut self, value: f64) {
+    fn send_back(&mut self, value: f64) {
         self.0.push(format!("signal {value:.2}"));
     }
-    fn close_idle(&mut self, _after_us: u64) {}
     fn wake(&mut self, _at_us: u64, _token: u64) {
         self.1 += 1;
     }
-    fn log(&mut self, _text: &str) {}
 }
 
 /// The methods of most tests, by position: idempotent, tokened, non-idempotent, idempotent that may skip its
@@ -80,7 +78,7 @@
     pub crowd: Crowd,
     pub methods: Vec<Method>,
     pub below: Below,
-    pub signal: Signal,
+    pub sent_back: SentBack,
     pub customers: Vec<Customer>,
     pub fresh_us: u64,
 }
@@ -103,7 +101,7 @@
                 method(Effect::Idempotent, 0.5),
             ],
             below: Below::Tier,
-            signal: Signal::Weight,
+            sent_back: SentBack::Weight,
             customers: vec![],
             fresh_us: 0,
         }
@@ -112,7 +110,7 @@
 
 impl Given {
     pub fn start(self) -> Server {
-        let advice = Advice { signal: self.signal, callers: 4, max_come_back_us: 1_000_000 };
+        let advice = Advice { sent_back: self.sent_back, callers: 4, max_come_back_us: 1_000_000 };
         let shares = Shares { by_work: true, over_share: 0.1, customers: self.customers, servers: 10 };
         let mut server = Server {
             it: Decide::start(
@@ -172,7 +170,7 @@
     }
 
     pub fn settle(&mut self, id: &str) -> Vec<String> {
-        self.it.settled(self.now, id, Outcome::Ok);
+        self.it.run_ended(self.now, id, Outcome::Ok);
         self.turn()
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -57,7 +57,7 @@
     s.it.gone("a");
     s.it.gone("r0");
     assert_eq!(s.turn(), ["stop r0"]);
-    s.it.settled(0, "r0", Outcome::Stopped);
+    s.it.run_ended(0, "r0", Outcome::Stopped);
     assert_eq!(s.turn(), [""; 0], "a was not started in its place");
     s.it.gone("r0");
     s.it.needs_call(0, "nobody");
@@ -73,7 +73,7 @@
     }
     s.at(975_000);
     assert_eq!(s.arrive("a", IDEM), [""; 0]);
-    s.it.settled(s.now, "r0", Outcome::Stopped);
+    s.it.run_ended(s.now, "r0", Outcome::Stopped);
     assert_eq!(s.turn(), ["run a"]);
 }
 
@@ -215,7 +215,7 @@
 fn a_drain_runs_only_what_came_within_the_grace() {
     for (came, want) in [(2_000_000, "run a"), (2_000_001, "push a")] {
         let mut s = Given::default().start();
-        s.it.retire(0, 6_000_000);
+        s.it.leave(0, 6_000_000);
         assert_eq!(s.turn(), ["ready false", "signal 0.00"]);
         s.now = 2_500_000;
         assert_eq!(s.arrives(Arrival { queued_us: s.now - came, ..rpc("a", IDEM) }), [want]);
@@ -223,7 +223,7 @@
     let mut s = Given::default().start();
     s.fill();
     s.arrive("a", IDEM);
-    s.it.retire(0, 1_000_000);
+    s.it.leave(0, 1_000_000);
     s.turn();
     let did = s.at(975_000);
     assert_eq!(did.iter().filter(|d| d.starts_with("abort")).count(), 6, "all answered before the stop");
