--- a/tests/control.rs
+++ b/tests/control.rs
@@ -228,7 +228,7 @@
 
 #[test]
 fn what_may_go_without_its_call_starts_while_the_loop_has_no_room() {
-    // Bound to one RPC in this second by a push-back, with idle cores. The next can wait until its latency target
+    // Bound to one RPC in this second by a push-back, with idle cores. The next can wait until its target
     // less 0.15 s, and half of that wait is over before the period is.
     for (method, want) in [(SKIP, vec!["run b", "skip b"]), (IDEM, vec![])] {
         let mut given = Given::default();
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -1,4 +1,5 @@
-//! A host that writes down what it is asked counts the timers, keeps the last call's end, and a small server around the module.
+//! A host that writes down what it is asked, counts timers and keeps the last call's end; a small server around
+//! the module.
 #![allow(dead_code)]
 
 use ochrewalk::decide::Decide;
