--- a/tests/control.rs
+++ b/tests/control.rs
@@ -155,6 +155,7 @@
         (0.99, 12.0, true, 10), // no more than twice the cores are wanted
         (0.99, 20.0, true, 9),  // falls by a quarter each time
         (0.99, 20.0, true, 9),
+        (0.5, 3.0, true, 10), // and is back as soon as the cores idle again
     ] {
         at += 250_000;
         cores.gauge(at, gauges(busy, runnable), waiting);
