--- a/crates/ochrewalk-wirehost/src/wire.rs
+++ b/crates/ochrewalk-wirehost/src/wire.rs
@@ -382,10 +382,6 @@
         self.action("SIGNAL", format_args!(",\"value\":{value}"));
     }
 
-    fn close_idle(&mut self, idle_us: u64) {
-        self.action("KEEPALIVE", format_args!(",\"ttl-ns\":{}", idle_us * 1_000));
-    }
-
     fn wake(&mut self, at_us: u64, token: u64) {
         self.action("REMIND", format_args!(",\"moment-ns\":{},\"token\":{token}", at_us * 1_000));
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -47,9 +47,6 @@
 /// The hold counts as full when its newest RPCs would wait past their latest start; newest first after this.
 const FULL_US: u64 = 3_000_000;
 
-/// A connection that carried nothing for so long is closed.
-const IDLE_US: u64 = 3_000_000;
-
 /// A small histogram: bins grow by half, and all are halved when many samples are in.
 #[derive(Default)]
 struct Hist {
@@ -487,7 +484,6 @@
         };
         // Health checks from store: a check that does real work loads what lies below.
         decide.host.health(true, true);
-        decide.host.close_idle(IDLE_US);
         decide.turn(now_us);
         decide
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -32,8 +32,6 @@
     fn health(&mut self, on: bool, cheap: bool);
     /// Sets the value sent back with every answer. Only where [`Advice::sent_back`] is not `Nothing`.
     fn send_back(&mut self, value: f64);
-    /// Closes connections that have carried nothing for `idle_us`.
-    fn close_idle(&mut self, idle_us: u64);
     /// Asks for a `timer` call at `at_us` or soon after.
     fn wake(&mut self, at_us: u64, token: u64);
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -43,7 +43,6 @@
     fn send_back(&mut self, value: f64) {
         self.0.push(format!("signal {value:.2}"));
     }
-    fn close_idle(&mut self, _idle_us: u64) {}
     fn wake(&mut self, _at_us: u64, _token: u64) {
         self.1 += 1;
     }
