--- a/crates/ochrewalk-wirehost/src/wire.rs
+++ b/crates/ochrewalk-wirehost/src/wire.rs
@@ -196,9 +196,12 @@
         cold_from: rules.number("cold-from")?,
         warm_within_us: rules.whole("warm-within-ns")? / 1_000,
     };
+    let clients = options.maybe("clients", "an object", |v| v.is_object().then_some(v))?;
+    let marks_tries = clients.and_then(|c| c.get("marks-retry")).and_then(Value::as_bool).unwrap_or(false);
     let advice = Advice {
         sent_back,
         callers: extra.maybe_whole("callers")?.unwrap_or(1) as u32,
+        marks_tries,
         max_come_back_us: match limits.maybe_whole("max-retry-after-ns")? {
             Some(most) if heeds => most / 1_000,
             _ => 0,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -47,6 +47,9 @@
 /// The hold counts as full when its newest RPCs would wait past their latest start; newest first after this.
 const FULL_US: u64 = 3_000_000;
 
+/// Push-backs ask to be the last try while this share of further tries is pushed back here.
+const ELSEWHERE_FULL: f64 = 0.5;
+
 /// A small histogram: bins grow by half, and all are halved when many samples are in.
 #[derive(Default)]
 struct Hist {
@@ -425,6 +428,8 @@
     /// How long the hold would take to run, and that over the patience of what is in it.
     hold_us: u64,
     pressure: f64,
+    /// Of further tries (of all RPCs, where those are not marked) decided on of late, the share pushed back.
+    elsewhere_full: f64,
     unread: f64,
     unread_us: f64,
     pulse_us: u64,
@@ -477,6 +482,7 @@
             told: -1.0,
             hold_us: 0,
             pressure: 0.0,
+            elsewhere_full: 0.0,
             unread: 0.0,
             unread_us: 0.0,
             pulse_us: now_us,
@@ -700,6 +706,7 @@
             rpc.callless = !room;
             (rpc.stage, rpc.started_us, rpc.on_core_us) = (Stage::Running, now_us, now_us);
             self.host.run(&rpc.id);
+            self.tried(seq, 0.0);
         }
         // Those already under way go on to their calls, oldest first.
         self.place_calls(now_us);
@@ -872,7 +879,9 @@
         rpc.answered = true;
         match rpc.stage {
             Stage::Held => {
-                self.host.push_back(&rpc.id, rpc.further, come_back_us);
+                let last = rpc.further || self.elsewhere_full > ELSEWHERE_FULL;
+                self.host.push_back(&rpc.id, last, come_back_us);
+                self.tried(seq, 1.0);
                 self.unrecord(seq);
             }
             Stage::Sharing => {
@@ -886,6 +895,14 @@
         }
     }
 
+    /// A further try started here or was pushed back. Servers are met by chance, so that other servers' further
+    /// tries tell here what ours will find there.
+    fn tried(&mut self, seq: u64, pushed_back: f64) {
+        if self.rpcs[&seq].further || !self.advice.marks_tries {
+            self.elsewhere_full += (pushed_back - self.elsewhere_full) / 16.0;
+        }
+    }
+
     /// Asks for answered work to be taken off; it is counted until it settles.
     fn take_off(&mut self, seq: u64) {
         let rpc = self.rpcs.get_mut(&seq).expect("indexed");
--- a/src/host.rs
+++ b/src/host.rs
@@ -132,6 +132,8 @@
 pub struct Advice {
     pub sent_back: SentBack,
     pub callers: u32,
+    /// Further tries are marked as such.
+    pub marks_tries: bool,
     /// The longest time to keep away that is heeded; 0 where none is.
     pub max_come_back_us: u64,
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -82,6 +82,7 @@
     pub sent_back: SentBack,
     pub customers: Vec<Customer>,
     pub fresh_us: u64,
+    pub marks_tries: bool,
 }
 
 impl Default for Given {
@@ -105,13 +106,19 @@
             sent_back: SentBack::Weight,
             customers: vec![],
             fresh_us: 0,
+            marks_tries: true,
         }
     }
 }
 
 impl Given {
     pub fn start(self) -> Server {
-        let advice = Advice { sent_back: self.sent_back, callers: 4, max_come_back_us: 1_000_000 };
+        let advice = Advice {
+            sent_back: self.sent_back,
+            callers: 4,
+            marks_tries: self.marks_tries,
+            max_come_back_us: 1_000_000,
+        };
         let shares = Shares { by_work: true, over_share: 0.1, customers: self.customers, servers: 10 };
         let mut server = Server {
             it: Decide::start(
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -279,6 +279,23 @@
     assert_eq!(s.arrive("other", IDEM), ["push a3"], "the first beyond the share goes first");
 }
 
+#[test]
+fn a_first_try_is_asked_to_be_the_last_while_further_ones_are_pushed_back_here() {
+    for (marks_tries, further_try, pushed, want) in [
+        (true, true, 20, "push a last"),
+        (true, true, 5, "push a"),
+        (true, false, 20, "push a"),
+        (false, false, 20, "push a last"),
+    ] {
+        let mut s = Given { marks_tries, ..Given::default() }.start();
+        for i in 0..pushed {
+            s.arrives(Arrival { left_us: Some(0), further_try, ..rpc(&format!("x{i}"), IDEM) });
+        }
+        let got = s.arrives(Arrival { left_us: Some(0), ..rpc("a", IDEM) });
+        assert_eq!(got, [want], "{marks_tries} {further_try} {pushed}");
+    }
+}
+
 #[test]
 fn a_further_try_pushed_back_is_asked_to_be_the_last() {
     for (further_try, want) in [(false, "push a"), (true, "push a last")] {
