--- a/crates/ochrewalk-wirehost/src/wire.rs
+++ b/crates/ochrewalk-wirehost/src/wire.rs
@@ -93,7 +93,6 @@
                         .map(|ns| ns / 1_000),
                     repeats: fields.maybe_text("repeats")?.map(Into::into),
                     further_try: bits & 2 != 0,
-                    has_subject: fields.maybe_whole("resource")?.is_some(),
                     customer: fields.maybe_text("customer")?.and_then(|name| position(&server.tenants, name)),
                 };
                 server.module.arrived(now_us, arrival);
@@ -224,7 +223,6 @@
         below,
         advice,
         shares,
-        extra.maybe_whole("fresh-ns")?.unwrap_or(0) / 1_000,
         rules.whole("drain-grace-ns")? / 1_000,
     );
     let passes_deadline = extra.maybe_bool("passes-deadline")?.unwrap_or(false);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,6 +50,9 @@
 /// Push-backs ask to be the last try while this share of further tries is pushed back here.
 const ELSEWHERE_FULL: f64 = 0.5;
 
+/// How far a run moves the slow mean of its method's run times.
+const MEAN_PACE: f64 = 1.0 / 16.0;
+
 /// A small histogram: bins grow by half, and all are halved when many samples are in.
 #[derive(Default)]
 struct Hist {
@@ -64,7 +67,7 @@
         let bin = (value as f64 / Self::FIRST).max(1.0).log(1.5) as usize;
         self.bins[bin.min(27)] += 1;
         self.total += 1;
-        if self.total >= 48 {
+        if self.total >= 32 {
             self.bins.iter_mut().for_each(|n| *n /= 2);
             self.total = self.bins.iter().sum();
         }
@@ -83,28 +86,37 @@
     }
 }
 
-/// What is learned of one method. Times are kept over the hint where RPCs carry one (1,000 = as hinted).
-#[derive(Default)]
-struct Learned {
-    on_core: Hist,
-    whole: Hist,
-    runs: f64,
-    calls: f64,
-    /// The longest that a first try's caller waits.
-    longest_us: u64,
+/// How long runs take here: for each method a slow mean, over the hint where RPCs carry one, and for all methods
+/// together the ratio of late runs to these (1,000 = as the mean). Guards against a server that
+/// gets slow: each method alone is seen too seldom to tell in time. Harms where one method alone gets slow.
+struct Times {
+    means: Vec<f64>,
+    ratios: Hist,
 }
 
-impl Learned {
-    fn time(hist: &Hist, quantile: f64, effort_us: Option<u64>, unknown_us: u64) -> u64 {
-        match (hist.at(quantile), effort_us) {
-            (Some(ratio), Some(hint)) => hint * ratio / 1_000,
-            (Some(time), None) => time,
-            (None, hint) => hint.map_or(unknown_us, |hint| hint * 3 / 2),
+impl Times {
+    fn new(methods: usize) -> Times {
+        Times { means: vec![0.0; methods], ratios: Hist::default() }
+    }
+
+    fn add(&mut self, method: usize, took_us: u64, effort_us: Option<u64>) {
+        let took = took_us as f64 / effort_us.map_or(1.0, |hint| hint.max(1) as f64);
+        let mean = &mut self.means[method];
+        if *mean == 0.0 {
+            *mean = took;
+        } else {
+            self.ratios.add((1_000.0 * took / *mean) as u64);
+            *mean += (took - *mean) * MEAN_PACE;
         }
     }
 
-    fn add(hist: &mut Hist, took_us: u64, effort_us: Option<u64>) {
-        hist.add(effort_us.map_or(took_us, |hint| took_us * 1_000 / hint.max(1)));
+    fn likely(&self, method: usize, quantile: f64, effort_us: Option<u64>, unknown_us: u64) -> u64 {
+        let mean = self.means[method];
+        if mean == 0.0 {
+            return effort_us.map_or(unknown_us, |hint| hint * 3 / 2);
+        }
+        let usual_us = mean * effort_us.map_or(1.0, |hint| hint as f64);
+        (usual_us * self.ratios.at(quantile).unwrap_or(1_500) as f64 / 1_000.0) as u64
     }
 }
 
@@ -404,13 +416,15 @@
     by_work: bool,
     over_share: f64,
     buckets: Buckets,
-    fresh_us: u64,
     drain_grace_us: u64,
     /// All RPCs that hold memory here, oldest first, and where to find them.
     rpcs: BTreeMap<u64, Rpc>,
     by_id: HashMap<RpcId, u64>,
     next: u64,
-    learned: Vec<Learned>,
+    /// Runs and calls seen of each method.
+    seen: Vec<(f64, f64)>,
+    on_core: Times,
+    whole: Times,
     call_times: Hist,
     /// Remembered keys: when they lapse, and whose they are.
     keys: BTreeSet<(u64, RpcId)>,
@@ -448,17 +462,17 @@
         below: Below,
         advice: Advice,
         shares: Shares,
-        fresh_us: u64,
         drain_grace_us: u64,
     ) -> Decide<H> {
         // Methods that call are taken to call once until they are seen.
-        let seen = |m: &Method| (1.0, f64::from(u8::from(m.calls)));
-        let learn = |m| Learned { runs: seen(m).0, calls: seen(m).1, ..Learned::default() };
+        let seen: Vec<(f64, f64)> = methods.iter().map(|m| (1.0, f64::from(u8::from(m.calls)))).collect();
         let mut decide = Decide {
             host,
             rng: fastrand::Rng::with_seed(seed),
-            learned: methods.iter().map(learn).collect(),
-            lanes: Lanes::new(&methods.iter().map(seen).collect::<Vec<_>>()),
+            on_core: Times::new(methods.len()),
+            whole: Times::new(methods.len()),
+            lanes: Lanes::new(&seen),
+            seen,
             cores: Cores::new(machine.cores, crowd, now_us),
             control: Loop::new(now_us),
             buckets: Buckets::new(&shares.customers, shares.servers),
@@ -468,7 +482,6 @@
             methods,
             below,
             advice,
-            fresh_us,
             drain_grace_us,
             rpcs: BTreeMap::new(),
             by_id: HashMap::new(),
@@ -507,15 +520,8 @@
         let left_us = new.left_us.unwrap_or(method.deadline_us.saturating_sub(new.queued_us));
         let stretch = method.target_stretch * new.effort_us.unwrap_or(0) as f64;
         let wanted_us = (method.latency_target_us + stretch as u64).min(method.deadline_us);
-        // A further try is older than it looks: by what its caller waits less than a first try's.
-        let learned = &mut self.learned[new.method];
-        let (first_left, further_left) =
-            if new.further_try { (None, new.left_us) } else { (new.left_us, None) };
-        let longest_us = first_left.map_or(0, |left| left + new.queued_us);
-        learned.longest_us = learned.longest_us.max(longest_us);
-        let age_us = further_left.map_or(0, |left| learned.longest_us.saturating_sub(left));
         let work_us =
-            Learned::time(&learned.on_core, 0.5, new.effort_us, method.latency_target_us / 4).max(1);
+            self.on_core.likely(new.method, 0.5, new.effort_us, method.latency_target_us / 4).max(1);
         let mut value = method.criticality / if self.by_work { 1.0 } else { work_us as f64 / 1e6 };
         if !self.buckets.within(new.customer, now_us) {
             value *= self.over_share;
@@ -526,7 +532,7 @@
             arrived_us: came_us,
             further: new.further_try,
             due_us: now_us + left_us,
-            target_us: (came_us + wanted_us.saturating_sub(age_us)).min(now_us + left_us),
+            target_us: (came_us + wanted_us).min(now_us + left_us),
             kb: new.kb,
             effort_us: new.effort_us,
             value,
@@ -534,7 +540,6 @@
         };
         let effect = method.effect;
         let ttl_us = (came_us + method.window_us).saturating_sub(now_us) + 1_000;
-        let prior = new.repeats.as_ref().and_then(|id| self.by_id.get(id)).map(|n| self.rpcs[n].stage);
         let seq = self.next;
         self.next += 1;
         self.by_id.insert(new.id.clone(), seq);
@@ -544,12 +549,6 @@
             self.share(seq, &new.id);
         } else if effect == Effect::Tokened {
             self.record(&new.id, now_us, ttl_us);
-        } else if effect == Effect::Idempotent && self.fresh_us > 0 {
-            match new.repeats {
-                Some(_) if prior != Some(Stage::Held) => self.share(seq, &new.id),
-                None if new.has_subject => self.record(&new.id, now_us, wanted_us + self.fresh_us),
-                _ => {}
-            }
         }
     }
 
@@ -616,14 +615,13 @@
         let Some(&seq) = self.by_id.get(id) else { return };
         let rpc = &self.rpcs[&seq];
         if rpc.stage == Stage::Running && outcome == Outcome::Ok && !rpc.answered {
-            let learned = &mut self.learned[rpc.method];
             let core_us = rpc.core_us + now_us - rpc.on_core_us;
-            Learned::add(&mut learned.on_core, core_us, rpc.effort_us);
-            Learned::add(&mut learned.whole, now_us - rpc.started_us, rpc.effort_us);
-            learned.runs += 1.0;
-            learned.calls += f64::from(rpc.calls);
-            if learned.runs >= 64.0 {
-                (learned.runs, learned.calls) = (learned.runs / 2.0, learned.calls / 2.0);
+            self.on_core.add(rpc.method, core_us, rpc.effort_us);
+            self.whole.add(rpc.method, now_us - rpc.started_us, rpc.effort_us);
+            let seen = &mut self.seen[rpc.method];
+            *seen = (seen.0 + 1.0, seen.1 + f64::from(rpc.calls));
+            if seen.0 >= 64.0 {
+                *seen = (seen.0 / 2.0, seen.1 / 2.0);
             }
         }
         if rpc.stage == Stage::Calling {
@@ -661,8 +659,7 @@
     pub fn turn(&mut self, now_us: u64) {
         // The end of a period: the law for u, the lanes by mean calls, and Prob_l.
         if self.control.period(now_us) {
-            let seen: Vec<(f64, f64)> = self.learned.iter().map(|l| (l.runs, l.calls)).collect();
-            self.lanes.part(&seen);
+            self.lanes.part(&self.seen);
             let [small, large] = [false, true].map(|lane| self.head(lane, false));
             let wait = |seq: Option<u64>| seq.map(|n| now_us - self.rpcs[&n].arrived_us);
             self.lanes.adapt(wait(small), wait(large));
@@ -803,19 +800,19 @@
     /// estimate.
     fn latest_start(&self, rpc: &Rpc) -> u64 {
         let ends_us = rpc.target_us.min(self.answer_by(rpc));
-        let (method, learned) = (&self.methods[rpc.method], &self.learned[rpc.method]);
+        let method = &self.methods[rpc.method];
         let target_us = method.latency_target_us;
         // While the loop binds, what may leave its call out needs only its time on the cores.
         let callless = self.control.bound && method.skip_share > 0.0;
-        let took = if callless { &learned.on_core } else { &learned.whole };
-        let run_us = Learned::time(took, LATE_QUANTILE, rpc.effort_us, target_us / 4);
+        let took = if callless { &self.on_core } else { &self.whole };
+        let run_us = took.likely(rpc.method, LATE_QUANTILE, rpc.effort_us, target_us / 4);
         ends_us.saturating_sub(run_us).max((rpc.arrived_us + target_us / 8).min(ends_us))
     }
 
     /// Time on the cores that an RPC will likely take.
     fn core_time(&self, rpc: &Rpc) -> u64 {
         let unknown_us = self.methods[rpc.method].latency_target_us / 4;
-        Learned::time(&self.learned[rpc.method].on_core, 0.5, rpc.effort_us, unknown_us)
+        self.on_core.likely(rpc.method, 0.5, rpc.effort_us, unknown_us)
     }
 
     /// Guards against more memory than there is: the held RPCs of least value go until the rest fits.
--- a/src/host.rs
+++ b/src/host.rs
@@ -173,8 +173,6 @@
     pub repeats: Option<RpcId>,
     /// Marked as a further try.
     pub further_try: bool,
-    /// It names a subject, so that its answer may serve others.
-    pub has_subject: bool,
     /// Position in the list of customers.
     pub customer: Option<usize>,
 }
