Idle time of connections follows the gauges; later start without a call taken out

So idle time falls while cores are in good use and few callers are connected, and rises again while they are swamped. Covers also a restart of many callers; harms while swamped, as callers find no room.

--- a/crates/ochrewalk-wirehost/src/wire.rs
+++ b/crates/ochrewalk-wirehost/src/wire.rs
@@ -109,7 +109,11 @@
                 let token = fields.whole("token")?;
                 let row = fields.maybe_list("health-info")?;
                 let gauge = |name: &str| row.get(position(&server.gauges, name)?)?.as_f64();
-                let gauges = Gauges { busy: gauge("cpu_busy"), runnable: gauge("runnable") };
+                let gauges = Gauges {
+                    busy: gauge("cpu_busy"),
+                    runnable: gauge("runnable"),
+                    connections: gauge("sockets"),
+                };
                 server.module.timer(now_us, token, gauges);
             }
             _ => {
@@ -188,6 +192,7 @@
         run_factor: extra.number("run-mem-factor")?,
         key_kb: extra.maybe_number("key-kb")?.unwrap_or(0.0),
         stopping,
+        idle_most_us: extra.maybe_whole("keepalive-max-ns")?.unwrap_or(0) / 1_000,
     };
     let crowd = Crowd {
         multiple: rules.number("fall-multiple")?,
@@ -383,6 +388,10 @@
         self.action("SIGNAL", format_args!(",\"value\":{value}"));
     }
 
+    fn close_idle(&mut self, idle_us: u64) {
+        self.action("KEEPALIVE", format_args!(",\"ttl-ns\":{}", idle_us * 1_000));
+    }
+
     fn wake(&mut self, at_us: u64, token: u64) {
         self.action("REMIND", format_args!(",\"moment-ns\":{},\"token\":{token}", at_us * 1_000));
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,6 +37,9 @@
 const MARGIN_US: u64 = 25_000;
 /// Shares in use of the survivable crowd, the memory, and the told calls in hand (in the mean, and at once).
 const CROWD_USED: f64 = 0.9;
+/// Cores are in good use from the first on, and busy from the second.
+const CORES_IDLE: f64 = 0.5;
+const CORES_BUSY: f64 = 0.92;
 const MEMORY_USED: f64 = 0.95;
 const SHARE_USED: f64 = 0.8;
 const AT_ONCE: f64 = 0.4;
@@ -156,7 +159,6 @@
     on_core_us: u64,
     core_us: u64,
     calls: u32,
-    lost_calls: u32,
     /// It was started on the understanding that it leaves its calls out.
     callless: bool,
 }
@@ -221,12 +223,8 @@
 
     /// How long the loop takes to let one RPC of such a lane go.
     fn pace_us(&self, mean: f64) -> u64 {
-        let periods = if mean > 0.0 { (mean / self.r).max(1.0 / self.u) } else { 0.0 };
-        if self.bound {
-            (PERIOD_US as f64 * periods) as u64
-        } else {
-            0
-        }
+        let periods = if self.bound && mean > 0.0 { (mean / self.r).max(1.0 / self.u) } else { 0.0 };
+        (PERIOD_US as f64 * periods) as u64
     }
 
     /// Ends the period when its time has come, and says whether it did.
@@ -324,11 +322,15 @@
     started_us: u64,
     extra: f64,
     next_us: u64,
+    /// How long a connection may carry nothing before it is closed, and the longest time that makes sense.
+    pub idle_us: f64,
+    idle_most_us: f64,
 }
 
 impl Cores {
-    pub fn new(cores: u32, crowd: Crowd, now_us: u64) -> Cores {
-        Cores { cores: f64::from(cores), crowd, started_us: now_us, extra: 0.0, next_us: 0 }
+    pub fn new(cores: u32, crowd: Crowd, idle_most_us: u64, now_us: u64) -> Cores {
+        let (cores, idle_us) = (f64::from(cores), idle_most_us as f64);
+        Cores { cores, crowd, started_us: now_us, extra: 0.0, next_us: 0, idle_us, idle_most_us: idle_us }
     }
 
     /// The least share of its speed that the server can have by now.
@@ -350,17 +352,25 @@
         ((self.cores + self.extra) as usize).clamp(1, self.ceiling(now_us))
     }
 
-    /// Reads the gauges. `waiting`: work is held only because the limit is reached.
-    pub fn gauge(&mut self, now_us: u64, gauges: Gauges, waiting: bool) {
+    /// Reads the gauges. `waiting`: work is held only because the limit is reached. The idle time of connections
+    /// guards against a table full of callers that seldom come back: it takes capacity and keeps others out. It
+    /// falls while cores are in good use and few callers are connected. It rises while cores are swamped, for a
+    /// full table turns away at no cost, where each handshake costs work; harms then, as it keeps callers out.
+    pub fn gauge(&mut self, now_us: u64, gauges: Gauges, callers: u32, waiting: bool) {
         if now_us < self.next_us {
             return;
         }
         self.next_us = now_us + 250_000;
         let (busy, runnable) = (gauges.busy.unwrap_or(1.0), gauges.runnable.unwrap_or(self.cores));
-        if waiting && busy < 0.92 && runnable < self.cores {
+        if waiting && busy < CORES_BUSY && runnable < self.cores {
             self.extra = (self.extra + 1.0).min(self.ceiling(now_us) as f64 - self.cores).max(0.0);
         } else if runnable > 2.0 * self.cores {
             self.extra = (self.extra - 0.25).max(0.0);
+            self.idle_us = (self.idle_us * 1.2).min(self.idle_most_us);
+        }
+        let few_connected = 4.0 * gauges.connections.unwrap_or(f64::MAX) < f64::from(callers);
+        if few_connected && !waiting && (CORES_IDLE..CORES_BUSY).contains(&busy) {
+            self.idle_us = (self.idle_us * 0.8).max(PERIOD_US as f64);
         }
     }
 }
@@ -473,7 +483,7 @@
             whole: Times::new(methods.len()),
             lanes: Lanes::new(&seen),
             seen,
-            cores: Cores::new(machine.cores, crowd, now_us),
+            cores: Cores::new(machine.cores, crowd, machine.idle_most_us, now_us),
             control: Loop::new(now_us),
             buckets: Buckets::new(&shares.customers, shares.servers),
             by_work: shares.by_work,
@@ -520,8 +530,7 @@
         let left_us = new.left_us.unwrap_or(method.deadline_us.saturating_sub(new.queued_us));
         let stretch = method.target_stretch * new.effort_us.unwrap_or(0) as f64;
         let wanted_us = (method.latency_target_us + stretch as u64).min(method.deadline_us);
-        let work_us =
-            self.on_core.likely(new.method, 0.5, new.effort_us, method.latency_target_us / 4).max(1);
+        let work_us = self.core_time(new.method, new.effort_us).max(1);
         let mut value = method.criticality / if self.by_work { 1.0 } else { work_us as f64 / 1e6 };
         if !self.buckets.within(new.customer, now_us) {
             value *= self.over_share;
@@ -546,9 +555,11 @@
         self.rpcs.insert(seq, rpc);
         if effect == Effect::Tokened && new.repeats.is_some() {
             // Guards against a second effect: a repeat of a tokened RPC never runs, it shares the outcome.
-            self.share(seq, &new.id);
+            self.rpcs.get_mut(&seq).expect("just inserted").stage = Stage::Sharing;
+            self.host.share_outcome(&new.id);
         } else if effect == Effect::Tokened {
-            self.record(&new.id, now_us, ttl_us);
+            self.host.remember(&new.id, ttl_us);
+            self.keys.insert((now_us + ttl_us + 1_000, new.id));
         }
     }
 
@@ -600,9 +611,8 @@
             return;
         }
         // It waits again. A call whose effect may have happened is never repeated unless that is harmless.
-        rpc.lost_calls += 1;
         let method = &self.methods[rpc.method];
-        rpc.stage = Stage::AtCall(now_us + (PULSE_US << rpc.lost_calls.min(5)));
+        rpc.stage = Stage::AtCall(now_us + 2 * PULSE_US);
         if method.skip_share > 0.0 && !rpc.answered {
             self.skip(now_us, seq);
         } else if !rpc.answered && !outcome.never_ran() && method.effect != Effect::Idempotent {
@@ -647,7 +657,11 @@
         }
         self.pulse_us = now_us + PULSE_US;
         let waiting = self.on_cores() >= self.cores.limit(now_us) && self.held().next().is_some();
-        self.cores.gauge(now_us, gauges, waiting);
+        let idle_us = self.cores.idle_us;
+        self.cores.gauge(now_us, gauges, self.advice.callers, waiting);
+        if idle_us != self.cores.idle_us {
+            self.host.close_idle(self.cores.idle_us as u64);
+        }
         // Guards against a standstill, in which stopping does nothing: ask again.
         for rpc in self.rpcs.values().filter(|r| r.stopping) {
             self.host.stop(&rpc.id);
@@ -802,17 +816,13 @@
         let ends_us = rpc.target_us.min(self.answer_by(rpc));
         let method = &self.methods[rpc.method];
         let target_us = method.latency_target_us;
-        // While the loop binds, what may leave its call out needs only its time on the cores.
-        let callless = self.control.bound && method.skip_share > 0.0;
-        let took = if callless { &self.on_core } else { &self.whole };
-        let run_us = took.likely(rpc.method, LATE_QUANTILE, rpc.effort_us, target_us / 4);
+        let run_us = self.whole.likely(rpc.method, LATE_QUANTILE, rpc.effort_us, target_us / 4);
         ends_us.saturating_sub(run_us).max((rpc.arrived_us + target_us / 8).min(ends_us))
     }
 
     /// Time on the cores that an RPC will likely take.
-    fn core_time(&self, rpc: &Rpc) -> u64 {
-        let unknown_us = self.methods[rpc.method].latency_target_us / 4;
-        self.on_core.likely(rpc.method, 0.5, rpc.effort_us, unknown_us)
+    fn core_time(&self, method: usize, effort_us: Option<u64>) -> u64 {
+        self.on_core.likely(method, 0.5, effort_us, self.methods[method].latency_target_us / 4)
     }
 
     /// Guards against more memory than there is: the held RPCs of least value go until the rest fits.
@@ -840,7 +850,7 @@
         let (mut full, count) = (false, held.len() as u64);
         for seq in held {
             let rpc = &self.rpcs[&seq];
-            let core_us = self.core_time(rpc) / limit;
+            let core_us = self.core_time(rpc.method, rpc.effort_us) / limit;
             let core_us = core_us.max(self.control.pace_us(self.mean_calls(rpc.method)));
             let latest_us = self.latest_start(rpc);
             patience_us += latest_us.saturating_sub(rpc.arrived_us);
@@ -909,16 +919,6 @@
         }
     }
 
-    fn share(&mut self, seq: u64, id: &str) {
-        self.rpcs.get_mut(&seq).expect("just inserted").stage = Stage::Sharing;
-        self.host.share_outcome(id);
-    }
-
-    fn record(&mut self, id: &RpcId, now_us: u64, ttl_us: u64) {
-        self.host.remember(id, ttl_us);
-        self.keys.insert((now_us + ttl_us + 1_000, id.clone()));
-    }
-
     /// Forgets a held RPC and its key: it never ran, so that a repeat may.
     fn unrecord(&mut self, seq: u64) {
         let id = self.rpcs[&seq].id.clone();
@@ -952,11 +952,7 @@
     /// What the lane of a method calls in the mean; nothing where the method never calls.
     fn mean_calls(&self, method: usize) -> f64 {
         let mean = self.lanes.means[usize::from(self.lanes.is_large(method))];
-        if self.methods[method].calls {
-            mean
-        } else {
-            0.0
-        }
+        mean * f64::from(u8::from(self.methods[method].calls))
     }
 
     fn on_cores(&self) -> usize {
--- a/src/host.rs
+++ b/src/host.rs
@@ -32,6 +32,8 @@
     fn health(&mut self, on: bool, cheap: bool);
     /// Sets the value sent back with every answer. Only where [`Advice::sent_back`] is not `Nothing`.
     fn send_back(&mut self, value: f64);
+    /// Closes connections that have carried nothing for `idle_us`.
+    fn close_idle(&mut self, idle_us: u64);
     /// Asks for a `timer` call at `at_us` or soon after.
     fn wake(&mut self, at_us: u64, token: u64);
 }
@@ -86,6 +88,8 @@
     /// Memory of one remembered key.
     pub key_kb: f64,
     pub stopping: Stopping,
+    /// Callers close a connection that has carried nothing for so long.
+    pub idle_most_us: u64,
 }
 
 /// How many RPCs on the cores the server survives, and how that rises after a cold start.
@@ -184,6 +188,8 @@
     pub busy: Option<f64>,
     /// All present demand for a core.
     pub runnable: Option<f64>,
+    /// Open connections.
+    pub connections: Option<f64>,
 }
 
 /// How a run or a call ended.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -137,11 +137,31 @@
     assert!(it.room(lanes.means[0]) && !it.room(lanes.means[1]), "room is left for a small one only");
 }
 
+#[test]
+fn connections_idle_shorter_at_good_use_and_longer_again_while_swamped() {
+    for (callers, open, busy, waiting, runnable, idle_us) in [
+        (900, 60.0, 0.7, false, 2.0, 1_000_000),
+        (900, 60.0, 0.2, false, 1.0, 30_000_000), // a table costs idle cores nothing
+        (900, 60.0, 0.95, false, 3.0, 30_000_000), // a handshake costs busy ones too much
+        (900, 60.0, 0.7, true, 2.0, 30_000_000),  // work is held
+        (100, 60.0, 0.7, false, 2.0, 30_000_000), // most callers are connected, and come back
+    ] {
+        let crowd = Crowd { multiple: 2.0, cold: false, cold_from: 1.0, warm_within_us: 1 };
+        let mut cores = Cores::new(2, crowd, 30_000_000, 0);
+        let gauges = Gauges { busy: Some(busy), runnable: Some(runnable), connections: Some(open) };
+        (1..50).for_each(|k| cores.gauge(k * 250_000, gauges, callers, waiting));
+        assert_eq!(cores.idle_us as u64, idle_us, "{callers} {busy} {waiting}");
+        let swamped = Gauges { busy: Some(1.0), runnable: Some(9.0), ..gauges };
+        (50..99).for_each(|k| cores.gauge(k * 250_000, swamped, callers, true));
+        assert_eq!(cores.idle_us as u64, 30_000_000, "the table may fill again");
+    }
+}
+
 #[test]
 fn the_running_limit_grows_while_cores_idle_with_work_held() {
     let crowd = Crowd { multiple: 2.0, cold: false, cold_from: 1.0, warm_within_us: 1 };
-    let mut cores = Cores::new(6, crowd, 0);
-    let gauges = |busy, runnable| Gauges { busy: Some(busy), runnable: Some(runnable) };
+    let mut cores = Cores::new(6, crowd, 30_000_000, 0);
+    let gauges = |busy, runnable| Gauges { busy: Some(busy), runnable: Some(runnable), connections: None };
     assert_eq!(cores.limit(0), 6);
     let mut at = 0;
     for (busy, runnable, waiting, want) in [
@@ -158,7 +178,7 @@
         (0.5, 3.0, true, 10), // and is back as soon as the cores idle again
     ] {
         at += 250_000;
-        cores.gauge(at, gauges(busy, runnable), waiting);
+        cores.gauge(at, gauges(busy, runnable), 4, waiting);
         assert_eq!(cores.limit(at), want, "at {at}");
     }
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -43,6 +43,9 @@
     fn send_back(&mut self, value: f64) {
         self.0.push(format!("signal {value:.2}"));
     }
+    fn close_idle(&mut self, idle_us: u64) {
+        self.0.push(format!("idle {idle_us}"));
+    }
     fn wake(&mut self, _at_us: u64, _token: u64) {
         self.1 += 1;
     }
@@ -93,6 +96,7 @@
                 run_factor: 10.0,
                 key_kb: 5.0,
                 stopping: Stopping::Pause,
+                idle_most_us: 30_000_000,
             },
             crowd: Crowd { multiple: 5.0, cold: false, cold_from: 0.25, warm_within_us: 10_000_000 },
             methods: vec![
@@ -190,7 +194,7 @@
 
     pub fn pulse(&mut self, now: u64, busy: f64, runnable: f64) -> Vec<String> {
         self.now = now;
-        self.it.timer(now, now, Gauges { busy: Some(busy), runnable: Some(runnable) });
+        self.it.timer(now, now, Gauges { busy: Some(busy), runnable: Some(runnable), connections: None });
         self.turn()
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -184,7 +184,7 @@
         [(false, 0, 27), (true, 0, 10), (true, 5_000_000, 18), (true, 10_000_000, 27), (true, 99_000_000, 27)]
     {
         let crowd = Crowd { multiple: 5.0, cold, cold_from: 0.25, warm_within_us: 10_000_000 };
-        assert_eq!(Cores::new(6, crowd, 0).ceiling(at), ceiling, "{cold} {at}");
+        assert_eq!(Cores::new(6, crowd, 30_000_000, 0).ceiling(at), ceiling, "{cold} {at}");
     }
     // Those at their calls come back to the cores: they count, so that a stall below cannot pile them up.
     let mut s = Given::default().start();
