--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,22 +37,20 @@
 const MARGIN_US: u64 = 25_000;
 /// Shares in use of the survivable crowd, the memory, and the told calls in hand (in the mean, and at once).
 const CROWD_USED: f64 = 0.9;
-/// Cores are in good use from the first on, and busy from the second.
-const CORES_IDLE: f64 = 0.5;
-const CORES_BUSY: f64 = 0.92;
 const MEMORY_USED: f64 = 0.95;
 const SHARE_USED: f64 = 0.8;
 const AT_ONCE: f64 = 0.4;
+/// Cores are in good use from the first on, and busy from the second.
+const CORES_IDLE: f64 = 0.5;
+const CORES_BUSY: f64 = 0.92;
 /// A call that may not be left out gets at least this many times its usual time.
 const PATIENT: u64 = 4;
 /// The quantile of its run time for which an RPC must have time left when it starts.
-const LATE_QUANTILE: f64 = 0.85;
+const LATE_QUANTILE: f64 = 0.75;
 /// The hold counts as full when its newest RPCs would wait past their latest start; newest first after this.
 const FULL_US: u64 = 3_000_000;
-
 /// Push-backs ask to be the last try while this share of further tries is pushed back here.
-const ELSEWHERE_FULL: f64 = 0.5;
-
+const ELSEWHERE_FULL: f64 = 0.65;
 /// How far a run moves the slow mean of its method's run times.
 const MEAN_PACE: f64 = 1.0 / 16.0;
 
@@ -148,6 +146,7 @@
     target_us: u64,
     kb: f64,
     effort_us: Option<u64>,
+    customer: Option<usize>,
     /// Criticality as the deployment counts it, less beyond a customer's share.
     value: f64,
     stage: Stage,
@@ -386,7 +385,7 @@
     at_us: u64,
 }
 
-/// Each customer's share here, as a bucket of RPCs that fills at its part of the fleet's rate.
+/// Each customer's share here, as a bucket of started RPCs that fills at its part of the fleet's rate.
 struct Buckets {
     /// The rate and the level of each.
     of: Vec<(f64, f64)>,
@@ -395,7 +394,7 @@
 
 impl Buckets {
     /// Seconds of its rate that a customer may save up, as traffic reaches servers unevenly.
-    const SAVED: f64 = 3.0;
+    const SAVED: f64 = 8.0;
 
     fn new(customers: &[Customer], servers: u32) -> Buckets {
         let rates = customers.iter().map(|c| c.per_second / f64::from(servers.max(1)));
@@ -408,10 +407,14 @@
         for (rate, level) in &mut self.of {
             *level = (*level + *rate * passed).min(*rate * Self::SAVED);
         }
-        let Some((_, level)) = customer.and_then(|c| self.of.get_mut(c)) else { return true };
-        let within = *level >= 1.0;
-        *level -= f64::from(u8::from(within));
-        within
+        customer.and_then(|c| self.of.get(c)).is_none_or(|(_, level)| *level > 0.0)
+    }
+
+    /// Only what is started counts: further tries of what was pushed back would use up a share for nothing.
+    fn charge(&mut self, customer: Option<usize>) {
+        if let Some((_, level)) = customer.and_then(|c| self.of.get_mut(c)) {
+            *level -= 1.0;
+        }
     }
 }
 
@@ -431,6 +434,8 @@
     rpcs: BTreeMap<u64, Rpc>,
     by_id: HashMap<RpcId, u64>,
     next: u64,
+    /// The longest that a first try's caller of each method waits.
+    longest_us: Vec<u64>,
     /// Runs and calls seen of each method.
     seen: Vec<(f64, f64)>,
     on_core: Times,
@@ -454,8 +459,6 @@
     pressure: f64,
     /// Of further tries (of all RPCs, where those are not marked) decided on of late, the share pushed back.
     elsewhere_full: f64,
-    unread: f64,
-    unread_us: f64,
     pulse_us: u64,
     armed_us: u64,
 }
@@ -483,6 +486,7 @@
             whole: Times::new(methods.len()),
             lanes: Lanes::new(&seen),
             seen,
+            longest_us: vec![0; methods.len()],
             cores: Cores::new(machine.cores, crowd, machine.idle_most_us, now_us),
             control: Loop::new(now_us),
             buckets: Buckets::new(&shares.customers, shares.servers),
@@ -506,8 +510,6 @@
             hold_us: 0,
             pressure: 0.0,
             elsewhere_full: 0.0,
-            unread: 0.0,
-            unread_us: 0.0,
             pulse_us: now_us,
             armed_us: u64::MAX,
         };
@@ -524,12 +526,16 @@
     /// An RPC has been read into the hold.
     pub fn arrived(&mut self, now_us: u64, new: Arrival) {
         let method = &self.methods[new.method];
-        self.unread_us += (new.queued_us as f64 - self.unread_us) / 16.0;
-        self.unread = 4.0 * self.unread_us / method.latency_target_us as f64;
         let came_us = now_us.saturating_sub(new.queued_us);
         let left_us = new.left_us.unwrap_or(method.deadline_us.saturating_sub(new.queued_us));
         let stretch = method.target_stretch * new.effort_us.unwrap_or(0) as f64;
         let wanted_us = (method.latency_target_us + stretch as u64).min(method.deadline_us);
+        // A further try is older than it looks: by what its caller waits less than a first try's.
+        let longest_us = &mut self.longest_us[new.method];
+        if !new.further_try {
+            *longest_us = (*longest_us).max(new.left_us.map_or(0, |left| left + new.queued_us));
+        }
+        let age_us = new.left_us.filter(|_| new.further_try).map_or(0, |l| longest_us.saturating_sub(l));
         let work_us = self.core_time(new.method, new.effort_us).max(1);
         let mut value = method.criticality / if self.by_work { 1.0 } else { work_us as f64 / 1e6 };
         if !self.buckets.within(new.customer, now_us) {
@@ -541,9 +547,10 @@
             arrived_us: came_us,
             further: new.further_try,
             due_us: now_us + left_us,
-            target_us: (came_us + wanted_us).min(now_us + left_us),
+            target_us: (came_us + wanted_us.saturating_sub(age_us)).min(now_us + left_us),
             kb: new.kb,
             effort_us: new.effort_us,
+            customer: new.customer,
             value,
             ..Rpc::default()
         };
@@ -717,6 +724,7 @@
             rpc.callless = !room;
             (rpc.stage, rpc.started_us, rpc.on_core_us) = (Stage::Running, now_us, now_us);
             self.host.run(&rpc.id);
+            self.buckets.charge(rpc.customer);
             self.tried(seq, 0.0);
         }
         // Those already under way go on to their calls, oldest first.
@@ -880,7 +888,7 @@
     /// each costs its reading everywhere; harms where only the servers tried so far are busy. Any other is
     /// aborted, as it may have had its effect, and taken off the cores.
     fn give_up(&mut self, seq: u64) {
-        let busy_us = if self.leaving.is_some() { u64::MAX } else { self.hold_us + self.unread_us as u64 };
+        let busy_us = if self.leaving.is_some() { u64::MAX } else { self.hold_us };
         let come_back_us = busy_us.min(self.advice.max_come_back_us);
         let rpc = self.rpcs.get_mut(&seq).expect("given up once");
         rpc.answered = true;
@@ -972,7 +980,7 @@
     /// How much of the usual traffic is wanted: an integral step on how far the hold outgrows what its RPCs
     /// can wait; a cold server wants no more than its share of speed.
     fn advise(&mut self, now_us: u64) {
-        let e = PRESSURE_MEANT - self.pressure.max(self.unread);
+        let e = PRESSURE_MEANT - self.pressure;
         let step = if e < 0.0 { WANTED_FALL * e.max(-1.0) } else { WANTED_RISE * e };
         self.wanted = (self.wanted + step).clamp(WANTED_LEAST, 1.0);
         if self.leaving.is_none() {
