--- a/src/decide.rs
+++ b/src/decide.rs
@@ -535,8 +535,7 @@
         if !new.further_try {
             *longest_us = (*longest_us).max(new.left_us.map_or(0, |left| left + new.queued_us));
         }
-        let full_us = |l| if l > *longest_us && *longest_us > 0 { method.deadline_us } else { *longest_us };
-        let age_us = new.left_us.filter(|_| new.further_try).map_or(0, |l| full_us(l).saturating_sub(l));
+        let age_us = new.left_us.filter(|_| new.further_try).map_or(0, |l| longest_us.saturating_sub(l));
         let work_us = self.core_time(new.method, new.effort_us).max(1);
         let mut value = method.criticality / if self.by_work { 1.0 } else { work_us as f64 / 1e6 };
         if !self.buckets.within(new.customer, now_us) {
