--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,7 +16,7 @@
 /// share of their calls (ours). The most carried in a period is forgotten at this pace.
 const NEARED: f64 = 0.9;
 const SIGNS_IN_A_ROW: u32 = 2;
-const SIGNS_SHARE: f64 = 0.1;
+const SIGNS_SHARE: f64 = 0.3;
 const FADE: f64 = 0.9;
 /// u stays below this multiple of r, so that quiet periods do not wind it up beyond any use.
 const U_OVER_R: f64 = 4.0;
