--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,8 +43,6 @@
 /// Cores are in good use from the first on, and busy from the second.
 const CORES_IDLE: f64 = 0.5;
 const CORES_BUSY: f64 = 0.92;
-/// So many waits of callers for a first try are told apart.
-const WAITS: usize = 4;
 /// A call that may not be left out gets at least this many times its usual time.
 const PATIENT: u64 = 4;
 /// The quantile of its run time for which an RPC must have time left when it starts.
@@ -436,8 +434,8 @@
     rpcs: BTreeMap<u64, Rpc>,
     by_id: HashMap<RpcId, u64>,
     next: u64,
-    /// How long callers of each method wait for a first try: the last few that differ.
-    first_waits: Vec<VecDeque<u64>>,
+    /// The longest that a first try's caller of each method waits.
+    longest_us: Vec<u64>,
     /// Runs and calls seen of each method.
     seen: Vec<(f64, f64)>,
     on_core: Times,
@@ -488,7 +486,7 @@
             whole: Times::new(methods.len()),
             lanes: Lanes::new(&seen),
             seen,
-            first_waits: vec![VecDeque::new(); methods.len()],
+            longest_us: vec![0; methods.len()],
             cores: Cores::new(machine.cores, crowd, machine.idle_most_us, now_us),
             control: Loop::new(now_us),
             buckets: Buckets::new(&shares.customers, shares.servers),
@@ -532,16 +530,12 @@
         let left_us = new.left_us.unwrap_or(method.deadline_us.saturating_sub(new.queued_us));
         let stretch = method.target_stretch * new.effort_us.unwrap_or(0) as f64;
         let wanted_us = (method.latency_target_us + stretch as u64).min(method.deadline_us);
-        // A further try is older than it looks: its caller waits for what the deadline leaves, unless it waits as
-        // long as it does for first tries.
-        let (waits, wait_us) = (&mut self.first_waits[new.method], new.left_us.unwrap_or(0) + new.queued_us);
-        let usual = new.left_us.is_none() || waits.iter().any(|w| w.abs_diff(wait_us) <= MARGIN_US);
-        if !new.further_try && !usual {
-            waits.push_front(wait_us);
-            waits.truncate(WAITS);
-        }
-        let longest_us = waits.iter().max().map_or(0, |w| if usual { *w } else { method.deadline_us });
-        let age_us = if new.further_try { longest_us.saturating_sub(wait_us) } else { 0 };
+        // A further try is older than it looks: by what its caller waits less than a first try's.
+        let longest_us = &mut self.longest_us[new.method];
+        if !new.further_try {
+            *longest_us = (*longest_us).max(new.left_us.map_or(0, |left| left + new.queued_us));
+        }
+        let age_us = new.left_us.filter(|_| new.further_try).map_or(0, |l| longest_us.saturating_sub(l));
         let work_us = self.core_time(new.method, new.effort_us).max(1);
         let mut value = method.criticality / if self.by_work { 1.0 } else { work_us as f64 / 1e6 };
         if !self.buckets.within(new.customer, now_us) {
