--- /dev/null
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -0,0 +1,478 @@
+//! The facade round the module, in blocking style: an RPC's coroutine waits in [`Gate::pick`] for the first
+//! verdict, reports what became of its run and calls, and gets the next one. Only this file knows the
+//! module's events and actions. One lock guards it, and nothing is read or written while it is held.
+
+use crate::clock::{since_us, Clock};
+use crate::ending::Ending;
+use crate::keys::{Keys, Served, State};
+use crate::wire::calls::Word;
+use crate::wire::notices::RunEnd;
+use may::sync::mpsc::{channel, Receiver, Sender};
+use may::sync::{Mutex, MutexGuard};
+use ochrewalk::decide::Decide;
+use ochrewalk::deployment::Deployment;
+use ochrewalk::host::{Arrival, Gauges, Host, Outcome, RpcId};
+use std::collections::HashMap;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What the module needs to know of an RPC.
+#[derive(Clone, Debug)]
+pub struct Incoming {
+    pub id: RpcId,
+    /// Position in the deployment's list.
+    pub method: usize,
+    pub kb: f64,
+    /// When it came to the machine, in Unix time.
+    pub ts_ms: u64,
+    pub token: Option<Arc<str>>,
+}
+
+/// What an RPC's coroutine does next: a verdict of the module's, or news that came from the network.
+#[derive(Debug)]
+pub enum Next {
+    /// Start its run, or take it up again.
+    Run,
+    /// Take its run off the cores.
+    Stop,
+    /// Place its call, which may take until then on the monotonic clock.
+    Call {
+        until_us: u64,
+    },
+    /// Go on without the call.
+    Skip,
+    /// Answer that it was turned away and never ran.
+    PushBack {
+        last: bool,
+        come_back_us: u64,
+    },
+    /// Answer that it was given up.
+    Abort,
+    /// Answer with the result of the RPC that it repeats.
+    Serve(Served),
+    /// Its caller has gone: no answer is owed.
+    Gone,
+    /// Its run waits for a call; a notice of that number said so.
+    NeedsCall {
+        pos: u64,
+        body: Vec<u8>,
+    },
+    CallEnded(CallEnd),
+    /// Its run has ended, with a result (a JSON string) where it is complete.
+    RunEnded(RunEnd, Option<Served>),
+    /// Nothing has come within the time given.
+    Nothing,
+}
+
+/// What became of a call below.
+#[derive(Debug)]
+pub enum CallEnd {
+    Reply(Word, Vec<u8>),
+    /// We waited as long as we said we would.
+    Late,
+    /// The connection that carried it ended.
+    Link(Ending),
+}
+
+/// What became of an RPC's run or call, for [`Gate::report`].
+#[derive(Debug)]
+pub enum Report {
+    NeedsCall,
+    CallEnded { outcome: Outcome, took_us: u64 },
+    RunEnded(RunEnd, Option<Served>),
+}
+
+impl CallEnd {
+    /// What it means to the module.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            CallEnd::Reply(Word::Ok, _) => Outcome::Ok,
+            CallEnd::Reply(Word::Busy, _) => Outcome::PushedBack,
+            CallEnd::Reply(Word::Err, _) => Outcome::Error,
+            CallEnd::Reply(Word::Late, _) | CallEnd::Late => Outcome::TimedOut,
+            CallEnd::Reply(Word::Void, _) => Outcome::Moot,
+            CallEnd::Link(ending) => ending.outcome(),
+        }
+    }
+}
+
+fn run_outcome(end: RunEnd) -> Outcome {
+    match end {
+        RunEnd::Complete => Outcome::Ok,
+        RunEnd::Failed => Outcome::Error,
+        RunEnd::Stopped => Outcome::Stopped,
+        RunEnd::NeverRan => Outcome::Moot,
+    }
+}
+
+/// An open RPC's place in the gate: where its coroutine waits.
+pub struct Ticket {
+    id: RpcId,
+    post: Sender<Next>,
+    mail: Receiver<Next>,
+}
+
+impl Ticket {
+    /// A way for the network to send news.
+    pub fn post(&self) -> Sender<Next> {
+        self.post.clone()
+    }
+
+    /// Waits for whatever comes next, for so long at most.
+    pub fn wait(&self, most: Option<Duration>) -> Next {
+        let Some(most) = most else { return self.mail.recv().unwrap_or(Next::Gone) };
+        match self.mail.recv_timeout(most) {
+            Ok(next) => next,
+            Err(RecvTimeoutError::Timeout) => Next::Nothing,
+            Err(RecvTimeoutError::Disconnected) => Next::Gone,
+        }
+    }
+}
+
+/// What callers and the directory are told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Posture {
+    /// Health checks pass. None before there is a module: a report of bad health would keep callers away for
+    /// seconds from a server that is only about to start.
+    pub healthy: Option<bool>,
+    /// The value sent back with every answer.
+    pub signal: Option<f64>,
+    /// Connections that have carried nothing for so long are to be closed.
+    pub idle_us: u64,
+}
+
+pub struct Gate {
+    clock: Clock,
+    deployment: Deployment,
+    seed: u64,
+    most_open: usize,
+    state: Mutex<Inside>,
+    /// Tells the ticker that a wake-up has moved forward.
+    earlier: Sender<()>,
+}
+
+/// Before the executor is up there is no module, and nothing is taken.
+enum Inside {
+    Closed(Desk),
+    Open(Decide<Desk>),
+}
+
+/// The module's host: its actions become mail for the coroutines concerned.
+struct Desk {
+    clock: Clock,
+    open: HashMap<RpcId, Open>,
+    keys: Keys,
+    posture: Posture,
+    wake_us: u64,
+    wake_token: u64,
+    /// Repeats that an outcome already known has ended; the module hears of them next.
+    shared: Vec<(RpcId, Outcome)>,
+}
+
+struct Open {
+    post: Sender<Next>,
+    token: Option<Arc<str>>,
+}
+
+impl Gate {
+    /// `most_open` RPCs may be open at once and results of `most_bytes` be kept; both follow from the
+    /// program's own limit of memory. The receiver is for [`Gate::wait_due`].
+    pub fn new(
+        clock: Clock,
+        deployment: Deployment,
+        seed: u64,
+        most_open: usize,
+        most_bytes: usize,
+    ) -> (Gate, Receiver<()>) {
+        let idle_us = deployment.machine.idle_most_us;
+        let desk = Desk {
+            clock,
+            open: HashMap::new(),
+            keys: Keys::new(most_bytes),
+            posture: Posture { healthy: None, signal: None, idle_us },
+            wake_us: u64::MAX,
+            wake_token: 0,
+            shared: Vec::new(),
+        };
+        let (earlier, moved) = channel();
+        let state = Mutex::new(Inside::Closed(desk));
+        (Gate { clock, deployment, seed, most_open, state, earlier }, moved)
+    }
+
+    /// The executor is up, and has been for so long: from here on RPCs are taken. Once only.
+    pub fn open(&self, cold: bool, up_us: u64) {
+        let mut state = self.lock();
+        let Inside::Closed(desk) = &mut *state else { return };
+        let placeholder = Desk { keys: Keys::new(0), open: HashMap::new(), shared: Vec::new(), ..*desk };
+        let desk = std::mem::replace(desk, placeholder);
+        let mut deployment = self.deployment.clone();
+        deployment.crowd.cold = cold;
+        let started_us = self.clock.now_us().saturating_sub(up_us);
+        *state = Inside::Open(deployment.start(desk, started_us, self.seed));
+        drop(state);
+        let _ = self.earlier.send(());
+    }
+
+    /// Tells the module of an RPC that was read and waits for the verdict. None where an RPC of that id is
+    /// open already.
+    pub fn pick(&self, new: &Incoming) -> Option<(Ticket, Next)> {
+        let (post, mail) = channel();
+        let ticket = Ticket { id: new.id.clone(), post: post.clone(), mail };
+        let method = &self.deployment.methods[new.method];
+        let queued_us = since_us(self.clock.unix_ms(), new.ts_ms, method.deadline_us);
+        let took = self.tell(|module, now_us| {
+            let desk = module.host();
+            if desk.open.contains_key(&new.id) {
+                return None;
+            }
+            // Guards the program's own memory: past this the module's hold is far over its limit, too.
+            if desk.open.len() >= self.most_open {
+                return Some(false);
+            }
+            let token = new.token.clone();
+            let repeats = token.as_ref().and_then(|token| desk.keys.find(token, new.ts_ms));
+            desk.open.insert(new.id.clone(), Open { post, token });
+            let arrival = Arrival {
+                id: new.id.clone(),
+                method: new.method,
+                kb: new.kb,
+                queued_us,
+                left_us: None,
+                effort_us: None,
+                repeats,
+                further_try: false,
+                customer: None,
+            };
+            module.arrived(now_us, arrival);
+            Some(true)
+        });
+        match took {
+            Some(None) => None,
+            Some(Some(true)) => {
+                let next = ticket.wait(None);
+                Some((ticket, next))
+            }
+            Some(Some(false)) | None => Some((ticket, Next::PushBack { last: false, come_back_us: 0 })),
+        }
+    }
+
+    /// Tells the module what became of a run or a call and waits for what comes next. After a run's end
+    /// nothing does.
+    pub fn report(&self, ticket: &Ticket, what: Report) -> Next {
+        let over = matches!(what, Report::RunEnded(..));
+        self.tell(|module, now_us| match what {
+            Report::NeedsCall => module.needs_call(now_us, &ticket.id),
+            Report::CallEnded { outcome, took_us } => {
+                module.call_ended(now_us, &ticket.id, outcome, took_us);
+            }
+            Report::RunEnded(end, result) => {
+                module.host().settle_key(&ticket.id, end, result);
+                module.run_ended(now_us, &ticket.id, run_outcome(end));
+            }
+        });
+        if over {
+            Next::Nothing
+        } else {
+            ticket.wait(None)
+        }
+    }
+
+    /// The caller of an RPC has gone. Its coroutine hears of it, too.
+    pub fn gone(&self, id: &str) {
+        self.tell(|module, _| {
+            module.gone(id);
+            module.host().mail(id, Next::Gone);
+        });
+    }
+
+    /// An RPC's coroutine has nothing left to do.
+    pub fn close(&self, ticket: &Ticket) {
+        self.desk(|desk| desk.open.remove(&ticket.id));
+    }
+
+    /// The wake-up that the module asked for, or any time at which its gauges are fresh.
+    pub fn tick(&self, gauges: Gauges) {
+        let unix_ms = self.clock.unix_ms();
+        self.tell(|module, now_us| {
+            let desk = module.host();
+            desk.keys.sweep(unix_ms);
+            // A wake-up that is not due yet stays as it is: the module goes by the token.
+            if now_us >= desk.wake_us {
+                desk.wake_us = u64::MAX;
+                let token = desk.wake_token;
+                module.timer(now_us, token, gauges);
+            }
+        });
+    }
+
+    /// Waits until the next wake-up is due.
+    pub fn wait_due(&self, moved: &Receiver<()>) {
+        loop {
+            let due_us = self.desk(|desk| desk.wake_us);
+            let now_us = self.clock.now_us();
+            if due_us <= now_us {
+                return;
+            }
+            // Moved forward, or due: either way it is looked at again.
+            let _ = moved.recv_timeout(Duration::from_micros(due_us.min(now_us + 1_000_000) - now_us));
+        }
+    }
+
+    /// This server leaves; what is open must be answered within `left_us`.
+    pub fn leave(&self, left_us: u64) {
+        self.desk(|desk| desk.posture.healthy = Some(false));
+        self.tell(|module, now_us| module.leave(now_us, left_us));
+    }
+
+    pub fn posture(&self) -> Posture {
+        self.desk(|desk| desk.posture)
+    }
+
+    /// RPCs that are not over.
+    pub fn open_rpcs(&self) -> usize {
+        self.desk(|desk| desk.open.len())
+    }
+
+    /// Tells the module one thing and lets it act. None before it is there.
+    fn tell<T>(&self, what: impl FnOnce(&mut Decide<Desk>, u64) -> T) -> Option<T> {
+        let mut state = self.lock();
+        let Inside::Open(module) = &mut *state else { return None };
+        let now_us = self.clock.now_us();
+        let was_us = module.host().wake_us;
+        let answer = what(module, now_us);
+        while let Some((id, outcome)) = module.host().shared.pop() {
+            module.run_ended(now_us, &id, outcome);
+        }
+        module.turn(now_us);
+        let earlier = module.host().wake_us < was_us;
+        drop(state);
+        if earlier {
+            let _ = self.earlier.send(());
+        }
+        Some(answer)
+    }
+
+    fn desk<T>(&self, what: impl FnOnce(&mut Desk) -> T) -> T {
+        match &mut *self.lock() {
+            Inside::Closed(desk) => what(desk),
+            Inside::Open(module) => what(module.host()),
+        }
+    }
+
+    /// Guards against going on with a module that panicked half-way: nothing that it says could be relied
+    /// on, so that the process ends and is started anew.
+    fn lock(&self) -> MutexGuard<'_, Inside> {
+        self.state.lock().unwrap_or_else(|_| {
+            log::error!("the decisions failed; this process ends, to be started anew");
+            crate::logger::flush();
+            std::process::exit(70)
+        })
+    }
+}
+
+impl Desk {
+    fn mail(&self, id: &str, next: Next) {
+        if let Some(open) = self.open.get(id) {
+            let _ = open.post.send(next);
+        }
+    }
+
+    fn token(&self, id: &str) -> Option<Arc<str>> {
+        self.open.get(id)?.token.clone()
+    }
+
+    /// A tokened run has ended: those that wait for its outcome get it.
+    fn settle_key(&mut self, id: &str, end: RunEnd, result: Option<Served>) {
+        let Some(token) = self.token(id) else { return };
+        match (end, result) {
+            // It never ran, so that another try may.
+            (RunEnd::NeverRan, _) => self.forget_token(&token, id),
+            (RunEnd::Complete, Some(body)) => {
+                for repeat in self.keys.settle(&token, id, State::Served(body.clone())) {
+                    self.end_shared(repeat, Next::Serve(body.clone()), Outcome::Ok);
+                }
+            }
+            _ => {
+                for repeat in self.keys.settle(&token, id, State::Failed) {
+                    self.end_shared(repeat, Next::Abort, Outcome::Error);
+                }
+            }
+        }
+    }
+
+    /// What held the token never ran. Those that waited for it never will; their callers may go elsewhere.
+    fn forget_token(&mut self, token: &str, id: &str) {
+        for repeat in self.keys.forget(token, id) {
+            self.end_shared(repeat, Next::PushBack { last: false, come_back_us: 0 }, Outcome::Error);
+        }
+    }
+
+    fn end_shared(&mut self, repeat: RpcId, next: Next, outcome: Outcome) {
+        self.mail(&repeat, next);
+        self.shared.push((repeat, outcome));
+    }
+}
+
+impl Host for Desk {
+    fn run(&mut self, id: &str) {
+        self.mail(id, Next::Run);
+    }
+
+    fn stop(&mut self, id: &str) {
+        self.mail(id, Next::Stop);
+    }
+
+    fn push_back(&mut self, id: &str, last: bool, come_back_us: u64) {
+        self.mail(id, Next::PushBack { last, come_back_us });
+    }
+
+    fn abort(&mut self, id: &str) {
+        self.mail(id, Next::Abort);
+    }
+
+    fn call(&mut self, id: &str, until_us: u64) {
+        self.mail(id, Next::Call { until_us });
+    }
+
+    fn skip_call(&mut self, id: &str) {
+        self.mail(id, Next::Skip);
+    }
+
+    fn remember(&mut self, id: &str, ttl_us: u64) {
+        let Some(token) = self.token(id) else { return };
+        self.keys.remember(token, id.into(), self.clock.unix_ms() + ttl_us.div_ceil(1_000));
+    }
+
+    fn forget_key(&mut self, id: &str) {
+        if let Some(token) = self.token(id) {
+            self.forget_token(&token, id);
+        }
+    }
+
+    fn share_outcome(&mut self, id: &str) {
+        let Some(token) = self.token(id) else { return };
+        let repeat: RpcId = id.into();
+        match self.keys.share(&token, &repeat) {
+            State::Open => {}
+            State::Served(body) => self.end_shared(repeat, Next::Serve(body), Outcome::Ok),
+            State::Failed => self.end_shared(repeat, Next::Abort, Outcome::Error),
+        }
+    }
+
+    fn health(&mut self, on: bool, _cheap: bool) {
+        self.posture.healthy = Some(on);
+    }
+
+    fn send_back(&mut self, value: f64) {
+        self.posture.signal = Some(value);
+    }
+
+    fn close_idle(&mut self, idle_us: u64) {
+        self.posture.idle_us = idle_us;
+    }
+
+    fn wake(&mut self, at_us: u64, token: u64) {
+        (self.wake_us, self.wake_token) = (at_us, token);
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-node/src/keys.rs
@@ -0,0 +1,113 @@
+//! Remembered tokens: which RPC holds each, what became of it, and which repeats wait for that.
+
+use ochrewalk::host::RpcId;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A result as the executor gave it, shared by all that it serves.
+pub type Served = Arc<str>;
+
+/// A repeat may be read long after it came, so that an entry outlives its window by this much.
+const READ_LATE_MS: u64 = 10_000;
+/// Guards against rounding at either end of the window: an outcome shared for too long does no harm.
+const MARGIN_MS: u64 = 50;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Held or running.
+    Open,
+    Served(Served),
+    /// It may have run, and there is no result to share.
+    Failed,
+}
+
+#[derive(Debug)]
+struct Entry {
+    holder: RpcId,
+    until_ms: u64,
+    state: State,
+    waiting: Vec<RpcId>,
+}
+
+/// Results count against a limit of bytes. Past it the oldest ones are let go, never the fact that their
+/// RPC ran.
+#[derive(Debug)]
+pub struct Keys {
+    entries: HashMap<Arc<str>, Entry>,
+    bytes: usize,
+    most_bytes: usize,
+}
+
+impl Keys {
+    pub fn new(most_bytes: usize) -> Keys {
+        Keys { entries: HashMap::new(), bytes: 0, most_bytes }
+    }
+
+    /// The RPC that a try of this token, which came at `ts_ms`, repeats.
+    pub fn find(&self, token: &str, ts_ms: u64) -> Option<RpcId> {
+        let live = self.entries.get(token).filter(|e| ts_ms <= e.until_ms + MARGIN_MS);
+        live.map(|e| e.holder.clone())
+    }
+
+    /// `holder` has the token until `until_ms`, in Unix time.
+    pub fn remember(&mut self, token: Arc<str>, holder: RpcId, until_ms: u64) {
+        let entry = Entry { holder, until_ms, state: State::Open, waiting: Vec::new() };
+        if let Some(old) = self.entries.insert(token, entry) {
+            self.bytes -= size(&old.state);
+        }
+    }
+
+    /// Lets the token go if this RPC holds it; gives those that waited for it.
+    pub fn forget(&mut self, token: &str, holder: &str) -> Vec<RpcId> {
+        if self.entries.get(token).is_none_or(|e| &*e.holder != holder) {
+            return Vec::new();
+        }
+        let old = self.entries.remove(token).expect("just seen");
+        self.bytes -= size(&old.state);
+        old.waiting
+    }
+
+    /// The state of the RPC that this one repeats. While that is open, this one waits for it.
+    pub fn share(&mut self, token: &str, repeat: &RpcId) -> State {
+        let Some(entry) = self.entries.get_mut(token) else { return State::Failed };
+        if entry.state == State::Open {
+            entry.waiting.push(repeat.clone());
+        }
+        entry.state.clone()
+    }
+
+    /// What became of the RPC that holds the token; gives those that waited for it.
+    pub fn settle(&mut self, token: &str, holder: &str, state: State) -> Vec<RpcId> {
+        let Some(entry) = self.entries.get_mut(token).filter(|e| &*e.holder == holder) else {
+            return Vec::new();
+        };
+        self.bytes += size(&state);
+        self.bytes -= size(&entry.state);
+        entry.state = state;
+        let waiting = std::mem::take(&mut entry.waiting);
+        while self.bytes > self.most_bytes {
+            let kept = self.entries.values_mut().filter(|e| size(&e.state) > 0);
+            let Some(oldest) = kept.min_by_key(|e| e.until_ms) else { break };
+            self.bytes -= size(&oldest.state);
+            oldest.state = State::Failed;
+        }
+        waiting
+    }
+
+    /// Drops what has lapsed.
+    pub fn sweep(&mut self, unix_ms: u64) {
+        let bytes = &mut self.bytes;
+        self.entries.retain(|_, e| {
+            let keep = e.state == State::Open || unix_ms <= e.until_ms + READ_LATE_MS;
+            *bytes -= if keep { 0 } else { size(&e.state) };
+            keep
+        });
+    }
+}
+
+fn size(state: &State) -> usize {
+    match state {
+        State::Served(body) => body.len(),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-node/src/net/directory.rs
@@ -0,0 +1,82 @@
+//! Reports to the directory, each second and whenever health changes. It may be slow or away: only this
+//! coroutine waits for it.
+
+use super::link::connect;
+use crate::ending::Ending;
+use crate::wire::reports;
+use may::net::TcpStream;
+use may::sync::mpsc::Receiver;
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::sync::mpsc::RecvTimeoutError;
+use std::time::Duration;
+
+const EVERY: Duration = Duration::from_secs(1);
+const WAIT: Duration = Duration::from_secs(1);
+
+/// Reports for ever, where there is health to report. `changed` gets a word whenever that may have changed.
+pub fn keep(at: SocketAddr, name: &str, healthy: impl Fn() -> Option<bool>, changed: &Receiver<()>) {
+    let mut stream = None;
+    let mut failed = false;
+    loop {
+        let report = healthy().map(|healthy| reports::report(name, &at.to_string(), healthy));
+        let told = report.map_or(Ok(()), |report| tell(&at, &mut stream, &report));
+        if let Err(ending) = &told {
+            stream = None;
+            if !failed {
+                log::warn!("directory {at}: {ending}; reports go on");
+            }
+        } else if failed {
+            log::info!("directory {at}: reports arrive again");
+        }
+        failed = told.is_err();
+        if changed.recv_timeout(EVERY) == Err(RecvTimeoutError::Disconnected) {
+            return;
+        }
+        while changed.try_recv().is_ok() {}
+    }
+}
+
+fn tell(at: &SocketAddr, stream: &mut Option<TcpStream>, report: &[u8]) -> Result<(), Ending> {
+    // A kept connection may have been closed meanwhile; then a new one is tried at once.
+    if let Some(kept) = stream {
+        match exchange(kept, report) {
+            Ok(true) => return Ok(()),
+            Ok(false) => {
+                *stream = None;
+                return Ok(());
+            }
+            Err(Ending::Closed | Ending::Broken(_)) => *stream = None,
+            Err(ending) => return Err(ending),
+        }
+    }
+    let mut fresh = connect(at, WAIT)?;
+    if exchange(&mut fresh, report)? {
+        *stream = Some(fresh);
+    }
+    Ok(())
+}
+
+/// Writes a report and reads the answer; says whether the connection may carry another.
+fn exchange(stream: &mut TcpStream, report: &[u8]) -> Result<bool, Ending> {
+    let limit = |stream: &TcpStream| {
+        stream.set_read_timeout(Some(WAIT)).and_then(|()| stream.set_write_timeout(Some(WAIT)))
+    };
+    limit(stream).and_then(|()| stream.write_all(report)).map_err(|err| Ending::of_use(&err))?;
+    let mut input = Vec::new();
+    loop {
+        let had = input.len();
+        input.resize(had + 1024, 0);
+        let got = stream.read(&mut input[had..]).map_err(|err| Ending::of_use(&err))?;
+        if got == 0 {
+            return Err(Ending::Closed);
+        }
+        input.truncate(had + got);
+        match reports::read(&input).map_err(Ending::Malformed)? {
+            Some(answer) if (200..300).contains(&answer.status) => return Ok(answer.keeps),
+            Some(answer) => return Err(Ending::Malformed(format!("status {}", answer.status))),
+            None if input.len() > reports::LONGEST => return Err(Ending::TooLong),
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -0,0 +1,206 @@
+//! The link to the executor: one connection, kept open for as long as the node lives and made anew whenever
+//! it ends. Runs go on while there is none.
+
+use super::link::{carry, connect, Outbox, Reader};
+use crate::ending::Ending;
+use crate::gate::{Gate, Next};
+use crate::wire::notices::{self, Notice, RunEnd};
+use base64::prelude::{Engine, BASE64_STANDARD};
+use may::sync::mpsc::{channel, Receiver, Sender};
+use may::sync::{Mutex, MutexGuard};
+use ochrewalk::host::RpcId;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const CONNECT: Duration = Duration::from_secs(1);
+const PAUSE: Duration = Duration::from_millis(100);
+/// How long gauges are waited for.
+const METERS: Duration = Duration::from_millis(15);
+
+pub struct Executor {
+    at: SocketAddr,
+    outbox: Outbox,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// Where news of each run goes.
+    runs: HashMap<RpcId, Sender<Next>>,
+    /// The last notice that was read.
+    read: u64,
+    welcomed: bool,
+    /// The tag of the gauges that are waited for, and who waits.
+    asked: u64,
+    meters: Option<Sender<Vec<f64>>>,
+}
+
+impl Executor {
+    pub fn new(at: SocketAddr) -> Executor {
+        Executor { at, outbox: Outbox::default(), state: Mutex::default() }
+    }
+
+    /// Starts a run; what becomes of it goes to `post`.
+    pub fn run(&self, id: &RpcId, lane: &str, content: &str, post: Sender<Next>) {
+        self.lock().runs.insert(id.clone(), post);
+        self.outbox.push(notices::exec(id, lane, content));
+    }
+
+    pub fn wake(&self, id: &str) {
+        self.outbox.push(notices::wake(id));
+    }
+
+    pub fn stop(&self, id: &str) {
+        self.outbox.push(notices::kill(id));
+    }
+
+    pub fn give_back(&self, id: &str, reply: &[u8]) {
+        self.outbox.push(notices::give_back(id, &BASE64_STANDARD.encode(reply)));
+    }
+
+    pub fn bypass(&self, id: &str, pos: u64) {
+        self.outbox.push(notices::bypass(id, pos));
+    }
+
+    /// The gauges, if they come within a moment.
+    pub fn gauges(&self, rows: &(Sender<Vec<f64>>, Receiver<Vec<f64>>)) -> Option<Vec<f64>> {
+        let tag = {
+            let mut state = self.lock();
+            if !state.welcomed {
+                return None;
+            }
+            state.asked += 1;
+            state.meters = Some(rows.0.clone());
+            state.asked
+        };
+        self.outbox.push(notices::meter(tag));
+        let row = rows.1.recv_timeout(METERS).ok();
+        self.lock().meters = None;
+        // It may have come between the two lines above.
+        row.or_else(|| rows.1.try_recv().ok())
+    }
+
+    /// Keeps the link up for ever. `up` gets a word whenever the executor is known to be up.
+    pub fn keep(&self, gate: &Gate, up: &Sender<()>) {
+        loop {
+            let ending = match connect(&self.at, CONNECT) {
+                Ok(stream) => {
+                    let read = self.lock().read;
+                    let join = notices::join(read);
+                    carry(
+                        &stream,
+                        &self.outbox,
+                        Some(join),
+                        notices::LONGEST,
+                        &mut Link { executor: self, gate, up },
+                    )
+                }
+                Err(ending) => ending,
+            };
+            let was_up = std::mem::take(&mut self.lock().welcomed);
+            // Old questions for gauges would only be answered late.
+            self.outbox.retain(|line| !line.starts_with(b"{\"action\":\"METER\""));
+            if was_up || ending != Ending::Refused {
+                log::warn!("executor {}: {ending}; joining again", self.at);
+            }
+            may::coroutine::sleep(PAUSE);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    fn news(&self, id: &str, next: Next) {
+        if let Some(post) = self.lock().runs.get(id) {
+            let _ = post.send(next);
+        }
+    }
+
+    fn ended(&self, id: &str, end: RunEnd, content: Option<Arc<str>>) {
+        if let Some(post) = self.lock().runs.remove(id) {
+            let _ = post.send(Next::RunEnded(end, content));
+        }
+    }
+
+    /// Whether the notice of that number is new. Guards against handling one twice after a new JOIN.
+    fn is_new(&self, pos: u64) -> bool {
+        let mut state = self.lock();
+        let new = pos > state.read;
+        state.read = state.read.max(pos);
+        new
+    }
+
+    fn notice(&self, gate: &Gate, up: &Sender<()>, notice: Notice) -> Result<(), Ending> {
+        match notice {
+            Notice::Welcome { cold, up_us } => {
+                log::info!(
+                    "executor {}: up for {} ms, {}",
+                    self.at,
+                    up_us / 1_000,
+                    if cold { "cold" } else { "warm" }
+                );
+                self.lock().welcomed = true;
+                gate.open(cold, up_us);
+                let _ = up.send(());
+            }
+            Notice::Exit { pos, uid, end, content } if self.is_new(pos) => {
+                self.ended(&uid, end, content.map(|c| c.get().into()));
+            }
+            Notice::Callout { pos, uid, content } if self.is_new(pos) => {
+                let text: std::borrow::Cow<str> = serde_json::from_str(content.get())
+                    .map_err(|err| Ending::Malformed(format!("CALLOUT: {err}")))?;
+                let body = BASE64_STANDARD
+                    .decode(text.as_bytes())
+                    .map_err(|err| Ending::Malformed(format!("CALLOUT: {err}")))?;
+                self.news(&uid, Next::NeedsCall { pos, body });
+            }
+            Notice::Meters { echo, meters } => {
+                let state = self.lock();
+                let asked = echo.parse() == Ok(state.asked);
+                if let Some(rows) = state.meters.as_ref().filter(|_| asked) {
+                    let _ = rows.send(meters);
+                }
+            }
+            Notice::Bad { command, uid } => {
+                log::warn!("executor {}: {command} not carried out for {uid:?}", self.at);
+                let Some(uid) = uid else { return Ok(()) };
+                match &*command {
+                    // A run that was never begun is proof; for any other command it is none.
+                    "EXEC" => self.ended(&uid, RunEnd::NeverRan, None),
+                    "RETURN" | "BYPASS" => self.ended(&uid, RunEnd::Failed, None),
+                    _ => {}
+                }
+            }
+            Notice::Log { pos } => {
+                pos.map(|pos| self.is_new(pos));
+            }
+            Notice::Exit { .. } | Notice::Callout { .. } => {}
+        }
+        Ok(())
+    }
+}
+
+struct Link<'a> {
+    executor: &'a Executor,
+    gate: &'a Gate,
+    up: &'a Sender<()>,
+}
+
+impl Reader for Link<'_> {
+    fn take(&mut self, input: &[u8]) -> Result<usize, Ending> {
+        let Some((line, taken)) = crate::wire::line(input) else { return Ok(0) };
+        if !line.is_empty() {
+            let notice = notices::read(line).map_err(Ending::Malformed)?;
+            self.executor.notice(self.gate, self.up, notice)?;
+        }
+        Ok(taken)
+    }
+}
+
+/// A pair for [`Executor::gauges`].
+pub fn rows() -> (Sender<Vec<f64>>, Receiver<Vec<f64>>) {
+    channel()
+}
--- /dev/null
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -0,0 +1,214 @@
+//! One stream, both ways, in one coroutine and on one descriptor. may lets only one coroutine wait on a
+//! stream, and a clone of it would cost a second descriptor; so a single coroutine waits for whatever comes
+//! first, that something can be read, that it can be written, or that a line was put into the outbox.
+
+use crate::ending::Ending;
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+use may::sync::{Mutex, MutexGuard};
+use std::collections::VecDeque;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::time::Duration;
+
+/// Read at once, and before others get their turn.
+const CHUNK: usize = 8 * 1024;
+const TURN: usize = 16;
+
+/// What waits to be written to one peer. Lines that were not written whole when a stream ended stay, for the
+/// next stream.
+#[derive(Default)]
+pub struct Outbox(Mutex<Waiting>);
+
+#[derive(Default)]
+struct Waiting {
+    lines: VecDeque<Vec<u8>>,
+    bytes: usize,
+    /// Wakes the coroutine of the present stream.
+    waker: Option<WaitIoWaker>,
+    finish: Option<Finish>,
+}
+
+/// How a stream is to end once all that waits is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finish {
+    /// At once.
+    Idle,
+    /// Nothing more is written, but what still comes is read: closing on unread input would reset answers
+    /// that are under way.
+    Leaving,
+}
+
+impl Outbox {
+    pub fn push(&self, line: Vec<u8>) {
+        self.change(|w| {
+            w.bytes += line.len();
+            w.lines.push_back(line);
+        });
+    }
+
+    /// Bytes that wait, less the line that is being written.
+    pub fn bytes(&self) -> usize {
+        self.lock().bytes
+    }
+
+    pub fn finish(&self, how: Finish) {
+        self.change(|w| w.finish = Some(how));
+    }
+
+    /// Takes back lines that are no use any more, unless they are being written.
+    pub fn retain(&self, keep: impl Fn(&[u8]) -> bool) {
+        self.change(|w| {
+            w.lines.retain(|line| keep(line));
+            w.bytes = w.lines.iter().map(Vec::len).sum();
+        });
+    }
+
+    fn change<T>(&self, what: impl FnOnce(&mut Waiting) -> T) -> T {
+        let mut waiting = self.lock();
+        let answer = what(&mut waiting);
+        if let Some(waker) = &waiting.waker {
+            waker.wakeup();
+        }
+        answer
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.0.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+}
+
+/// What a protocol does with what is read.
+pub trait Reader {
+    /// Takes the first whole message and says how many bytes it took; 0 where none is whole.
+    fn take(&mut self, input: &[u8]) -> Result<usize, Ending>;
+
+    /// Whether more may be read now. It is asked again after anything was written or put into the outbox.
+    fn ready(&self) -> bool {
+        true
+    }
+}
+
+pub fn connect(to: &SocketAddr, within: Duration) -> Result<TcpStream, Ending> {
+    let stream = TcpStream::connect_timeout(to, within).map_err(|err| Ending::of_connect(&err))?;
+    stream.set_nodelay(true).map_err(|err| Ending::of_use(&err))?;
+    Ok(stream)
+}
+
+/// Carries `first`, then what is put into the outbox, and hands what is read to the reader, until the stream
+/// ends. No message may be longer than `longest`.
+pub fn carry(
+    stream: &TcpStream,
+    outbox: &Outbox,
+    first: Option<Vec<u8>>,
+    longest: usize,
+    reader: &mut impl Reader,
+) -> Ending {
+    outbox.change(|w| (w.waker, w.finish) = (Some(stream.waker()), None));
+    let mut writing = Writing { line: first.unwrap_or_default(), own: true, ..Writing::default() };
+    let mut input = Vec::new();
+    let ending = loop {
+        match turn(stream, outbox, &mut writing, &mut input, longest, reader) {
+            Ok(false) => {
+                stream.wait_io();
+            }
+            Ok(true) => may::coroutine::yield_now(),
+            Err(ending) => break ending,
+        }
+    };
+    outbox.change(|w| {
+        w.waker = None;
+        if !writing.own && writing.sent < writing.line.len() {
+            w.bytes += writing.line.len();
+            w.lines.push_front(std::mem::take(&mut writing.line));
+        }
+    });
+    ending
+}
+
+#[derive(Default)]
+struct Writing {
+    line: Vec<u8>,
+    sent: usize,
+    /// The line belongs to this stream alone.
+    own: bool,
+    half_closed: bool,
+}
+
+/// Writes and reads what can be without waiting. True where more could have been read.
+fn turn(
+    stream: &TcpStream,
+    outbox: &Outbox,
+    writing: &mut Writing,
+    input: &mut Vec<u8>,
+    longest: usize,
+    reader: &mut impl Reader,
+) -> Result<bool, Ending> {
+    write(stream, outbox, writing)?;
+    for _ in 0..TURN {
+        if !reader.ready() {
+            return Ok(false);
+        }
+        let had = input.len();
+        input.resize(had + CHUNK, 0);
+        let got = stream.inner().read(&mut input[had..]);
+        input.truncate(had + *got.as_ref().unwrap_or(&0));
+        match got {
+            Ok(0) if writing.half_closed => return Err(Ending::Leaving),
+            Ok(0) => return Err(Ending::Closed),
+            Ok(_) => {}
+            Err(err) if err.kind() == ErrorKind::WouldBlock => {
+                if input.is_empty() {
+                    *input = Vec::new();
+                }
+                return Ok(false);
+            }
+            Err(err) if err.kind() == ErrorKind::Interrupted => continue,
+            Err(err) => return Err(Ending::of_use(&err)),
+        }
+        let mut at = 0;
+        while at < input.len() {
+            match reader.take(&input[at..])? {
+                0 if input.len() - at > longest => return Err(Ending::TooLong),
+                0 => break,
+                taken => at += taken,
+            }
+        }
+        input.drain(..at);
+        write(stream, outbox, writing)?;
+    }
+    Ok(true)
+}
+
+fn write(stream: &TcpStream, outbox: &Outbox, writing: &mut Writing) -> Result<(), Ending> {
+    loop {
+        if writing.sent == writing.line.len() {
+            let (next, finish) = {
+                let mut waiting = outbox.lock();
+                let next = waiting.lines.pop_front();
+                waiting.bytes -= next.as_ref().map_or(0, Vec::len);
+                (next, waiting.finish)
+            };
+            (writing.sent, writing.own) = (0, false);
+            writing.line = next.unwrap_or_default();
+            if writing.line.is_empty() {
+                match finish {
+                    Some(Finish::Idle) => return Err(Ending::Idle),
+                    Some(Finish::Leaving) if !writing.half_closed => {
+                        writing.half_closed = true;
+                        let _ = stream.shutdown(Shutdown::Write);
+                    }
+                    _ => {}
+                }
+                return Ok(());
+            }
+        }
+        match stream.inner().write(&writing.line[writing.sent..]) {
+            Ok(0) => return Err(Ending::Closed),
+            Ok(wrote) => writing.sent += wrote,
+            Err(err) if err.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(err) if err.kind() == ErrorKind::Interrupted => {}
+            Err(err) => return Err(Ending::of_use(&err)),
+        }
+    }
+}
--- /dev/null
+++ b/src/deployment.rs
@@ -0,0 +1,341 @@
+//! A deployment's figures: read from JSON, checked and given defaults here and nowhere else. Every message
+//! names the key at fault. A key that is not known is passed over, so that newer files still start.
+
+use crate::decide::Decide;
+use crate::host::{
+    Advice, Below, Crowd, Customer, Effect, Host, Machine, Method, Outcome, SentBack, Shares, Stopping,
+};
+use serde_json::Value;
+use std::borrow::Cow;
+use std::net::SocketAddr;
+
+/// What the operators state of a deployment: the object `options` of the simulator's wire, and `settings` in
+/// a real node's file.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub machine: Machine,
+    pub crowd: Crowd,
+    pub methods: Vec<Method>,
+    pub below: Below,
+    pub advice: Advice,
+    pub shares: Shares,
+    pub drain_grace_us: u64,
+    /// Names by the position that the module knows them by.
+    pub method_names: Vec<String>,
+    pub customer_names: Vec<String>,
+    /// The order of the gauges.
+    pub gauges: Vec<String>,
+    /// RPCs tell how long their caller still waits.
+    pub passes_deadline: bool,
+}
+
+impl Deployment {
+    pub fn read(options: &Fields) -> Result<Deployment, String> {
+        let extra = options.object("extra")?;
+        let rules = options.object("rules")?;
+        let limits = options.object("policy-limits")?;
+        let below = read_below(&extra)?;
+        let (method_names, methods) = read_methods(options, &extra, below != Below::Nothing)?;
+        let (mut customer_names, mut customers) = (Vec::new(), Vec::new());
+        for tenant in options.maybe_list("tenants")? {
+            let tenant = options.part("tenants", tenant);
+            customer_names.push(tenant.text("name")?.to_string());
+            customers.push(Customer { per_second: tenant.at_least("allowance-per-s", 0.0)? });
+        }
+        let heeds = limits.maybe_bool("retry-after")?.unwrap_or(false);
+        let machine = Machine {
+            cores: extra.positive("cores")? as u32,
+            memory_kb: extra.at_least("memory-kb", 1.0)?,
+            run_factor: extra.at_least("run-mem-factor", 1.0)?,
+            key_kb: extra.maybe_number("key-kb")?.unwrap_or(0.0),
+            stopping: match extra.maybe_text("stop-mode")? {
+                Some("pause") => Stopping::Pause,
+                Some("drop") => Stopping::Drop,
+                Some("silent") | None => Stopping::Never,
+                Some(_) => return Err(extra.bad("stop-mode", "silent, drop or pause")),
+            },
+            idle_most_us: extra.maybe_whole("keepalive-max-ns")?.unwrap_or(0) / 1_000,
+        };
+        let cold_from = rules.at_least("cold-from", 0.0)?;
+        if cold_from > 1.0 {
+            return Err(rules.bad("cold-from", "a share of 0 to 1"));
+        }
+        let crowd = Crowd {
+            multiple: rules.at_least("fall-multiple", 1.0)?,
+            cold: extra.maybe_bool("cold")?.unwrap_or(false),
+            cold_from,
+            warm_within_us: rules.whole("warm-within-ns")? / 1_000,
+        };
+        let clients = options.maybe("clients", "an object", |v| v.is_object().then_some(v))?;
+        let advice = Advice {
+            sent_back: match extra.maybe_text("signal")? {
+                Some("level") => SentBack::Level,
+                Some("credit") => SentBack::Credit,
+                Some("weight") => SentBack::Weight,
+                Some("silent") | None => SentBack::Nothing,
+                Some(_) => return Err(extra.bad("signal", "level, credit, weight or silent")),
+            },
+            callers: extra.maybe_whole("callers")?.unwrap_or(1) as u32,
+            marks_tries: clients.and_then(|c| c.get("marks-retry")).and_then(Value::as_bool).unwrap_or(false),
+            max_come_back_us: match limits.maybe_whole("max-retry-after-ns")? {
+                Some(most) if heeds => most / 1_000,
+                _ => 0,
+            },
+        };
+        let shares = Shares {
+            by_work: options.maybe_text("value-by")? == Some("work"),
+            over_share: options.maybe_number("over-share-worth")?.unwrap_or(1.0),
+            customers,
+            servers: options.maybe_whole("servers")?.unwrap_or(1) as u32,
+        };
+        let names = extra.maybe_list("gauges")?.iter().filter_map(|g| g.as_str().map(String::from));
+        Ok(Deployment {
+            gauges: names.collect(),
+            passes_deadline: extra.maybe_bool("passes-deadline")?.unwrap_or(false),
+            drain_grace_us: rules.whole("drain-grace-ns")? / 1_000,
+            machine,
+            crowd,
+            methods,
+            below,
+            advice,
+            shares,
+            method_names,
+            customer_names,
+        })
+    }
+
+    /// A module for one server of this deployment.
+    pub fn start<H: Host>(&self, host: H, now_us: u64, seed: u64) -> Decide<H> {
+        let (machine, crowd, below, advice) = (self.machine, self.crowd, self.below, self.advice);
+        let (methods, shares) = (self.methods.clone(), self.shares.clone());
+        Decide::start(host, now_us, seed, machine, crowd, methods, below, advice, shares, self.drain_grace_us)
+    }
+
+    pub fn method(&self, name: &str) -> Option<usize> {
+        self.method_names.iter().position(|n| n == name)
+    }
+
+    pub fn customer(&self, name: &str) -> Option<usize> {
+        self.customer_names.iter().position(|n| n == name)
+    }
+
+    /// The module's gauges from a row in the deployment's order.
+    pub fn gauges<'a>(&self, row: impl Fn(usize) -> Option<f64> + 'a) -> crate::host::Gauges {
+        let gauge = |name: &str| row(self.gauges.iter().position(|n| n == name)?);
+        crate::host::Gauges {
+            busy: gauge("cpu_busy"),
+            runnable: gauge("runnable"),
+            connections: gauge("sockets"),
+        }
+    }
+}
+
+fn read_below(extra: &Fields) -> Result<Below, String> {
+    Ok(match extra.maybe_text("below")? {
+        Some("shared") => Below::Shared {
+            share: extra.at_least("call-share", 0.0)?,
+            window_us: extra.whole("dep-window-ns")? / 1_000,
+            linger_us: extra.maybe_whole("stays-for-ns")?.unwrap_or(0) / 1_000,
+        },
+        Some("tier") => Below::Tier,
+        Some("silent") | None => Below::Nothing,
+        Some(_) => return Err(extra.bad("below", "shared, tier or silent")),
+    })
+}
+
+fn read_methods(options: &Fields, extra: &Fields, below: bool) -> Result<(Vec<String>, Vec<Method>), String> {
+    let may_call = extra.maybe_list("calls-by-class")?;
+    let skip = extra.maybe_list("class-skip-worth")?;
+    let (mut names, mut methods) = (Vec::new(), Vec::new());
+    for (at, category) in options.list("categories")?.iter().enumerate() {
+        let category = options.part("categories", category);
+        names.push(category.text("name")?.to_string());
+        methods.push(Method {
+            criticality: category.at_least("worth", 0.0)?,
+            latency_target_us: category.positive("on-time-ns")? / 1_000,
+            target_stretch: category.maybe_number("aim-stretch")?.unwrap_or(0.0),
+            deadline_us: category.positive("deadline-ns")? / 1_000,
+            effect: match category.text("idempotency")? {
+                "free" => Effect::Idempotent,
+                "guarded" => Effect::Tokened,
+                "single_shot" => Effect::NonIdempotent,
+                _ => return Err(category.bad("idempotency", "free, guarded or single_shot")),
+            },
+            window_us: category.maybe_whole("window-ns")?.unwrap_or(0) / 1_000,
+            calls: below && may_call.get(at).and_then(Value::as_bool).unwrap_or(true),
+            skip_share: skip.get(at).and_then(Value::as_f64).unwrap_or(0.0),
+        });
+    }
+    Ok((names, methods))
+}
+
+/// Where one real node stands: its file, with the deployment inside.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub executor: SocketAddr,
+    pub directory: SocketAddr,
+    /// Servers of the last tier have nothing below.
+    pub below: Option<SocketAddr>,
+    pub seed: u64,
+    pub stop_ms: u64,
+    pub memory_mb: u64,
+    pub descriptors: usize,
+    pub deployment: Deployment,
+}
+
+impl Placement {
+    /// Reads the text of a node's file.
+    ///
+    /// ```
+    /// let said = ochrewalk::deployment::Placement::read(br#"{"name":"n1","listen":"here"}"#).unwrap_err();
+    /// assert_eq!(said, "config: field listen is missing or not an address and port");
+    /// ```
+    pub fn read(text: &[u8]) -> Result<Placement, String> {
+        let value: Value = serde_json::from_slice(text).map_err(|err| format!("config: not JSON: {err}"))?;
+        let file = Fields { msg: "config".into(), value: &value };
+        let name = file.text("name")?.to_string();
+        let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        if name.is_empty() || !name.chars().all(plain) {
+            return Err(file.bad("name", "made of letters, digits, '-', '_' and '.'"));
+        }
+        let limits = file.object("limits")?;
+        limits.above("cores", 0.0)?;
+        let placement = Placement {
+            name,
+            listen: file.address("listen")?.ok_or_else(|| file.bad("listen", "an address and port"))?,
+            executor: file.address("executor")?.ok_or_else(|| file.bad("executor", "an address and port"))?,
+            directory: file.address("lookup")?.ok_or_else(|| file.bad("lookup", "an address and port"))?,
+            below: file.address("store")?,
+            seed: u64::from_str_radix(file.text("seed")?, 16)
+                .map_err(|_| file.bad("seed", "up to 16 hex digits"))?,
+            stop_ms: file.positive("stop_ms")?,
+            memory_mb: limits.positive("memory_mb")?,
+            descriptors: limits.positive("sockets")? as usize,
+            deployment: Deployment::read(&file.object("settings")?)?,
+        };
+        if placement.memory_mb < 16 {
+            return Err(limits.bad("memory_mb", "16 or more"));
+        }
+        if placement.descriptors < 64 {
+            return Err(limits.bad("sockets", "64 or more"));
+        }
+        Ok(placement)
+    }
+}
+
+/// A message's fields, read with plain words on what is wrong.
+pub struct Fields<'a> {
+    /// The message, or the way to this object in it.
+    pub msg: Cow<'a, str>,
+    pub value: &'a Value,
+}
+
+impl<'a> Fields<'a> {
+    pub fn bad(&self, field: &str, wanted: &str) -> String {
+        format!("{}: field {field} is missing or not {wanted}", self.msg)
+    }
+
+    /// A field that is there and not null must be of its type.
+    pub fn maybe<T>(
+        &self,
+        field: &str,
+        wanted: &str,
+        read: impl Fn(&'a Value) -> Option<T>,
+    ) -> Result<Option<T>, String> {
+        match self.value.get(field) {
+            None | Some(Value::Null) => Ok(None),
+            Some(value) => read(value).map(Some).ok_or_else(|| self.bad(field, wanted)),
+        }
+    }
+
+    pub fn maybe_whole(&self, field: &str) -> Result<Option<u64>, String> {
+        self.maybe(field, "a whole number", Value::as_u64)
+    }
+
+    pub fn whole(&self, field: &str) -> Result<u64, String> {
+        self.maybe_whole(field)?.ok_or_else(|| self.bad(field, "a whole number"))
+    }
+
+    pub fn maybe_number(&self, field: &str) -> Result<Option<f64>, String> {
+        self.maybe(field, "a number", Value::as_f64)
+    }
+
+    pub fn number(&self, field: &str) -> Result<f64, String> {
+        self.maybe_number(field)?.ok_or_else(|| self.bad(field, "a number"))
+    }
+
+    pub fn maybe_bool(&self, field: &str) -> Result<Option<bool>, String> {
+        self.maybe(field, "true or false", Value::as_bool)
+    }
+
+    /// Absent texts may also stand as 0.
+    pub fn maybe_text(&self, field: &str) -> Result<Option<&'a str>, String> {
+        match self.value.get(field).and_then(Value::as_u64) {
+            Some(0) => Ok(None),
+            _ => self.maybe(field, "a string", Value::as_str),
+        }
+    }
+
+    pub fn text(&self, field: &str) -> Result<&'a str, String> {
+        self.maybe_text(field)?.ok_or_else(|| self.bad(field, "a string"))
+    }
+
+    pub fn maybe_list(&self, field: &str) -> Result<&'a [Value], String> {
+        Ok(self.maybe(field, "an array", Value::as_array)?.map_or(&[], Vec::as_slice))
+    }
+
+    pub fn list(&self, field: &str) -> Result<&'a [Value], String> {
+        self.maybe(field, "an array", Value::as_array)?
+            .map(Vec::as_slice)
+            .ok_or_else(|| self.bad(field, "an array"))
+    }
+
+    pub fn object(&self, field: &str) -> Result<Fields<'a>, String> {
+        let value = self.maybe(field, "an object", |v| v.is_object().then_some(v))?;
+        value.map(|value| self.part(field, value)).ok_or_else(|| self.bad(field, "an object"))
+    }
+
+    /// A whole number above 0.
+    pub fn positive(&self, field: &str) -> Result<u64, String> {
+        let wanted = "a whole number above 0";
+        self.maybe(field, wanted, |v| v.as_u64().filter(|n| *n > 0))?.ok_or_else(|| self.bad(field, wanted))
+    }
+
+    pub fn at_least(&self, field: &str, least: f64) -> Result<f64, String> {
+        let wanted = format!("a number of {least} or more");
+        let read = |v: &Value| v.as_f64().filter(|n| *n >= least);
+        self.maybe(field, &wanted, read)?.ok_or_else(|| self.bad(field, &wanted))
+    }
+
+    pub fn above(&self, field: &str, bound: f64) -> Result<f64, String> {
+        let wanted = format!("a number above {bound}");
+        let read = |v: &Value| v.as_f64().filter(|n| *n > bound);
+        self.maybe(field, &wanted, read)?.ok_or_else(|| self.bad(field, &wanted))
+    }
+
+    /// An address and port, where there is one.
+    pub fn address(&self, field: &str) -> Result<Option<SocketAddr>, String> {
+        self.maybe(field, "an address and port", |v| v.as_str()?.parse().ok())
+    }
+
+    /// A part of this object, named by the way to it.
+    pub fn part(&self, field: &str, value: &'a Value) -> Fields<'a> {
+        Fields { msg: format!("{} {field}", self.msg).into(), value }
+    }
+
+    pub fn outcome(&self) -> Result<Outcome, String> {
+        Ok(match self.whole("state-code")? {
+            100 => Outcome::Ok,
+            301 => Outcome::Error,
+            302 => Outcome::PushedBack,
+            303 => Outcome::TimedOut,
+            304 => Outcome::Unreachable,
+            305 => Outcome::Interrupted,
+            306 => Outcome::Stopped,
+            307 => Outcome::Moot,
+            _ => return Err(self.bad("state-code", "a known outcome")),
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,9 @@
 //! time comes in with every call, so that any protocol can be put in front of the same decisions.
 //!
 //! * [`host`] is the interface: the `Host` trait and the small types handed over.
+//! * [`deployment`] reads, checks and defaults a deployment's figures.
 //! * [`decide`] holds every decision, every tuned value and all state.
 
 pub mod decide;
+pub mod deployment;
 pub mod host;
