--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -155,7 +155,7 @@
 /// Before the executor is up there is no module, and nothing is taken.
 enum Inside {
     Closed(Desk),
-    Open(Decide<Desk>),
+    Open(Box<Decide<Desk>>),
 }
 
 /// The module's host: its actions become mail for the coroutines concerned.
@@ -209,7 +209,7 @@
         let mut deployment = self.deployment.clone();
         deployment.crowd.cold = cold;
         let started_us = self.clock.now_us().saturating_sub(up_us);
-        *state = Inside::Open(deployment.start(desk, started_us, self.seed));
+        *state = Inside::Open(Box::new(deployment.start(desk, started_us, self.seed)));
         drop(state);
         let _ = self.earlier.send(());
     }
