--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -189,8 +189,8 @@
     /// Reads the text of a node's file.
     ///
     /// ```
-    /// let said = ochrewalk::deployment::Placement::read(br#"{"name":"n1","listen":"here"}"#).unwrap_err();
-    /// assert_eq!(said, "config: field listen is missing or not an address and port");
+    /// let said = ochrewalk::deployment::Placement::read(br#"{"name":"n1","limits":[]}"#).unwrap_err();
+    /// assert_eq!(said, "config: field limits is missing or not an object");
     /// ```
     pub fn read(text: &[u8]) -> Result<Placement, String> {
         let value: Value = serde_json::from_slice(text).map_err(|err| format!("config: not JSON: {err}"))?;
