--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -71,6 +71,8 @@
     Reply(Word, Vec<u8>),
     /// We waited as long as we said we would.
     Late,
+    /// The connection that was to carry it ended before it was written.
+    Unsent,
     /// The connection that carried it ended.
     Link(Ending),
 }
@@ -92,6 +94,7 @@
             CallEnd::Reply(Word::Err, _) => Outcome::Error,
             CallEnd::Reply(Word::Late, _) | CallEnd::Late => Outcome::TimedOut,
             CallEnd::Reply(Word::Void, _) => Outcome::Moot,
+            CallEnd::Unsent => Outcome::Unreachable,
             CallEnd::Link(ending) => ending.outcome(),
         }
     }
--- /dev/null
+++ b/crates/ochrewalk-node/src/lib.rs
@@ -0,0 +1,11 @@
+//! The real node's parts, round the module. See docs/architecture.md.
+
+pub mod clock;
+pub mod ending;
+pub mod gate;
+pub mod keys;
+pub mod life;
+pub mod logger;
+pub mod net;
+pub mod node;
+pub mod wire;
--- a/crates/ochrewalk-node/src/life.rs
+++ b/crates/ochrewalk-node/src/life.rs
@@ -3,10 +3,11 @@
 
 use crate::gate::{CallEnd, Incoming, Next, Report};
 use crate::net::dispatchers::Connection;
+use crate::node::Node;
 use crate::wire::calls::Word;
 use crate::wire::jsonrpc;
 use crate::wire::notices::RunEnd;
-use crate::Node;
+use ochrewalk::host::Effect;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,7 +58,8 @@
             }
             Next::Run => {
                 life.running = true;
-                node.executor.run(&rpc.id, &node.lanes[rpc.method], body, ticket.post());
+                let again = node.deployment.methods[rpc.method].effect == Effect::Idempotent;
+                node.executor.run(&rpc.id, &node.lanes[rpc.method], body, again, ticket.post());
                 None
             }
             Next::Stop => {
--- a/crates/ochrewalk-node/src/main.rs
+++ b/crates/ochrewalk-node/src/main.rs
@@ -1,40 +1,10 @@
-//! The real node: ochrewalk's decisions behind real sockets. See docs/architecture.md.
-
-mod clock;
-mod ending;
-mod gate;
-mod keys;
-mod life;
-mod logger;
-mod net;
-mod wire;
+//! The command line of the real node.
 
 use clap::{Parser, Subcommand};
-use clock::Clock;
-use gate::Gate;
 use log::LevelFilter;
-use may::net::TcpListener;
-use may::sync::mpsc::{channel, Sender};
-use net::below::Below;
-use net::dispatchers::Dispatchers;
-use net::executor::{rows, Executor};
-use ochrewalk::deployment::{Deployment, Placement};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use ochrewalk::deployment::Placement;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::time::Duration;
-
-/// Words of a coroutine's stack: 128 KiB, of which only what is used takes memory.
-const STACK_WORDS: usize = 0x4000;
-/// Descriptors that are not dispatchers' connections: the listener, three links and their successors, the
-/// runtime's own, the standard streams.
-const OWN_DESCRIPTORS: usize = 24;
-/// Memory that one open RPC may take: its stack, its body and its answer.
-const RPC_BYTES: usize = 32 * 1024;
-/// Of `stop_ms`, what is kept for the last answers to be written, and for the process to end.
-const FLUSH_MS: u64 = 300;
-const END_MS: u64 = 120;
 
 #[derive(Parser)]
 #[command(name = "ochrewalk", version, about = "Decides what a server of a fleet takes, runs and turns away")]
@@ -64,19 +34,6 @@
     Version,
 }
 
-/// What all parts of a node share.
-pub struct Node {
-    clock: Clock,
-    gate: Gate,
-    deployment: Deployment,
-    /// The methods' names as JSON strings.
-    lanes: Vec<String>,
-    idle_most_us: u64,
-    executor: Executor,
-    below: Option<Below>,
-    dispatchers: Dispatchers,
-}
-
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Command::Version => {
@@ -87,7 +44,9 @@
             let (name, listen) = (&placement.name, placement.listen);
             println!("{}: good: node {name} would listen on {listen}", config.display());
         }),
-        Command::Serve { config, log } => read(&config).and_then(|placement| serve(placement, log)),
+        Command::Serve { config, log } => {
+            read(&config).and_then(|placement| ochrewalk_node::node::serve(placement, log))
+        }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -102,100 +61,3 @@
     let text = std::fs::read(file).map_err(|err| format!("{}: {err}", file.display()))?;
     Placement::read(&text).map_err(|why| format!("{}: {why}", file.display()))
 }
-
-fn serve(placement: Placement, level: LevelFilter) -> Result<(), String> {
-    logger::start(level);
-    // One core is ours: one worker runs all coroutines, so that none of them ever waits for a lock for long.
-    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])
-        .map_err(|err| format!("cannot wait for signals: {err}"))?;
-    let listener = TcpListener::bind(placement.listen)
-        .map_err(|err| format!("cannot listen on {}: {err}", placement.listen))?;
-    log::info!("node {} listens on {}", placement.name, placement.listen);
-    let stop_ms = placement.stop_ms;
-    let (node, report_now) = start(placement, listener);
-    if let Some(signal) = signals.forever().next() {
-        log::info!("signal {signal}: leaving within {stop_ms} ms");
-        let (left, over) = channel();
-        may::go!(move || {
-            leave(&node, stop_ms, &report_now);
-            let _ = left.send(());
-        });
-        let _ = over.recv_timeout(Duration::from_millis(stop_ms.saturating_sub(END_MS / 2)));
-        log::info!("over");
-        logger::flush();
-    }
-    // Coroutines that still wait for others end with the process.
-    std::process::exit(0)
-}
-
-/// Starts every part. What is sent to the sender makes the directory hear of the present health at once.
-fn start(placement: Placement, listener: TcpListener) -> (Arc<Node>, Sender<()>) {
-    let clock = Clock::start();
-    let bytes = placement.memory_mb as usize * 1024 * 1024;
-    let deployment = placement.deployment;
-    let lanes = deployment.method_names.iter().map(|n| serde_json::Value::from(n.as_str()).to_string());
-    let (gate, moved) =
-        Gate::new(clock, deployment.clone(), placement.seed, bytes / 4 / RPC_BYTES, bytes / 8);
-    let (below, wants) = placement.below.map(|at| Below::new(at, clock)).unzip();
-    let node = Arc::new(Node {
-        clock,
-        gate,
-        lanes: lanes.collect(),
-        idle_most_us: deployment.machine.idle_most_us,
-        deployment,
-        executor: Executor::new(placement.executor),
-        below,
-        dispatchers: Dispatchers::default(),
-    });
-    let (report_now, changed) = channel();
-    let (of, report) = (node.clone(), report_now.clone());
-    may::go!(move || of.executor.keep(&of.gate, &report));
-    if let Some(wants) = wants {
-        let of = node.clone();
-        may::go!(move || of.below.iter().for_each(|below| below.keep(&wants)));
-        let of = node.clone();
-        may::go!(move || of.below.iter().for_each(Below::watch));
-    }
-    let of = node.clone();
-    may::go!(move || {
-        let rows = rows();
-        loop {
-            of.gate.wait_due(&moved);
-            let row = of.executor.gauges(&rows).unwrap_or_default();
-            of.gate.tick(of.deployment.gauges(|at| row.get(at).copied()));
-        }
-    });
-    let of = node.clone();
-    may::go!(move || {
-        let healthy = || of.gate.posture().healthy;
-        net::directory::keep(placement.directory, &placement.name, healthy, &changed);
-    });
-    let of = node.clone();
-    may::go!(move || Dispatchers::sweep(&of));
-    let of = node.clone();
-    let most = placement.descriptors - OWN_DESCRIPTORS;
-    may::go!(move || Dispatchers::accept(&of, &listener, most));
-    (node, report_now)
-}
-
-/// Leaves: no new work is asked for, all that was read is answered, and every answer is written.
-fn leave(node: &Node, stop_ms: u64, report_now: &Sender<()>) {
-    let from_us = node.clock.now_us();
-    let at = |ms: u64| {
-        let until_us = from_us + ms * 1_000;
-        may::coroutine::sleep(Duration::from_micros(until_us.saturating_sub(node.clock.now_us())));
-    };
-    node.gate.leave(stop_ms.saturating_sub(FLUSH_MS) * 1_000);
-    let _ = report_now.send(());
-    node.dispatchers.leave(from_us);
-    at(stop_ms.saturating_sub(FLUSH_MS));
-    node.dispatchers.close();
-    // What is still on its way to us is read, so that no answer is reset.
-    while node.clock.now_us() < from_us + stop_ms.saturating_sub(END_MS) * 1_000
-        && node.dispatchers.count() > 0
-    {
-        may::coroutine::sleep(Duration::from_millis(5));
-    }
-    log::info!("{} RPCs and {} connections left", node.gate.open_rpcs(), node.dispatchers.count());
-}
--- a/crates/ochrewalk-node/src/net/below.rs
+++ b/crates/ochrewalk-node/src/net/below.rs
@@ -89,12 +89,18 @@
             }
             std::mem::take(&mut state.calls)
         };
-        self.outbox.retain(|_| false);
+        let unwritten = self.outbox.take_unwritten();
+        let never_written = |id: &str| {
+            let start = format!("CALL {id} ");
+            unwritten.iter().any(|line| line.starts_with(start.as_bytes()))
+        };
         if *ending != Ending::Closed || !calls.is_empty() {
             log::warn!("below {}: {ending}; {} calls under way", self.at, calls.len());
         }
-        for post in calls.into_values() {
-            let _ = post.send(Next::CallEnded(CallEnd::Link(ending.clone())));
+        for (id, post) in calls {
+            // What was never written whole never ran, however the connection ended.
+            let end = if never_written(&id) { CallEnd::Unsent } else { CallEnd::Link(ending.clone()) };
+            let _ = post.send(Next::CallEnded(end));
         }
     }
 
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -5,12 +5,14 @@
 use crate::ending::{out_of_room, Ending};
 use crate::gate::{Incoming, Posture};
 use crate::life::Caller;
+use crate::node::Node;
 use crate::wire::jsonrpc::{self, Message, Which};
-use crate::Node;
 use may::net::{TcpListener, TcpStream};
 use may::sync::{Mutex, MutexGuard};
-use ochrewalk::host::RpcId;
+use ochrewalk::host::{Effect, RpcId};
+use socket2::SockRef;
 use std::collections::HashMap;
+use std::net::Shutdown;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,7 +36,8 @@
     next: u64,
     of: HashMap<u64, Arc<Connection>>,
     leaving: bool,
-    closed: bool,
+    /// A second descriptor of the listener, for `shut`; accepting ends when it is taken.
+    listener: Option<std::net::TcpListener>,
 }
 
 /// What others need of a connection that one coroutine carries.
@@ -55,8 +58,12 @@
 }
 
 impl Dispatchers {
-    /// Accepts until [`Dispatchers::close`], `most` connections at a time.
+    /// Accepts until [`Dispatchers::shut`], `most` connections at a time.
     pub fn accept(node: &Arc<Node>, listener: &TcpListener, most: usize) {
+        match listener.inner().try_clone() {
+            Ok(second) => node.dispatchers.lock().listener = Some(second),
+            Err(err) => log::error!("cannot clone the listener: {err}"),
+        }
         loop {
             if node.dispatchers.lock().of.len() >= most {
                 log::warn!("{most} connections open: no more are accepted for a while");
@@ -64,7 +71,7 @@
                 continue;
             }
             let accepted = listener.accept();
-            if node.dispatchers.lock().closed {
+            if accepted.is_err() && node.dispatchers.lock().listener.is_none() {
                 return;
             }
             match accepted {
@@ -113,9 +120,15 @@
         self.all().iter().for_each(|connection| connection.ask_to_end(now_us));
     }
 
-    /// Accepts nothing more, and writes nothing more once what waits is written.
-    pub fn close(&self) {
-        self.lock().closed = true;
+    /// Nothing more is accepted: who comes now is refused, which proves that nothing ran.
+    pub fn shut(&self) {
+        if let Some(listener) = self.lock().listener.take() {
+            let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Nothing more is written once what waits is written.
+    pub fn finish(&self) {
         self.all().iter().for_each(|connection| connection.outbox.finish(Finish::Leaving));
     }
 
@@ -215,12 +228,16 @@
                 let Some(method) = self.node.deployment.method(&rpc.method) else {
                     return self.faulty(rpc.id, -32601, "unknown method");
                 };
+                let tokened = self.node.deployment.methods[method].effect == Effect::Tokened;
+                if tokened && rpc.opkey.is_none() {
+                    return self.faulty(rpc.id, -32602, "no opkey");
+                }
                 let incoming = Incoming {
                     id: (&*rpc.req).into(),
                     method,
                     kb: rpc.kb,
                     ts_ms: rpc.ts_ms,
-                    token: rpc.opkey.map(|key| (&*key).into()),
+                    token: rpc.opkey.filter(|_| tokened).map(|key| (&*key).into()),
                 };
                 {
                     let mut state = self.connection.lock();
@@ -256,7 +273,9 @@
                 self.connection.outbox.push(jsonrpc::heartbeat(id, pass, signal));
             }
             Message::Faulty { id, code, why } => return self.faulty(id, code, why),
-            Message::Nothing => log::debug!("dispatcher: a notification with no meaning here"),
+            Message::Nothing { method } => {
+                log::warn!("dispatcher: a notification {method:.20?} with no meaning here");
+            }
             Message::NoRpc => return Err(Ending::Malformed("no JSON-RPC".into())),
         }
         Ok(())
--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -1,5 +1,9 @@
 //! The link to the executor: one connection, kept open for as long as the node lives and made anew whenever
 //! it ends. Runs go on while there is none.
+//!
+//! Commands that were written when a link broke may or may not have been read. Gauges tell: they are asked for
+//! all the time, and who answers them has read all that was written before. What is not confirmed so is
+//! written again once the new link has brought the notices that were missed.
 
 use super::link::{carry, connect, Outbox, Reader};
 use crate::ending::Ending;
@@ -28,23 +32,31 @@
 #[derive(Default)]
 struct State {
     /// Where news of each run goes.
-    runs: HashMap<RpcId, Sender<Next>>,
+    runs: HashMap<RpcId, Run>,
     /// The last notice that was read.
     read: u64,
     welcomed: bool,
     /// The tag of the gauges that are waited for, and who waits.
     asked: u64,
     meters: Option<Sender<Vec<f64>>>,
+    /// Commands whose link broke before they were confirmed.
+    doubtful: Vec<Vec<u8>>,
+}
+
+struct Run {
+    post: Sender<Next>,
+    again: bool,
 }
 
 impl Executor {
     pub fn new(at: SocketAddr) -> Executor {
-        Executor { at, outbox: Outbox::default(), state: Mutex::default() }
+        Executor { at, outbox: Outbox::keeping(), state: Mutex::default() }
     }
 
-    /// Starts a run; what becomes of it goes to `post`.
-    pub fn run(&self, id: &RpcId, lane: &str, content: &str, post: Sender<Next>) {
-        self.lock().runs.insert(id.clone(), post);
+    /// Starts a run; what becomes of it goes to `post`. Where `again` is harmless the command is repeated
+    /// after a link that broke under it.
+    pub fn run(&self, id: &RpcId, lane: &str, content: &str, again: bool, post: Sender<Next>) {
+        self.lock().runs.insert(id.clone(), Run { post, again });
         self.outbox.push(notices::exec(id, lane, content));
     }
 
@@ -52,7 +64,11 @@
         self.outbox.push(notices::wake(id));
     }
 
+    /// It is asked for again and again until the run has ended, so that it may get lost.
     pub fn stop(&self, id: &str) {
+        if !self.lock().welcomed {
+            return;
+        }
         self.outbox.push(notices::kill(id));
     }
 
@@ -100,8 +116,7 @@
                 Err(ending) => ending,
             };
             let was_up = std::mem::take(&mut self.lock().welcomed);
-            // Old questions for gauges would only be answered late.
-            self.outbox.retain(|line| !line.starts_with(b"{\"action\":\"METER\""));
+            self.lock().doubtful.extend(self.outbox.take_written());
             if was_up || ending != Ending::Refused {
                 log::warn!("executor {}: {ending}; joining again", self.at);
             }
@@ -114,14 +129,28 @@
     }
 
     fn news(&self, id: &str, next: Next) {
-        if let Some(post) = self.lock().runs.get(id) {
-            let _ = post.send(next);
+        if let Some(run) = self.lock().runs.get(id) {
+            let _ = run.post.send(next);
         }
     }
 
     fn ended(&self, id: &str, end: RunEnd, content: Option<Arc<str>>) {
-        if let Some(post) = self.lock().runs.remove(id) {
-            let _ = post.send(Next::RunEnded(end, content));
+        if let Some(run) = self.lock().runs.remove(id) {
+            let _ = run.post.send(Next::RunEnded(end, content));
+        }
+    }
+
+    /// All notices up to now are read: what a broken link left in doubt goes out again, unless its run has
+    /// ended. Guards against a second effect: a run that may not happen twice is not begun again.
+    fn repeat_doubtful(&self) {
+        let doubtful = std::mem::take(&mut self.lock().doubtful);
+        for line in doubtful {
+            let again = notices::named(&line).is_some_and(|(action, uid)| {
+                self.lock().runs.get(uid).is_some_and(|run| run.again || action != "EXEC")
+            });
+            if again {
+                self.outbox.push(line);
+            }
         }
     }
 
@@ -158,9 +187,11 @@
                 self.news(&uid, Next::NeedsCall { pos, body });
             }
             Notice::Meters { echo, meters } => {
+                let Ok(tag) = echo.parse() else { return Ok(()) };
+                self.outbox.confirm(&notices::meter(tag));
+                self.repeat_doubtful();
                 let state = self.lock();
-                let asked = echo.parse() == Ok(state.asked);
-                if let Some(rows) = state.meters.as_ref().filter(|_| asked) {
+                if let Some(rows) = state.meters.as_ref().filter(|_| tag == state.asked) {
                     let _ = rows.send(meters);
                 }
             }
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -14,6 +14,8 @@
 /// Read at once, and before others get their turn.
 const CHUNK: usize = 8 * 1024;
 const TURN: usize = 16;
+/// Written lines that are kept until they are confirmed.
+const MOST_WRITTEN: usize = 4_096;
 
 /// What waits to be written to one peer. Lines that were not written whole when a stream ended stay, for the
 /// next stream.
@@ -27,6 +29,8 @@
     /// Wakes the coroutine of the present stream.
     waker: Option<WaitIoWaker>,
     finish: Option<Finish>,
+    /// Lines written to this stream or one before it, where those are kept until they are confirmed.
+    written: Option<VecDeque<Vec<u8>>>,
 }
 
 /// How a stream is to end once all that waits is written.
@@ -40,8 +44,15 @@
 }
 
 impl Outbox {
+    /// An outbox that keeps what was written until [`Outbox::confirm`] or [`Outbox::take_written`].
+    pub fn keeping() -> Outbox {
+        Outbox(Mutex::new(Waiting { written: Some(VecDeque::new()), ..Waiting::default() }))
+    }
+
     pub fn push(&self, line: Vec<u8>) {
         self.change(|w| {
+            // Guards against a line that is written to a stream just about to be closed as idle.
+            w.finish = w.finish.filter(|how| *how != Finish::Idle);
             w.bytes += line.len();
             w.lines.push_back(line);
         });
@@ -56,14 +67,30 @@
         self.change(|w| w.finish = Some(how));
     }
 
-    /// Takes back lines that are no use any more, unless they are being written.
-    pub fn retain(&self, keep: impl Fn(&[u8]) -> bool) {
+    /// Takes back what was not written.
+    pub fn take_unwritten(&self) -> VecDeque<Vec<u8>> {
+        self.change(|w| {
+            w.bytes = 0;
+            std::mem::take(&mut w.lines)
+        })
+    }
+
+    /// The peer has read this line, and so all that was written before it.
+    pub fn confirm(&self, line: &[u8]) {
         self.change(|w| {
-            w.lines.retain(|line| keep(line));
-            w.bytes = w.lines.iter().map(Vec::len).sum();
+            let written = w.written.as_mut();
+            let at = written.as_ref().and_then(|written| written.iter().position(|l| l == line));
+            if let (Some(written), Some(at)) = (written, at) {
+                written.drain(..=at);
+            }
         });
     }
 
+    /// Takes what was written and not confirmed.
+    pub fn take_written(&self) -> VecDeque<Vec<u8>> {
+        self.change(|w| w.written.as_mut().map(std::mem::take).unwrap_or_default())
+    }
+
     fn change<T>(&self, what: impl FnOnce(&mut Waiting) -> T) -> T {
         let mut waiting = self.lock();
         let answer = what(&mut waiting);
@@ -185,6 +212,15 @@
         if writing.sent == writing.line.len() {
             let (next, finish) = {
                 let mut waiting = outbox.lock();
+                let whole = std::mem::take(&mut writing.line);
+                if let Some(written) = waiting.written.as_mut().filter(|_| !writing.own && !whole.is_empty())
+                {
+                    written.push_back(whole);
+                    // Guards against a peer that confirms nothing.
+                    if written.len() > MOST_WRITTEN {
+                        written.pop_front();
+                    }
+                }
                 let next = waiting.lines.pop_front();
                 waiting.bytes -= next.as_ref().map_or(0, Vec::len);
                 (next, waiting.finish)
--- /dev/null
+++ b/crates/ochrewalk-node/src/node.rs
@@ -0,0 +1,147 @@
+//! One node: its parts put together, started, and brought to an end on a signal.
+
+use crate::clock::Clock;
+use crate::gate::Gate;
+use crate::net::below::Below;
+use crate::net::directory;
+use crate::net::dispatchers::Dispatchers;
+use crate::net::executor::{rows, Executor};
+use log::LevelFilter;
+use may::net::TcpListener;
+use may::sync::mpsc::{channel, Sender};
+use ochrewalk::deployment::{Deployment, Placement};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Words of a coroutine's stack: 128 KiB, of which only what is used takes memory.
+const STACK_WORDS: usize = 0x4000;
+/// Descriptors that are not dispatchers' connections: the listener, three links and their successors, the
+/// runtime's own, the standard streams.
+const OWN_DESCRIPTORS: usize = 24;
+/// Memory that one open RPC may take: its stack, its body and its answer.
+const RPC_BYTES: usize = 32 * 1024;
+/// Of `stop_ms`, what is kept for the last answers to be written, and for the process to end.
+const FLUSH_MS: u64 = 300;
+const LAST_MS: u64 = 200;
+const END_MS: u64 = 120;
+
+/// What all parts of a node share.
+pub struct Node {
+    pub clock: Clock,
+    pub gate: Gate,
+    pub deployment: Deployment,
+    /// The methods' names as JSON strings.
+    pub lanes: Vec<String>,
+    pub idle_most_us: u64,
+    pub executor: Executor,
+    pub below: Option<Below>,
+    pub dispatchers: Dispatchers,
+}
+
+/// Serves as the node of that file until SIGTERM or SIGINT, then ends the process. An error comes back before
+/// any socket is open.
+pub fn serve(placement: Placement, level: LevelFilter) -> Result<(), String> {
+    crate::logger::start(level);
+    // One core is ours: one worker runs all coroutines, so that none of them ever waits for a lock for long.
+    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])
+        .map_err(|err| format!("cannot wait for signals: {err}"))?;
+    // may lets processes share a port. Guards against two nodes on one address, each with half of the callers.
+    let listener = std::net::TcpListener::bind(placement.listen)
+        .and_then(|alone| {
+            drop(alone);
+            TcpListener::bind(placement.listen)
+        })
+        .map_err(|err| format!("cannot listen on {}: {err}", placement.listen))?;
+    log::info!("node {} listens on {}", placement.name, placement.listen);
+    let stop_ms = placement.stop_ms;
+    let (node, report_now) = start(placement, listener);
+    if let Some(signal) = signals.forever().next() {
+        log::info!("signal {signal}: leaving within {stop_ms} ms");
+        let (left, over) = channel();
+        may::go!(move || {
+            leave(&node, stop_ms, &report_now);
+            let _ = left.send(());
+        });
+        let _ = over.recv_timeout(Duration::from_millis(stop_ms.saturating_sub(END_MS / 2)));
+        log::info!("over");
+        crate::logger::flush();
+    }
+    // Coroutines that still wait for others end with the process.
+    std::process::exit(0)
+}
+
+/// Starts every part. What is sent to the sender makes the directory hear of the present health at once.
+fn start(placement: Placement, listener: TcpListener) -> (Arc<Node>, Sender<()>) {
+    let clock = Clock::start();
+    let bytes = placement.memory_mb as usize * 1024 * 1024;
+    let deployment = placement.deployment;
+    let lanes = deployment.method_names.iter().map(|n| serde_json::Value::from(n.as_str()).to_string());
+    let (gate, moved) =
+        Gate::new(clock, deployment.clone(), placement.seed, bytes / 4 / RPC_BYTES, bytes / 8);
+    let (below, wants) = placement.below.map(|at| Below::new(at, clock)).unzip();
+    let node = Arc::new(Node {
+        clock,
+        gate,
+        lanes: lanes.collect(),
+        idle_most_us: deployment.machine.idle_most_us,
+        deployment,
+        executor: Executor::new(placement.executor),
+        below,
+        dispatchers: Dispatchers::default(),
+    });
+    let (report_now, changed) = channel();
+    let (of, report) = (node.clone(), report_now.clone());
+    may::go!(move || of.executor.keep(&of.gate, &report));
+    if let Some(wants) = wants {
+        let of = node.clone();
+        may::go!(move || of.below.iter().for_each(|below| below.keep(&wants)));
+        let of = node.clone();
+        may::go!(move || of.below.iter().for_each(Below::watch));
+    }
+    let of = node.clone();
+    may::go!(move || {
+        let rows = rows();
+        loop {
+            of.gate.wait_due(&moved);
+            let row = of.executor.gauges(&rows).unwrap_or_default();
+            of.gate.tick(of.deployment.gauges(|at| row.get(at).copied()));
+        }
+    });
+    let of = node.clone();
+    may::go!(move || {
+        let healthy = || of.gate.posture().healthy;
+        directory::keep(placement.directory, &placement.name, healthy, &changed);
+    });
+    let of = node.clone();
+    may::go!(move || Dispatchers::sweep(&of));
+    let of = node.clone();
+    let most = placement.descriptors - OWN_DESCRIPTORS;
+    may::go!(move || Dispatchers::accept(&of, &listener, most));
+    (node, report_now)
+}
+
+/// Leaves: no new work is asked for, all that was read is answered, and every answer is written.
+fn leave(node: &Node, stop_ms: u64, report_now: &Sender<()>) {
+    let from_us = node.clock.now_us();
+    let at = |ms: u64| {
+        let until_us = from_us + ms * 1_000;
+        may::coroutine::sleep(Duration::from_micros(until_us.saturating_sub(node.clock.now_us())));
+    };
+    node.gate.leave(stop_ms.saturating_sub(FLUSH_MS) * 1_000);
+    let _ = report_now.send(());
+    node.dispatchers.leave(from_us);
+    at(stop_ms.saturating_sub(FLUSH_MS));
+    node.dispatchers.shut();
+    // Who connected just before still writes, and gets an answer.
+    at(stop_ms.saturating_sub(LAST_MS));
+    node.dispatchers.finish();
+    // What is still on its way to us is read, so that no answer is reset.
+    while node.clock.now_us() < from_us + stop_ms.saturating_sub(END_MS) * 1_000
+        && node.dispatchers.count() > 0
+    {
+        may::coroutine::sleep(Duration::from_millis(5));
+    }
+    log::info!("{} RPCs and {} connections left", node.gate.open_rpcs(), node.dispatchers.count());
+}
--- a/crates/ochrewalk-node/src/wire/jsonrpc.rs
+++ b/crates/ochrewalk-node/src/wire/jsonrpc.rs
@@ -7,6 +7,9 @@
 /// The longest line that is read: the largest body in base64, with room for the fields.
 pub const LONGEST: usize = 16 * 1024;
 
+/// The protocol's bound on `need`.
+const MOST_KB: f64 = 2_000.0;
+
 const REFUSED: i32 = -32011;
 const FAILED: i32 = -32000;
 
@@ -25,7 +28,9 @@
         why: &'static str,
     },
     /// A notification that means nothing here.
-    Nothing,
+    Nothing {
+        method: Cow<'a, str>,
+    },
     /// Its sender does not speak this protocol.
     NoRpc,
 }
@@ -80,6 +85,10 @@
 }
 
 pub fn read(line: &[u8]) -> Message<'_> {
+    // Guards against a list that would fit the fields by their order.
+    if !line.trim_ascii_start().starts_with(b"{") {
+        return Message::NoRpc;
+    }
     let Ok(envelope) = serde_json::from_slice::<Envelope>(line) else { return Message::NoRpc };
     // JSON-RPC allows numbers and strings as ids.
     let id = envelope.id.map(RawValue::get).filter(|id| !id.starts_with(['{', '[', 't', 'f']));
@@ -91,9 +100,9 @@
     if method == "revoke" {
         let revoked = serde_json::from_str::<Revoked>(params).ok();
         let which = revoked.and_then(|r| r.id.map(|id| Which::Id(id.get())).or(r.req.map(Which::Req)));
-        return which.or(id.map(Which::Id)).map_or(Message::Nothing, Message::Revoke);
+        return which.or(id.map(Which::Id)).map_or(Message::Nothing { method }, Message::Revoke);
     }
-    let Some(id) = id else { return Message::Nothing };
+    let Some(id) = id else { return Message::Nothing { method } };
     if method == "heartbeat" {
         return Message::Heartbeat { id };
     }
@@ -108,7 +117,7 @@
     if !word(&params.req) || params.opkey.as_deref().is_some_and(|key| !word(key)) {
         return faulty("req or opkey is no word of letters, digits and '-'");
     }
-    if !(params.need > 0.0 && params.need < 1e6) {
+    if !(params.need > 0.0 && params.need < MOST_KB) {
         return faulty("need is out of range");
     }
     if !params.body.get().starts_with('"') {
--- a/crates/ochrewalk-node/src/wire/notices.rs
+++ b/crates/ochrewalk-node/src/wire/notices.rs
@@ -47,6 +47,9 @@
 
 /// The error says in a word or two what is wrong.
 pub fn read(line: &[u8]) -> Result<Notice<'_>, String> {
+    if !line.starts_with(b"{") {
+        return Err("no object".into());
+    }
     let line: Line = serde_json::from_slice(line).map_err(|err| format!("no notice: {err}"))?;
     let lacks = |field: &str| format!("{}: field {field} is missing or wrong", line.action);
     let content = line.content.filter(|c| c.get().starts_with('"'));
@@ -88,6 +91,19 @@
     })
 }
 
+/// The action and the run that a command of ours names.
+///
+/// ```
+/// use ochrewalk_node::wire::notices::{kill, meter, named};
+/// assert_eq!(named(&kill("ab")), Some(("KILL", "ab")));
+/// assert_eq!(named(&meter(7)), None);
+/// ```
+pub fn named(command: &[u8]) -> Option<(&str, &str)> {
+    let rest = std::str::from_utf8(command).ok()?.strip_prefix("{\"action\":\"")?;
+    let (action, rest) = rest.split_once("\",\"uid\":\"")?;
+    Some((action, rest.split_once('"')?.0))
+}
+
 pub fn join(read: u64) -> Vec<u8> {
     format!("{{\"action\":\"JOIN\",\"pos\":{read}}}\n").into_bytes()
 }
--- /dev/null
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -0,0 +1,235 @@
+//! Small stand-ins for everything that a node talks to, on loopback, and the node itself as a process.
+#![allow(dead_code)]
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Far longer than anything takes that works.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Methods: `look` is idempotent, `sync` may go on without its call, `sale` is tokened, `once` must not run
+/// twice.
+pub fn settings() -> Value {
+    let method = |name, idempotency| {
+        json!({"name": name, "idempotency": idempotency, "worth": 1.0, "on-time-ns": 4_000_000_000u64,
+               "deadline-ns": 8_000_000_000u64, "window-ns": 20_000_000_000u64})
+    };
+    json!({
+        "categories": [method("look", "free"), method("sync", "free"), method("sale", "guarded"),
+                       method("once", "single_shot")],
+        "extra": {"below": "tier", "cores": 2, "memory-kb": 9000.0, "run-mem-factor": 8.0, "key-kb": 1.0,
+                  "signal": "weight", "stop-mode": "pause", "gauges": ["cpu_busy", "runnable"],
+                  "class-skip-worth": [0.0, 0.5, 0.0, 0.0], "callers": 2, "keepalive-max-ns": 30_000_000_000u64},
+        "policy-limits": {"retry-after": true, "max-retry-after-ns": 1_000_000_000}, "servers": 4,
+        "rules": {"cold-from": 0.3, "drain-grace-ns": 300_000_000, "fall-multiple": 8.0,
+                  "warm-within-ns": 1_000_000_000}
+    })
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+pub fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+/// A file of its own for each test, with this text.
+pub fn file(text: &str) -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("ochrewalk-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+pub fn program(words: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ochrewalk"));
+    command.env_remove("PROXY_CONFIG").args(words);
+    command
+}
+
+/// A node and its surroundings.
+pub struct Stand {
+    child: Child,
+    config: PathBuf,
+    pub at: String,
+    executor: TcpListener,
+    pub below: TcpListener,
+    pub directory: TcpListener,
+}
+
+impl Stand {
+    /// A node whose executor has not answered yet.
+    pub fn start() -> Stand {
+        Stand::with(|_| ())
+    }
+
+    pub fn with(change: impl FnOnce(&mut Value)) -> Stand {
+        let (executor, below, directory) = (listener(), listener(), listener());
+        let at = listener().local_addr().unwrap().to_string();
+        let address = |l: &TcpListener| l.local_addr().unwrap().to_string();
+        let mut config = json!({
+            "name": "n3", "listen": at, "executor": address(&executor), "lookup": address(&directory),
+            "store": address(&below), "seed": "8c1f30d27a5be964", "stop_ms": 1500,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings()
+        });
+        change(&mut config);
+        let config = file(&config.to_string());
+        let child =
+            program(&["serve", "--config", config.to_str().unwrap()]).stderr(Stdio::null()).spawn().unwrap();
+        Stand { child, config, at, executor, below, directory }
+    }
+
+    /// A node whose executor is up and warm.
+    pub fn up() -> (Stand, Peer) {
+        let stand = Stand::start();
+        let mut executor = stand.executor();
+        executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+        let mut caller = stand.caller();
+        while !caller.ask(r#"{"jsonrpc":"2.0","id":1,"method":"heartbeat"}"#).contains("\"pass\":true") {}
+        (stand, executor)
+    }
+
+    /// The next link to the executor, its JOIN not yet read.
+    pub fn link(&self) -> Peer {
+        Peer::accept(&self.executor)
+    }
+
+    /// The first link, joined.
+    pub fn executor(&self) -> Peer {
+        let mut executor = self.link();
+        assert_eq!(executor.hear(), r#"{"action":"JOIN","pos":0}"#);
+        executor
+    }
+
+    pub fn caller(&self) -> Peer {
+        for _ in 0..1000 {
+            if let Ok(stream) = TcpStream::connect(&self.at) {
+                return Peer::new(stream);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the node does not listen");
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Stand {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// One side of a connection, line by line.
+pub struct Peer {
+    pub stream: TcpStream,
+    input: BufReader<TcpStream>,
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Peer { input: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+
+    pub fn accept(at: &TcpListener) -> Peer {
+        Peer::new(at.accept().unwrap().0)
+    }
+
+    pub fn say(&mut self, line: &str) {
+        self.stream.write_all(format!("{line}\n").as_bytes()).unwrap();
+    }
+
+    /// The next line but those about gauges, which are answered; empty at the end.
+    pub fn hear(&mut self) -> String {
+        loop {
+            let mut line = String::new();
+            match self.input.read_line(&mut line) {
+                Ok(_) => {}
+                Err(err) if err.kind() == ErrorKind::ConnectionReset => return String::new(),
+                Err(err) => panic!("nothing heard: {err}"),
+            }
+            let Some(tag) = line.strip_prefix(r#"{"action":"METER","echo":"#) else {
+                return line.trim_end().to_string();
+            };
+            let tag = tag.trim_end().trim_end_matches('}');
+            let answer = format!("{{\"action\":\"METERS\",\"echo\":{tag},\"meters\":[0.1,0]}}\n");
+            let _ = self.stream.write_all(answer.as_bytes());
+        }
+    }
+
+    /// The next line that holds these words.
+    pub fn hear_of(&mut self, words: &str) -> String {
+        loop {
+            let line = self.hear();
+            assert!(!line.is_empty(), "the end came before {words}");
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    pub fn hear_bytes(&mut self, length: usize) -> Vec<u8> {
+        let mut bytes = vec![0; length];
+        self.input.read_exact(&mut bytes).unwrap();
+        bytes
+    }
+
+    pub fn ask(&mut self, line: &str) -> String {
+        self.say(line);
+        self.hear()
+    }
+
+    /// Answers gauges until the other side ends the connection.
+    pub fn hear_out(&mut self) {
+        while !self.hear().is_empty() {}
+    }
+}
+
+/// An RPC's line. Ids of messages and RPCs follow from one number.
+pub fn rpc(number: u64, method: &str) -> String {
+    rpc_with(number, method, unix_ms(), "")
+}
+
+pub fn rpc_with(number: u64, method: &str, ts: u64, more: &str) -> String {
+    let params = format!(r#""req":"{number:016x}","ts":{ts},"via":1,"need":20.5,"level":0.5{more}"#);
+    format!(r#"{{"jsonrpc":"2.0","id":{number},"method":"{method}","params":{{{params},"body":"QUJD"}}}}"#)
+}
+
+pub fn req(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+pub fn exec(number: u64, method: &str) -> String {
+    format!(r#"{{"action":"EXEC","uid":"{number:016x}","lane":"{method}","content":"QUJD"}}"#)
+}
+
+pub fn exit(pos: u64, number: u64, code: &str) -> String {
+    let content = if code == "complete" { r#","content":"UkVT""# } else { "" };
+    format!(r#"{{"action":"EXIT","pos":{pos},"uid":"{number:016x}","code":"{code}","wall_ms":3{content}}}"#)
+}
+
+pub fn callout(pos: u64, number: u64) -> String {
+    format!(r#"{{"action":"CALLOUT","pos":{pos},"uid":"{number:016x}","content":"AAEC"}}"#)
+}
--- /dev/null
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -0,0 +1,486 @@
+//! The real program on loopback, against small stand-ins for all that it talks to.
+
+mod helper;
+
+use helper::*;
+use std::io::{Read, Write};
+use std::net::Shutdown;
+
+const HEARTBEAT: &str = r#"{"jsonrpc":"2.0","id":99,"method":"heartbeat"}"#;
+
+fn served(number: u64) -> String {
+    format!(r#"{{"jsonrpc":"2.0","id":{number},"result":{{"body":"UkVT","signal":1}}}}"#)
+}
+
+#[test]
+fn rpcs_come_split_or_many_at_once_and_are_answered_in_any_order() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    let lines = format!("{}\n{}\r\n{}\n", rpc(1, "look"), rpc(2, "sync"), rpc(3, "once"));
+    let (start, end) = lines.split_at(lines.len() - 40);
+    caller.stream.write_all(start.as_bytes()).unwrap();
+    assert_eq!(executor.hear(), exec(1, "look"));
+    assert_eq!(executor.hear(), exec(2, "sync"));
+    caller.stream.write_all(end.as_bytes()).unwrap();
+    // Two cores: the third starts when one has ended.
+    executor.say(&exit(1, 2, "complete"));
+    assert_eq!(caller.hear(), served(2));
+    assert_eq!(executor.hear(), exec(3, "once"));
+    executor.say(&exit(2, 3, "complete"));
+    executor.say(&exit(3, 1, "error"));
+    assert_eq!(caller.hear(), served(3));
+    assert!(caller.hear().contains(r#""id":1,"error":{"code":-32000"#));
+    // A run that BAD or `unknown` shows never to have begun is pushed back.
+    for (number, notice) in
+        [(4, format!(r#"{{"action":"BAD","code":"EXEC","uid":"{}"}}"#, req(4))), (5, exit(4, 5, "unknown"))]
+    {
+        caller.say(&rpc(number, "look"));
+        assert_eq!(executor.hear(), exec(number, "look"));
+        executor.say(&notice);
+        assert!(caller.hear().contains(&format!(r#""id":{number},"error":{{"code":-32011"#)));
+    }
+}
+
+#[test]
+fn before_the_executor_is_up_health_is_bad_and_rpcs_are_pushed_back() {
+    let stand = Stand::start();
+    let mut executor = stand.executor();
+    let mut caller = stand.caller();
+    assert!(caller.ask(HEARTBEAT).contains(r#""pass":false"#));
+    assert!(caller.ask(&rpc(1, "look")).contains("-32011"));
+    executor.say(r#"{"action":"WELCOME","code":"chilly","wall_ms":0}"#);
+    while !caller.ask(HEARTBEAT).contains(r#""pass":true,"signal":0.3"#) {}
+    caller.say(&rpc(2, "look"));
+    assert_eq!(executor.hear(), exec(2, "look"));
+    executor.say(&exit(1, 2, "complete"));
+    assert!(caller.hear().contains("UkVT"));
+}
+
+#[test]
+fn a_tokened_rpc_runs_once_and_its_repeats_share_the_outcome() {
+    let (stand, mut executor) = Stand::up();
+    let (mut one, mut two) = (stand.caller(), stand.caller());
+    let now = unix_ms();
+    let sale = |number, ts, key: &str| rpc_with(number, "sale", ts, &format!(r#","opkey":"{key}""#));
+    one.say(&sale(1, now, "aa"));
+    assert_eq!(executor.hear(), exec(1, "sale"));
+    // Repeats during the run, on another connection: they wait.
+    two.say(&sale(2, now, "aa"));
+    two.say(&sale(3, now, "aa"));
+    assert!(two.ask(HEARTBEAT).contains("pass"));
+    executor.say(&exit(1, 1, "complete"));
+    assert_eq!(one.hear(), served(1));
+    assert_eq!(two.hear(), served(2));
+    assert_eq!(two.hear(), served(3));
+    // After it, up to the end of the window that counts from the first one's stamp.
+    assert_eq!(two.ask(&sale(4, now + 19_900, "aa")), served(4));
+    two.say(&sale(5, now + 21_000, "aa"));
+    assert_eq!(executor.hear(), exec(5, "sale"));
+    executor.say(&exit(2, 5, "error"));
+    assert!(two.hear().contains("-32000"));
+    // What failed may have had its effect: never again.
+    assert!(two.ask(&sale(6, now + 21_500, "aa")).contains("-32000"));
+    // What was never begun may be.
+    two.say(&sale(7, now, "bb"));
+    assert_eq!(executor.hear(), exec(7, "sale"));
+    one.say(&sale(8, now, "bb"));
+    assert!(one.ask(HEARTBEAT).contains("pass"));
+    executor.say(&exit(3, 7, "unknown"));
+    assert!(two.hear().contains("-32011"));
+    assert!(one.hear().contains("-32011"));
+    two.say(&sale(9, now, "bb"));
+    assert_eq!(executor.hear(), exec(9, "sale"));
+    // A caller that has gone stops nothing: its repeat gets the result.
+    two.say(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":9}}"#);
+    two.say(&sale(10, now, "bb"));
+    assert!(two.ask(HEARTBEAT).contains("pass"));
+    executor.say(&exit(4, 9, "complete"));
+    assert_eq!(two.hear(), served(10));
+}
+
+#[test]
+fn a_caller_that_revokes_or_goes_is_owed_nothing_and_its_run_is_stopped() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    caller.say(&rpc(1, "look"));
+    assert_eq!(executor.hear(), exec(1, "look"));
+    caller.say(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":1}}"#);
+    let kill = |number| format!(r#"{{"action":"KILL","uid":"{}"}}"#, req(number));
+    assert_eq!(executor.hear(), kill(1));
+    executor.say(&exit(1, 1, "cancelled"));
+    let mut other = stand.caller();
+    other.say(&rpc(2, "once"));
+    executor.hear_of(&exec(2, "once"));
+    drop(other);
+    executor.hear_of(&kill(2));
+    executor.say(&exit(2, 2, "complete"));
+    // The next thing that is heard is the answer to the next question.
+    assert!(caller.ask(HEARTBEAT).contains("pass"));
+    caller.say(&rpc(3, "look"));
+    executor.hear_of(&exec(3, "look"));
+    executor.say(&exit(3, 3, "complete"));
+    assert_eq!(caller.hear(), served(3));
+}
+
+#[test]
+fn calls_go_below_and_every_reply_has_its_meaning() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    let mut begin = |number, method: &str, caller: &mut Peer, executor: &mut Peer| {
+        let ts = unix_ms();
+        caller.say(&rpc_with(number, method, ts, &format!(r#","opkey":"k{number}""#)));
+        executor.hear_of(&exec(number, method));
+        executor.say(&callout(number, number));
+    };
+    begin(1, "look", &mut caller, &mut executor);
+    let mut below = Peer::accept(&stand.below);
+    let mut called = |below: &mut Peer, number| {
+        let line = below.hear_of(&format!("CALL {} ", req(number)));
+        assert!(line.ends_with(" 3"), "{line}");
+        assert_eq!(below.hear_bytes(5), b"\x00\x01\x02\r\n");
+    };
+    // The reply goes on as it came.
+    called(&mut below, 1);
+    below.say(&format!("{} OK 5\r\nA\r\n\u{1}B\r", req(1)));
+    let back = executor.hear();
+    assert_eq!(back, format!(r#"{{"action":"RETURN","uid":"{}","content":"QQ0KAUI="}}"#, req(1)));
+    executor.say(&exit(100, 1, "complete"));
+    assert_eq!(caller.hear(), served(1));
+    for (number, method, word, wanted) in [
+        // Turned away unseen, or nobody waits for it: it is called again.
+        (102, "look", "BUSY", "again"),
+        (103, "once", "BUSY", "again"),
+        (104, "look", "VOID", "again"),
+        // It may have had its effect: again where that is harmless, else given up.
+        (105, "look", "ERR", "again"),
+        (106, "sale", "ERR", "aborted"),
+        (107, "once", "LATE", "aborted"),
+        // It may be left out.
+        (108, "sync", "BUSY", "skipped"),
+        (109, "sync", "LATE", "skipped"),
+    ] {
+        begin(number, method, &mut caller, &mut executor);
+        called(&mut below, number);
+        below.say(&format!("{} {word}\r", req(number)));
+        match wanted {
+            "again" => {
+                called(&mut below, number);
+                below.say(&format!("{} OK 0\r\n\r", req(number)));
+                executor.hear_of("RETURN");
+                executor.say(&exit(100 + number, number, "complete"));
+                assert_eq!(caller.hear(), served(number), "{method} {word}");
+            }
+            "skipped" => {
+                let line = executor.hear_of("BYPASS");
+                assert_eq!(line, format!(r#"{{"action":"BYPASS","uid":"{}","pos":{number}}}"#, req(number)));
+                executor.say(&exit(100 + number, number, "complete"));
+                assert_eq!(caller.hear(), served(number), "{method} {word}");
+            }
+            _ => {
+                assert!(caller.hear().contains("-32000"), "{method} {word}");
+                executor.say(&exit(100 + number, number, "cancelled"));
+            }
+        }
+    }
+    // A run that ends at its call, and a caller that goes there: the call is given up.
+    begin(301, "look", &mut caller, &mut executor);
+    called(&mut below, 301);
+    executor.say(&exit(302, 301, "error"));
+    assert!(caller.hear().contains("-32000"));
+    assert_eq!(below.hear(), format!("DROP {}", req(301)));
+    begin(303, "look", &mut caller, &mut executor);
+    called(&mut below, 303);
+    caller.say(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":303}}"#);
+    assert_eq!(below.hear(), format!("DROP {}", req(303)));
+    executor.say(&exit(304, 303, "cancelled"));
+    // A connection that breaks under a call proves nothing; nor does one that speaks in tongues.
+    for (number, tongues) in [(305, false), (307, true)] {
+        begin(number, "once", &mut caller, &mut executor);
+        called(&mut below, number);
+        if tongues {
+            below.say("what?\r");
+            below.hear_out();
+        } else {
+            below.stream.shutdown(Shutdown::Both).unwrap();
+        }
+        assert!(caller.hear().contains("-32000"));
+        executor.say(&exit(number + 1, number, "cancelled"));
+        begin(number + 100, "look", &mut caller, &mut executor);
+        below = Peer::accept(&stand.below);
+        called(&mut below, number + 100);
+        below.say(&format!("{} OK 0\r\n\r", req(number + 100)));
+        executor.hear_of("RETURN");
+        executor.say(&exit(number + 101, number + 100, "complete"));
+        assert_eq!(caller.hear(), served(number + 100));
+    }
+}
+
+#[test]
+fn a_refused_connection_proves_that_no_call_ran() {
+    let stand = Stand::with(|config| {
+        let gone = listener().local_addr().unwrap().to_string();
+        config["store"] = gone.into();
+    });
+    let mut executor = stand.executor();
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+    let mut caller = stand.caller();
+    while !caller.ask(HEARTBEAT).contains("\"pass\":true") {}
+    caller.say(&rpc(1, "once"));
+    caller.say(&rpc(2, "sync"));
+    executor.hear_of(&exec(2, "sync"));
+    executor.say(&callout(1, 1));
+    executor.say(&callout(2, 2));
+    // One goes on without; the other, though it may not run twice, is tried again and not given up.
+    executor.hear_of("BYPASS");
+    executor.say(&exit(3, 2, "complete"));
+    assert_eq!(caller.hear(), served(2));
+    caller.say(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":1}}"#);
+    assert!(caller.ask(HEARTBEAT).contains("pass"));
+}
+
+#[test]
+fn a_last_tier_has_nothing_below() {
+    let stand = Stand::with(|config| {
+        config.as_object_mut().unwrap().remove("store");
+        config["settings"]["extra"]["below"] = "silent".into();
+    });
+    let mut executor = stand.executor();
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+    let mut caller = stand.caller();
+    while !caller.ask(HEARTBEAT).contains("\"pass\":true") {}
+    caller.say(&rpc(1, "look"));
+    assert_eq!(executor.hear(), exec(1, "look"));
+    executor.say(&exit(1, 1, "complete"));
+    assert_eq!(caller.hear(), served(1));
+}
+
+#[test]
+fn a_broken_link_to_the_executor_is_joined_where_it_was_left() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    caller.say(&rpc(1, "look"));
+    caller.say(&rpc_with(2, "sale", unix_ms(), r#","opkey":"k""#));
+    executor.hear_of(&exec(1, "look"));
+    executor.hear_of(&exec(2, "sale"));
+    executor.say(r#"{"action":"LOG","pos":1,"code":"hm"}"#);
+    executor.say(&callout(2, 1));
+    let mut below = Peer::accept(&stand.below);
+    below.hear_of("CALL");
+    // Gauges confirm what was written before them; then two commands go out that nothing confirms.
+    executor.hear_bytes(0);
+    for _ in 0..4 {
+        assert!(caller.ask(HEARTBEAT).contains("pass"));
+    }
+    drop(executor);
+    let mut executor = stand.link();
+    assert_eq!(executor.hear(), r#"{"action":"JOIN","pos":2}"#);
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":6000}"#);
+    // Notices that were handled come again and mean nothing; a new one does.
+    executor.say(&callout(2, 1));
+    executor.say(&exit(3, 2, "complete"));
+    assert_eq!(caller.hear(), served(2));
+    below.hear_bytes(5);
+    below.say(&format!("{} OK 0\r\n\r", req(1)));
+    let back = executor.hear_of("RETURN");
+    assert!(back.contains(&req(1)));
+    executor.say(&exit(4, 1, "complete"));
+    assert_eq!(caller.hear(), served(1));
+    // What is no notice ends the link, and only that.
+    executor.say("{\"action\":\"DANCE\"}");
+    executor.hear_out();
+    let mut executor = stand.link();
+    assert_eq!(executor.hear(), r#"{"action":"JOIN","pos":4}"#);
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":7000}"#);
+    caller.say(&rpc(3, "look"));
+    executor.hear_of(&exec(3, "look"));
+    executor.say(&exit(5, 3, "complete"));
+    assert_eq!(caller.hear(), served(3));
+}
+
+#[test]
+fn commands_in_doubt_go_out_again_unless_they_could_act_twice() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    // Heard without an answer to any question for gauges: nothing is confirmed.
+    let mut raw = executor.stream.try_clone().unwrap();
+    caller.say(&rpc(1, "look"));
+    caller.say(&rpc(2, "once"));
+    let mut seen = String::new();
+    while !(seen.contains(&exec(1, "look")) && seen.contains(&exec(2, "once"))) {
+        let mut bytes = [0; 4096];
+        let got = raw.read(&mut bytes).unwrap();
+        seen.push_str(std::str::from_utf8(&bytes[..got]).unwrap());
+    }
+    raw.shutdown(Shutdown::Both).unwrap();
+    executor.hear_out();
+    let mut executor = stand.link();
+    executor.hear_of("JOIN");
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":6000}"#);
+    assert_eq!(executor.hear_of("EXEC"), exec(1, "look"));
+    executor.say(&exit(1, 1, "complete"));
+    assert_eq!(caller.hear(), served(1));
+    // The next command is for another run: the second one was not begun again.
+    caller.say(&rpc(3, "look"));
+    assert_eq!(executor.hear_of("EXEC"), exec(3, "look"));
+}
+
+#[test]
+fn the_directory_hears_of_health_through_its_own_failures() {
+    let stand = Stand::start();
+    let mut executor = stand.executor();
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+    std::thread::spawn(move || executor.hear_out());
+    let report = |peer: &mut Peer, answer: &str| {
+        assert_eq!(peer.hear(), "PUT /dir/nodes/n3 HTTP/1.1");
+        while !peer.hear().is_empty() {}
+        let body = peer.hear_bytes(15);
+        peer.stream.write_all(answer.as_bytes()).unwrap();
+        String::from_utf8(body).unwrap()
+    };
+    let mut peer = Peer::accept(&stand.directory);
+    let good = "HTTP/1.1 204 No Content\r\n\r\n";
+    assert_eq!(report(&mut peer, good), r#"{"mode":"open"}"#);
+    assert_eq!(report(&mut peer, "HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n"), r#"{"mode":"open"}"#);
+    let mut peer = Peer::accept(&stand.directory);
+    assert_eq!(report(&mut peer, "gibberish\r\n\r\n"), r#"{"mode":"open"}"#);
+    // Who accepts and says nothing holds up nobody else.
+    let silent = Peer::accept(&stand.directory);
+    assert!(stand.caller().ask(HEARTBEAT).contains("\"pass\":true"));
+    let mut peer = Peer::accept(&stand.directory);
+    drop(silent);
+    assert_eq!(report(&mut peer, good), r#"{"mode":"open"}"#);
+    stand.terminate();
+    // `closed` is one byte longer each for its two letters more.
+    while peer.hear_of("Content-Length") != "Content-Length: 17" {
+        peer.hear_of("open");
+        peer.stream.write_all(good.as_bytes()).unwrap();
+    }
+}
+
+#[test]
+fn a_node_that_leaves_answers_all_that_it_read() {
+    let (mut stand, mut executor) = Stand::up();
+    let (mut caller, mut idle) = (stand.caller(), stand.caller());
+    assert!(idle.ask(HEARTBEAT).contains("pass"));
+    for number in 1..=4 {
+        caller.say(&rpc(number, "look"));
+    }
+    executor.hear_of(&exec(2, "look"));
+    stand.terminate();
+    let no_more = r#"{"jsonrpc":"2.0","method":"noMore"}"#;
+    assert_eq!(caller.hear(), no_more);
+    assert_eq!(idle.hear(), no_more);
+    // Within the grace work still runs; a new connection is told at once, too.
+    executor.say(&exit(1, 1, "complete"));
+    assert_eq!(caller.hear(), served(1).replace("\"signal\":1", "\"signal\":0"));
+    executor.hear_of(&exec(3, "look"));
+    let mut late = stand.caller();
+    assert_eq!(late.hear(), no_more);
+    // What came after the grace never runs: it is pushed back, though its stamp must be believed.
+    late.say(&rpc_with(5, "look", unix_ms() + 60_000, ""));
+    executor.say(&exit(2, 2, "complete"));
+    assert!(caller.hear().contains(r#""id":2,"result""#));
+    let mut codes = Vec::new();
+    for _ in 0..2 {
+        let line = caller.hear();
+        codes.push(line.contains("-32000") || line.contains("-32011"));
+    }
+    assert_eq!(codes, [true, true], "3 runs and 4 is held to the end");
+    assert!(late.hear().contains(r#""id":5,"error""#));
+    // The streams end in order, with nothing lost, and so does the process.
+    assert_eq!(caller.hear(), "");
+    assert!(stand.wait().success());
+}
+
+#[test]
+fn what_is_no_rpc_harms_its_own_connection_only() {
+    let (mut stand, mut executor) = Stand::up();
+    let (mut good, mut bad) = (stand.caller(), stand.caller());
+    for (line, wanted) in [
+        (rpc(1, "dance"), r#""id":1,"error":{"code":-32601"#),
+        (rpc(2, "look").replace("\"need\"", "\"needs\""), r#""id":2,"error":{"code":-32602"#),
+        (rpc(3, "sale"), r#""id":3,"error":{"code":-32602"#),
+        (r#"{"id":4}"#.into(), r#""id":4,"error":{"code":-32600"#),
+    ] {
+        assert!(bad.ask(&line).contains(wanted), "{line}");
+    }
+    // An id, and a req, that is open already.
+    bad.say(&rpc(5, "look"));
+    assert!(bad.ask(&rpc(5, "look")).contains(r#""id":5,"error":{"code":-32600"#));
+    assert!(good.ask(&rpc(5, "look")).contains(r#""id":5,"error":{"code":-32602"#));
+    executor.hear_of(&exec(5, "look"));
+    executor.say(&exit(1, 5, "complete"));
+    assert_eq!(bad.hear(), served(5));
+    bad.say("{}{}");
+    assert_eq!(bad.hear(), "");
+    let mut long = stand.caller();
+    // The node may close before all of it is written.
+    let _ = long.stream.write_all(&vec![b'a'; 100_000]);
+    assert_eq!(long.hear(), "");
+    good.say(&rpc(6, "look"));
+    assert_eq!(executor.hear(), exec(6, "look"));
+    executor.say(&exit(2, 6, "complete"));
+    assert_eq!(good.hear(), served(6));
+    assert!(stand.is_running());
+}
+
+#[test]
+fn a_full_table_of_descriptors_and_a_slow_reader_hold_up_nobody_for_good() {
+    let stand = Stand::with(|config| config["limits"]["sockets"] = 64.into());
+    let mut executor = stand.executor();
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+    std::thread::spawn(move || {
+        let mut pos = 0;
+        loop {
+            let line = executor.hear();
+            let Some(at) = line.find("\"uid\":\"") else { return };
+            pos += 1;
+            let uid = &line[at + 7..at + 23];
+            let result = "A".repeat(4_000);
+            executor.say(&format!(
+                r#"{{"action":"EXIT","pos":{pos},"uid":"{uid}","code":"complete","wall_ms":1,"content":"{result}"}}"#
+            ));
+        }
+    });
+    let mut first = stand.caller();
+    while !first.ask(HEARTBEAT).contains("\"pass\":true") {}
+    // It asks and never reads.
+    let mut slow = stand.caller();
+    slow.stream.set_nonblocking(true).unwrap();
+    for number in 1_000..4_000 {
+        if slow.stream.write_all(format!("{}\n", rpc(number, "look")).as_bytes()).is_err() {
+            break;
+        }
+    }
+    let mut crowd: Vec<Peer> = (0..60).map(|_| stand.caller()).collect();
+    for number in 1..20 {
+        first.say(&rpc(number, "look"));
+        first.hear_of(&format!(r#""id":{number},"#));
+    }
+    // Room comes back as others leave.
+    let mut last = crowd.pop().unwrap();
+    crowd.clear();
+    assert!(last.ask(HEARTBEAT).contains("pass"));
+}
+
+#[test]
+fn a_faulty_file_ends_the_program_with_one_plain_line() {
+    let bad = file(r#"{"name":"n1","limits":7}"#);
+    let no_json = file("{");
+    for words in
+        [["check", bad.to_str().unwrap()], ["check", no_json.to_str().unwrap()], ["check", "/nowhere"]]
+    {
+        for words in [words.to_vec(), vec!["serve", "--config", words[1]]] {
+            let output = program(&words).output().unwrap();
+            let said = String::from_utf8(output.stderr).unwrap();
+            assert!(!output.status.success() && said.lines().count() == 1, "{words:?}: {said}");
+            assert!(said.starts_with(words.last().unwrap()), "names the file: {said}");
+        }
+    }
+    assert!(program(&["check", bad.to_str().unwrap()]).output().unwrap().stderr.ends_with(b"an object\n"));
+    let version = program(&["version"]).output().unwrap();
+    assert_eq!(version.stdout, format!("ochrewalk {}\n", env!("CARGO_PKG_VERSION")).into_bytes());
+    for path in [bad, no_json] {
+        std::fs::remove_file(path).unwrap();
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-node/tests/wire.rs
@@ -0,0 +1,276 @@
+//! What is read and written, byte for byte, and the pure state beside it.
+
+use ochrewalk::deployment::Placement;
+use ochrewalk::host::Outcome;
+use ochrewalk_node::clock::since_us;
+use ochrewalk_node::ending::Ending;
+use ochrewalk_node::gate::CallEnd;
+use ochrewalk_node::keys::{Keys, State};
+use ochrewalk_node::wire::calls::{self, Word};
+use ochrewalk_node::wire::jsonrpc::{self, Message, Which};
+use ochrewalk_node::wire::notices::{self, Notice};
+use ochrewalk_node::wire::reports;
+use std::io::{Error, ErrorKind};
+
+mod helper;
+
+#[test]
+fn an_rpc_is_read_with_its_body_as_it_came() {
+    let line = r#"{"jsonrpc":"2.0","id":"a\u0041","method":"look","params":{"req":"9b1f","ts":17,"via":4,"need":24.5,"level":0.6,"opkey":"5c0f","subject":null,"more":[{}],"body":"QU\/D"}}"#;
+    let Message::Rpc(rpc) = jsonrpc::read(line.as_bytes()) else { panic!("no RPC") };
+    assert_eq!((rpc.id, &*rpc.method, &*rpc.req), (r#""a\u0041""#, "look", "9b1f"));
+    assert_eq!((rpc.ts_ms, rpc.kb, rpc.opkey.as_deref()), (17, 24.5, Some("5c0f")));
+    assert_eq!(rpc.body.get(), r#""QU\/D""#);
+}
+
+#[test]
+fn what_is_no_proper_rpc_is_told_apart() {
+    let good = helper::rpc(7, "look");
+    for (line, wanted) in [
+        ("not json".to_string(), "none"),
+        ("[1,\"look\",{}]".into(), "none"),
+        ("{}".into(), "none"),
+        (r#"{"id":{"a":1},"method":"look","params":{}}"#.into(), "nothing"),
+        (r#"{"id":3}"#.into(), "-32600"),
+        (r#"{"id":3,"method":"look"}"#.into(), "-32602"),
+        (good.replace("20.5", "0"), "-32602"),
+        (good.replace("20.5", "2000"), "-32602"),
+        (good.replace("\"QUJD\"", "7"), "-32602"),
+        (good.replace("\"ts\"", "\"tz\""), "-32602"),
+        (good.replace("0000000000000007", "has space"), "-32602"),
+        (good.replace("0000000000000007", ""), "-32602"),
+        (r#"{"method":"shout"}"#.into(), "nothing"),
+        (r#"{"method":"revoke"}"#.into(), "nothing"),
+        (r#"{"method":"revoke","params":{"id":7}}"#.into(), "revoke 7"),
+        (r#"{"method":"revoke","params":{"req":"ab"}}"#.into(), "revoke ab"),
+        (r#"{"method":"revoke","id":9}"#.into(), "revoke 9"),
+        (r#"{"id":"h","method":"heartbeat","params":[1]}"#.into(), "heartbeat \"h\""),
+        (good.clone(), "rpc"),
+    ] {
+        let read = match jsonrpc::read(line.as_bytes()) {
+            Message::Rpc(_) => "rpc".into(),
+            Message::Revoke(Which::Id(id)) => format!("revoke {id}"),
+            Message::Revoke(Which::Req(req)) => format!("revoke {req}"),
+            Message::Heartbeat { id } => format!("heartbeat {id}"),
+            Message::Faulty { code, .. } => code.to_string(),
+            Message::Nothing { .. } => "nothing".into(),
+            Message::NoRpc => "none".into(),
+        };
+        assert_eq!(read, wanted, "{line}");
+    }
+}
+
+#[test]
+fn answers_carry_what_they_may_and_no_more() {
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    for (answer, wanted) in [
+        (jsonrpc::served("7", "\"QQ==\"", None), r#""id":7,"result":{"body":"QQ=="}}"#),
+        (jsonrpc::served("7", "\"QQ==\"", Some(0.25)), r#""id":7,"result":{"body":"QQ==","signal":0.25}}"#),
+        (jsonrpc::heartbeat("1", false, None), r#""id":1,"result":{"pass":false}}"#),
+        (
+            jsonrpc::refused("2", true, 250, Some(1.0)),
+            r#""id":2,"error":{"code":-32011,"message":"pushed back","data":{"holdoff":250,"nomore":1,"signal":1}}}"#,
+        ),
+        (jsonrpc::refused("2", false, 0, None), r#""id":2,"error":{"code":-32011,"message":"pushed back"}}"#),
+        (
+            jsonrpc::failed("2", Some(0.5)),
+            r#""id":2,"error":{"code":-32000,"message":"aborted","data":{"signal":0.5}}}"#,
+        ),
+    ] {
+        assert_eq!(text(answer), format!("{{\"jsonrpc\":\"2.0\",{wanted}\n"));
+    }
+}
+
+#[test]
+fn notices_are_read_and_malformed_ones_named() {
+    for (line, wanted) in [
+        (r#"{"action":"WELCOME","code":"chilly","wall_ms":1.5}"#, "cold 1500"),
+        (r#"{"action":"WELCOME","code":"tepid"}"#, "code"),
+        (
+            r#"{"action":"EXIT","pos":4,"uid":"a","code":"complete","content":"QQ=="}"#,
+            "exit 4 a Complete \"QQ==\"",
+        ),
+        (r#"{"action":"EXIT","pos":4,"uid":"a","code":"complete"}"#, "content"),
+        (r#"{"action":"EXIT","pos":4,"uid":"a","code":"error"}"#, "exit 4 a Failed -"),
+        (r#"{"action":"EXIT","pos":4,"uid":"a","code":"cancelled","content":null}"#, "exit 4 a Stopped -"),
+        (r#"{"action":"EXIT","pos":4,"uid":"a","code":"unknown"}"#, "exit 4 a NeverRan -"),
+        (r#"{"action":"EXIT","uid":"a","code":"error"}"#, "pos"),
+        (r#"{"action":"EXIT","pos":4,"code":"error"}"#, "uid"),
+        (r#"{"action":"CALLOUT","pos":5,"uid":"a","content":"AA=="}"#, "callout 5 a \"AA==\""),
+        (r#"{"action":"CALLOUT","pos":5,"uid":"a","content":5}"#, "content"),
+        (r#"{"action":"METERS","echo":"9","meters":[0.5,3]}"#, "meters 9 [0.5, 3.0]"),
+        (r#"{"action":"METERS","echo":"9"}"#, "meters"),
+        (r#"{"action":"BAD","code":"EXEC","uid":"a"}"#, "bad EXEC a"),
+        (r#"{"action":"LOG","pos":6,"code":"hm"}"#, "log Some(6)"),
+        (r#"{"action":"DANCE"}"#, "DANCE"),
+        (r#"["EXIT",1]"#, "no object"),
+        ("x", "no object"),
+    ] {
+        let read = match notices::read(line.as_bytes()) {
+            Ok(Notice::Welcome { cold, up_us }) => format!("{} {up_us}", if cold { "cold" } else { "warm" }),
+            Ok(Notice::Exit { pos, uid, end, content }) => {
+                format!("exit {pos} {uid} {end:?} {}", content.map_or("-", |c| c.get()))
+            }
+            Ok(Notice::Callout { pos, uid, content }) => format!("callout {pos} {uid} {}", content.get()),
+            Ok(Notice::Meters { echo, meters }) => format!("meters {echo} {meters:?}"),
+            Ok(Notice::Bad { command, uid }) => format!("bad {command} {}", uid.unwrap_or_default()),
+            Ok(Notice::Log { pos }) => format!("log {pos:?}"),
+            Err(why) => {
+                assert!(why.contains(wanted), "{line}: {why}");
+                continue;
+            }
+        };
+        assert_eq!(read, wanted, "{line}");
+    }
+}
+
+#[test]
+fn replies_are_read_whole_however_they_are_cut() {
+    let body = b"\r\na OK 3\r\n";
+    let whole = [b"a OK 10\r\n".as_slice(), body, b"\r\nb BUSY\r\n"].concat();
+    for cut in 0..whole.len() - 9 {
+        assert_eq!(calls::read(&whole[..cut.min(20)]).unwrap(), None, "cut at {cut}");
+    }
+    let (reply, taken) = calls::read(&whole).unwrap().unwrap();
+    assert_eq!((reply.id, reply.word, reply.body, taken), ("a", Word::Ok, body.as_slice(), 21));
+    for (line, word) in [
+        ("b BUSY\r\n", Word::Busy),
+        ("b ERR\r\n", Word::Err),
+        ("b LATE\r\n", Word::Late),
+        ("b VOID\r\n", Word::Void),
+        ("b OK 0\r\n\r\n", Word::Ok),
+    ] {
+        let (reply, taken) = calls::read(line.as_bytes()).unwrap().unwrap();
+        assert_eq!((reply.word, taken), (word, line.len()));
+    }
+    for bad in
+        ["b\r\n", "b WELL\r\n", "b OK\r\n", "b OK x\r\n", "b OK 999999\r\n", "b OK 1\r\nabc", "\u{1}\r\n"]
+    {
+        assert!(calls::read(bad.as_bytes()).is_err(), "{bad}");
+    }
+    assert_eq!(calls::call("ab", 250, b"x\n"), b"CALL ab 250 2\r\nx\n\r\n");
+}
+
+#[test]
+fn the_directory_s_answers_say_whether_their_connection_goes_on() {
+    let report = String::from_utf8(reports::report("n3", "h:1", true)).unwrap();
+    assert!(report.starts_with("PUT /dir/nodes/n3 HTTP/1.1\r\nHost: h:1\r\n"));
+    assert!(report.ends_with("Content-Length: 15\r\n\r\n{\"mode\":\"open\"}"));
+    for (answer, wanted) in [
+        ("HTTP/1.1 204 No Content\r\n\r\n", Some((204, true))),
+        ("HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n", Some((204, false))),
+        ("HTTP/1.1 500 Oh\r\nContent-Length: 2\r\n\r\nno", Some((500, true))),
+        ("HTTP/1.1 200 OK\r\n\r\n", Some((200, false))),
+        ("HTTP/1.1 500 Oh\r\nContent-Length: 2\r\n\r\nn", None),
+        ("HTTP/1.1 204 No Con", None),
+    ] {
+        let read = reports::read(answer.as_bytes()).unwrap();
+        assert_eq!(read.map(|a| (a.status, a.keeps)), wanted, "{answer}");
+    }
+    for bad in ["SPQR\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"] {
+        assert!(reports::read(bad.as_bytes()).is_err(), "{bad}");
+    }
+}
+
+#[test]
+fn only_a_connection_never_made_proves_that_a_call_never_ran() {
+    let refused = Ending::of_connect(&Error::from(ErrorKind::ConnectionRefused));
+    assert_eq!(refused, Ending::Refused);
+    assert_eq!(Ending::of_connect(&Error::from_raw_os_error(24)), Ending::NoRoom);
+    for (ending, proof) in [
+        (refused, true),
+        (Ending::NoRoom, true),
+        (Ending::of_connect(&Error::from(ErrorKind::TimedOut)), true),
+        (Ending::of_use(&Error::from(ErrorKind::ConnectionReset)), false),
+        (Ending::Closed, false),
+        (Ending::Idle, false),
+        (Ending::Silent, false),
+        (Ending::TooLong, false),
+        (Ending::Malformed("x".into()), false),
+        (Ending::Leaving, false),
+    ] {
+        assert_eq!(ending.outcome().never_ran(), proof, "{ending}");
+        assert_eq!(CallEnd::Link(ending).outcome().never_ran(), proof);
+    }
+    for (end, outcome) in [
+        (CallEnd::Reply(Word::Ok, vec![]), Outcome::Ok),
+        (CallEnd::Reply(Word::Busy, vec![]), Outcome::PushedBack),
+        (CallEnd::Reply(Word::Err, vec![]), Outcome::Error),
+        (CallEnd::Reply(Word::Late, vec![]), Outcome::TimedOut),
+        (CallEnd::Late, Outcome::TimedOut),
+        (CallEnd::Reply(Word::Void, vec![]), Outcome::Moot),
+        (CallEnd::Unsent, Outcome::Unreachable),
+    ] {
+        assert_eq!(end.outcome(), outcome);
+    }
+}
+
+#[test]
+fn a_token_is_known_for_its_window_and_waits_for_its_run() {
+    let mut keys = Keys::new(10);
+    keys.remember("k".into(), "a".into(), 1_000);
+    for (ts, found) in [(0, true), (1_000, true), (1_050, true), (1_051, false)] {
+        assert_eq!(keys.find("k", ts).is_some(), found, "{ts}");
+    }
+    assert_eq!(keys.find("other", 0), None);
+    assert_eq!(keys.share("k", &"b".into()), State::Open);
+    assert!(keys.settle("k", "not-a", State::Failed).is_empty(), "only the holder settles");
+    assert_eq!(keys.settle("k", "a", State::Served("12345678".into())), vec!["b".into()]);
+    assert_eq!(keys.share("k", &"c".into()), State::Served("12345678".into()));
+    // Past the limit of bytes the oldest result goes, but not that it ran.
+    keys.remember("l".into(), "d".into(), 2_000);
+    keys.settle("l", "d", State::Served("12345".into()));
+    assert_eq!(keys.share("k", &"e".into()), State::Failed);
+    assert_eq!(keys.share("l", &"f".into()), State::Served("12345".into()));
+    // Another holder, forgotten with those that wait for it.
+    keys.remember("l".into(), "g".into(), 3_000);
+    keys.share("l", &"h".into());
+    assert!(keys.forget("l", "d").is_empty());
+    assert_eq!(keys.forget("l", "g"), vec!["h".into()]);
+    assert_eq!(keys.find("l", 0), None);
+    // What is open outlives its window, what is settled does not for long.
+    keys.remember("m".into(), "i".into(), 5_000);
+    keys.sweep(1_000_000);
+    assert_eq!((keys.find("k", 0), keys.find("m", 0).is_some()), (None, true));
+}
+
+#[test]
+fn time_queued_is_clamped() {
+    for (now_ms, ts_ms, wanted_us) in
+        [(1_500, 1_000, 500_000), (1_000, 1_500, 0), (u64::MAX, 0, 7_000_000), (9_000, 1_000, 7_000_000)]
+    {
+        assert_eq!(since_us(now_ms, ts_ms, 7_000_000), wanted_us);
+    }
+}
+
+#[test]
+fn a_faulty_file_is_named_by_its_key() {
+    let good = serde_json::json!({
+        "name": "n3", "listen": "127.0.0.1:7001", "executor": "127.0.0.1:6100", "lookup": "127.0.0.1:8761",
+        "seed": "8c1f30d27a5be964", "stop_ms": 3200, "new-key": 1,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": helper::settings()
+    });
+    let placement = Placement::read(good.to_string().as_bytes()).unwrap();
+    assert_eq!((placement.seed, placement.below), (0x8c1f30d27a5be964, None));
+    for (way, value, key) in [
+        ("/name", "a/b".into(), "name"),
+        ("/listen", "7001".into(), "listen"),
+        ("/executor", 5.into(), "executor"),
+        ("/lookup", "".into(), "lookup"),
+        ("/seed", "xyz".into(), "seed"),
+        ("/stop_ms", 0.into(), "stop_ms"),
+        ("/limits/memory_mb", (-1).into(), "limits: field memory_mb"),
+        ("/limits/sockets", 10.into(), "limits: field sockets"),
+        ("/limits/cores", 0.into(), "limits: field cores"),
+        ("/settings/extra/cores", 0.into(), "settings extra: field cores"),
+        ("/settings/extra/below", "under".into(), "below"),
+        ("/settings/rules/cold-from", 2.into(), "cold-from"),
+        ("/settings/rules/fall-multiple", serde_json::Value::Null, "fall-multiple"),
+        ("/settings/categories/1/idempotency", "maybe".into(), "categories: field idempotency"),
+    ] {
+        let mut bad = good.clone();
+        *bad.pointer_mut(way).unwrap() = value;
+        let said = Placement::read(bad.to_string().as_bytes()).unwrap_err();
+        assert!(said.contains(key) && said.lines().count() == 1, "{way}: {said}");
+    }
+}
