Waits on channels in whole milliseconds, so that the module's wake-ups come in time

Seen: a loopback test of a cold node never heard a value sent back. Ruled out by a probe: the executor's link, gauges and the module's start were in order, and a node said to be up for 5 s had no trouble. Cause: may's channels keep a time-out in whole milliseconds, rounded down; below one it means for ever, and a wait of 49.7 ms is made twice. Wrong lines: Gate::wait_due and Life::patience.

--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -2,7 +2,7 @@
 //! verdict, reports what became of its run and calls, and gets the next one. Only this file knows the
 //! module's events and actions. One lock guards it, and nothing is read or written while it is held.
 
-use crate::clock::{since_us, Clock};
+use crate::clock::{since_us, whole_ms, Clock};
 use crate::ending::Ending;
 use crate::keys::{Keys, Served, State};
 use crate::wire::calls::Word;
@@ -122,7 +122,7 @@
         self.post.clone()
     }
 
-    /// Waits for whatever comes next, for so long at most.
+    /// Waits for whatever comes next, for so long at most (see [`whole_ms`]).
     pub fn wait(&self, most: Option<Duration>) -> Next {
         let Some(most) = most else { return self.mail.recv().unwrap_or(Next::Gone) };
         match self.mail.recv_timeout(most) {
@@ -318,7 +318,7 @@
                 return;
             }
             // Moved forward, or due: either way it is looked at again.
-            let _ = moved.recv_timeout(Duration::from_micros(due_us.min(now_us + 1_000_000) - now_us));
+            let _ = moved.recv_timeout(whole_ms(due_us.min(now_us + 1_000_000) - now_us));
         }
     }
 
--- a/crates/ochrewalk-node/src/life.rs
+++ b/crates/ochrewalk-node/src/life.rs
@@ -1,6 +1,7 @@
 //! The life of one RPC, from the line that brought it to its answer and the end of its run. One coroutine
 //! each: it does what the gate says and tells the gate what came of it. Nobody else answers it.
 
+use crate::clock::whole_ms;
 use crate::gate::{CallEnd, Incoming, Next, Report};
 use crate::net::dispatchers::Connection;
 use crate::node::Node;
@@ -159,7 +160,7 @@
     fn patience(&self) -> Option<Duration> {
         let until_us = self.call.as_ref()?.placed.as_ref()?.until_us;
         let most_us = (until_us + CALL_GRACE_US).saturating_sub(self.node.clock.now_us());
-        Some(Duration::from_micros(most_us + 1_000))
+        Some(whole_ms(most_us + 1_000))
     }
 
     fn give_up_call(&mut self) {
