One turn of the module for all that is ready; open RPCs bounded before they start

Seen: a probe with 500 connections of 32 RPCs each took the node to 306 MB and kept it from any answer for 5.5 s. Ruled out: unread input (18 MB before the first RPC's coroutine ran). Cause: the bound on open RPCs was checked only inside each RPC's coroutine, when all had been spawned, and the module took a turn over its whole hold for every RPC told. Wrong lines: Gate::pick and Gate::tell. After: 45 MB, 0.5 s of CPU in all, a health check answered in 7 ms.

--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -149,12 +149,19 @@
     clock: Clock,
     deployment: Deployment,
     seed: u64,
-    most_open: usize,
     state: Mutex<Inside>,
-    /// Tells the ticker that a wake-up has moved forward.
+    /// Tells who waits in [`Gate::turn`] that the module was told something.
+    stir: Sender<()>,
+    /// Tells who waits in [`Gate::wait_due`] that a wake-up has moved forward.
     earlier: Sender<()>,
 }
 
+/// The other ends of the gate's own channels.
+pub struct Stirred {
+    pub told: Receiver<()>,
+    pub earlier: Receiver<()>,
+}
+
 /// Before the executor is up there is no module, and nothing is taken.
 enum Inside {
     Closed(Desk),
@@ -169,6 +176,8 @@
     posture: Posture,
     wake_us: u64,
     wake_token: u64,
+    /// It was told something since its last turn.
+    stirred: bool,
     /// Repeats that an outcome already known has ended; the module hears of them next.
     shared: Vec<(RpcId, Outcome)>,
 }
@@ -179,15 +188,9 @@
 }
 
 impl Gate {
-    /// `most_open` RPCs may be open at once and results of `most_bytes` be kept; both follow from the
-    /// program's own limit of memory. The receiver is for [`Gate::wait_due`].
-    pub fn new(
-        clock: Clock,
-        deployment: Deployment,
-        seed: u64,
-        most_open: usize,
-        most_bytes: usize,
-    ) -> (Gate, Receiver<()>) {
+    /// Results of `most_bytes` at most are kept for repeats. The receivers are for [`Gate::turn`] and
+    /// [`Gate::wait_due`].
+    pub fn new(clock: Clock, deployment: Deployment, seed: u64, most_bytes: usize) -> (Gate, Stirred) {
         let idle_us = deployment.machine.idle_most_us;
         let desk = Desk {
             clock,
@@ -196,11 +199,12 @@
             posture: Posture { healthy: None, signal: None, idle_us },
             wake_us: u64::MAX,
             wake_token: 0,
+            stirred: false,
             shared: Vec::new(),
         };
-        let (earlier, moved) = channel();
+        let ((stir, told), (earlier, moved)) = (channel(), channel());
         let state = Mutex::new(Inside::Closed(desk));
-        (Gate { clock, deployment, seed, most_open, state, earlier }, moved)
+        (Gate { clock, deployment, seed, state, stir, earlier }, Stirred { told, earlier: moved })
     }
 
     /// The executor is up, and has been for so long: from here on RPCs are taken. Once only.
@@ -229,10 +233,6 @@
             if desk.open.contains_key(&new.id) {
                 return None;
             }
-            // Guards the program's own memory: past this the module's hold is far over its limit, too.
-            if desk.open.len() >= self.most_open {
-                return Some(false);
-            }
             let token = new.token.clone();
             let repeats = token.as_ref().and_then(|token| desk.keys.find(token, new.ts_ms));
             desk.open.insert(new.id.clone(), Open { post, token });
@@ -248,15 +248,16 @@
                 customer: None,
             };
             module.arrived(now_us, arrival);
-            Some(true)
+            Some(())
         });
         match took {
             Some(None) => None,
-            Some(Some(true)) => {
+            Some(Some(())) => {
                 let next = ticket.wait(None);
                 Some((ticket, next))
             }
-            Some(Some(false)) | None => Some((ticket, Next::PushBack { last: false, come_back_us: 0 })),
+            // No module yet: it cannot run.
+            None => Some((ticket, Next::PushBack { last: false, come_back_us: 0 })),
         }
     }
 
@@ -337,21 +338,36 @@
         self.desk(|desk| desk.open.len())
     }
 
-    /// Tells the module one thing and lets it act. None before it is there.
+    /// Lets the module act on all that it was told since it last did. Who is ready to tell it more does so
+    /// first. Guards against a flood: one turn for each RPC read would cost a look at all that are held.
+    pub fn turn(&self, told: &Receiver<()>) {
+        let _ = told.recv();
+        let earlier = {
+            let mut state = self.lock();
+            let Inside::Open(module) = &mut *state else { return };
+            let was_us = module.host().wake_us;
+            module.host().stirred = false;
+            module.turn(self.clock.now_us());
+            module.host().wake_us < was_us
+        };
+        if earlier {
+            let _ = self.earlier.send(());
+        }
+    }
+
+    /// Tells the module one thing; it acts in the next turn. None before it is there.
     fn tell<T>(&self, what: impl FnOnce(&mut Decide<Desk>, u64) -> T) -> Option<T> {
         let mut state = self.lock();
         let Inside::Open(module) = &mut *state else { return None };
         let now_us = self.clock.now_us();
-        let was_us = module.host().wake_us;
         let answer = what(module, now_us);
         while let Some((id, outcome)) = module.host().shared.pop() {
             module.run_ended(now_us, &id, outcome);
         }
-        module.turn(now_us);
-        let earlier = module.host().wake_us < was_us;
+        let first = !std::mem::replace(&mut module.host().stirred, true);
         drop(state);
-        if earlier {
-            let _ = self.earlier.send(());
+        if first {
+            let _ = self.stir.send(());
         }
         Some(answer)
     }
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -13,6 +13,7 @@
 use socket2::SockRef;
 use std::collections::HashMap;
 use std::net::Shutdown;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -248,9 +249,20 @@
                     state.rpcs = true;
                     state.open.insert(rpc.id.into(), incoming.id.clone());
                 }
+                // Guards the program's own memory against a flood: long before this many RPCs are open, the
+                // module's hold is full.
+                if self.node.lives.fetch_add(1, Ordering::Relaxed) >= self.node.most_lives {
+                    self.node.lives.fetch_sub(1, Ordering::Relaxed);
+                    let signal = self.node.gate.posture().signal;
+                    self.connection.answer(rpc.id, now_us, jsonrpc::refused(rpc.id, false, 0, signal));
+                    return Ok(());
+                }
                 let caller = Caller { connection: self.connection.clone(), id: rpc.id.into() };
                 let (node, body) = (self.node.clone(), rpc.body.get().to_string());
-                may::go!(move || crate::life::live(&node, &incoming, &body, caller));
+                may::go!(move || {
+                    crate::life::live(&node, &incoming, &body, caller);
+                    node.lives.fetch_sub(1, Ordering::Relaxed);
+                });
             }
             Message::Revoke(which) => {
                 let gone = {
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -11,6 +11,7 @@
 use may::sync::mpsc::{channel, Sender};
 use ochrewalk::deployment::{Deployment, Placement};
 use signal_hook::consts::{SIGINT, SIGTERM};
+use std::sync::atomic::AtomicUsize;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
     pub executor: Executor,
     pub below: Option<Below>,
     pub dispatchers: Dispatchers,
+    /// RPCs whose coroutines live, and how many may.
+    pub lives: AtomicUsize,
+    pub most_lives: usize,
 }
 
 /// Serves as the node of that file until SIGTERM or SIGINT, then ends the process. An error comes back before
@@ -78,8 +82,7 @@
     let bytes = placement.memory_mb as usize * 1024 * 1024;
     let deployment = placement.deployment;
     let lanes = deployment.method_names.iter().map(|n| serde_json::Value::from(n.as_str()).to_string());
-    let (gate, moved) =
-        Gate::new(clock, deployment.clone(), placement.seed, bytes / 4 / RPC_BYTES, bytes / 8);
+    let (gate, stirred) = Gate::new(clock, deployment.clone(), placement.seed, bytes / 8);
     let (below, wants) = placement.below.map(|at| Below::new(at, clock)).unzip();
     let node = Arc::new(Node {
         clock,
@@ -90,6 +93,8 @@
         executor: Executor::new(placement.executor),
         below,
         dispatchers: Dispatchers::default(),
+        lives: AtomicUsize::new(0),
+        most_lives: bytes / 4 / RPC_BYTES,
     });
     let (report_now, changed) = channel();
     let (of, report) = (node.clone(), report_now.clone());
@@ -101,10 +106,14 @@
         may::go!(move || of.below.iter().for_each(Below::watch));
     }
     let of = node.clone();
+    may::go!(move || loop {
+        of.gate.turn(&stirred.told);
+    });
+    let of = node.clone();
     may::go!(move || {
         let rows = rows();
         loop {
-            of.gate.wait_due(&moved);
+            of.gate.wait_due(&stirred.earlier);
             let row = of.executor.gauges(&rows).unwrap_or_default();
             of.gate.tick(of.deployment.gauges(|at| row.get(at).copied()));
         }
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -127,6 +127,13 @@
         self.child.wait().unwrap()
     }
 
+    /// The most memory that the node has had.
+    pub fn peak_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -471,6 +471,24 @@
     assert!(last.ask(HEARTBEAT).contains("pass"));
 }
 
+#[test]
+fn a_flood_stays_inside_the_program_s_memory() {
+    let stand = Stand::with(|config| config["limits"]["memory_mb"] = 64.into());
+    let mut executor = stand.executor();
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+    std::thread::spawn(move || executor.hear_out());
+    stand.caller().wait_healthy();
+    let mut callers: Vec<Peer> = (0..300).map(|_| stand.caller()).collect();
+    for (at, caller) in callers.iter_mut().enumerate() {
+        let lines: String = (1..=32).map(|n| rpc(at as u64 * 100 + n, "look") + "\n").collect();
+        caller.stream.write_all(lines.replace("QUJD", &"QUJD".repeat(600)).as_bytes()).unwrap();
+    }
+    // Most are turned away at once, each with one answer, and the node still speaks.
+    assert!(callers.iter_mut().rev().take(100).all(|caller| caller.hear().contains("-32011")));
+    stand.caller().wait_healthy();
+    assert!(stand.peak_kb() < 64 * 1024, "{} kB", stand.peak_kb());
+}
+
 #[test]
 fn a_faulty_file_ends_the_program_with_one_plain_line() {
     let bad = file(r#"{"name":"n1","limits":7}"#);
