Life: a call where nothing is below ends at once; idle connections judged in one place

Reread: a call out on a node without an address below waited until its time was over (Life, Next::Call). It was never sent, and says so now. The tests' nodes listen on addresses of their own, so that no other socket takes their port.

--- a/crates/ochrewalk-node/src/life.rs
+++ b/crates/ochrewalk-node/src/life.rs
@@ -8,6 +8,7 @@
 use crate::wire::calls::Word;
 use crate::wire::jsonrpc;
 use crate::wire::notices::RunEnd;
+use may::sync::mpsc::Sender;
 use ochrewalk::host::Effect;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,15 +68,7 @@
                 node.executor.stop(&rpc.id);
                 None
             }
-            Next::Call { until_us } => {
-                if let (Some(call), Some(below)) = (&mut life.call, &node.below) {
-                    let at_us = node.clock.now_us();
-                    call.placed = Some(Placed { at_us, until_us });
-                    let wait_ms = until_us.saturating_sub(at_us).div_ceil(1_000).max(1);
-                    below.call(&rpc.id, wait_ms, &call.body, ticket.post());
-                }
-                None
-            }
+            Next::Call { until_us } => life.place_call(until_us, ticket.post()),
             Next::Skip => {
                 if let Some(call) = life.call.take() {
                     node.executor.bypass(&rpc.id, call.pos);
@@ -132,6 +125,16 @@
         }
     }
 
+    fn place_call(&mut self, until_us: u64, post: Sender<Next>) -> Option<Report> {
+        let call = self.call.as_mut()?;
+        let at_us = self.node.clock.now_us();
+        call.placed = Some(Placed { at_us, until_us });
+        let Some(below) = &self.node.below else { return self.call_ended(CallEnd::Unsent) };
+        let wait_ms = until_us.saturating_sub(at_us).div_ceil(1_000).max(1);
+        below.call(&self.rpc.id, wait_ms, &call.body, post);
+        None
+    }
+
     /// The reply goes on to the run as it came. A call that ended in any other way still waits for a word.
     fn call_ended(&mut self, end: CallEnd) -> Option<Report> {
         let placed = self.call.as_mut()?.placed.take()?;
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -96,22 +96,7 @@
             let Posture { idle_us, .. } = node.gate.posture();
             let idle_us = if idle_us < node.idle_most_us { idle_us } else { u64::MAX };
             let now_us = node.clock.now_us();
-            let all = node.dispatchers.all();
-            for connection in all {
-                let idle = {
-                    let state = connection.lock();
-                    let quiet_us = now_us.saturating_sub(state.used_us);
-                    let ends = state.asked_us.is_some_and(|at| now_us >= at + TO_CLOSE_US);
-                    (state.rpcs && state.open.is_empty() && state.asked_us.is_none() && quiet_us >= idle_us)
-                        .then_some(false)
-                        .or((ends && state.open.is_empty()).then_some(true))
-                };
-                match idle {
-                    Some(false) => connection.ask_to_end(now_us),
-                    Some(true) => connection.outbox.finish(Finish::Idle),
-                    None => {}
-                }
-            }
+            node.dispatchers.all().iter().for_each(|connection| connection.end_if_idle(now_us, idle_us));
         }
     }
 
@@ -159,6 +144,22 @@
         }
     }
 
+    /// Asks for the end of a connection that has carried nothing for so long, and ends it if that is not done.
+    fn end_if_idle(&self, now_us: u64, idle_us: u64) {
+        let state = self.lock();
+        if !state.open.is_empty() {
+            return;
+        }
+        match state.asked_us {
+            Some(at_us) if now_us >= at_us + TO_CLOSE_US => self.outbox.finish(Finish::Idle),
+            None if state.rpcs && now_us.saturating_sub(state.used_us) >= idle_us => {
+                drop(state);
+                self.ask_to_end(now_us);
+            }
+            _ => {}
+        }
+    }
+
     fn ask_to_end(&self, now_us: u64) {
         let before = self.lock().asked_us.replace(now_us);
         if before.is_none() {
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -39,10 +39,14 @@
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
 
+fn number() -> u32 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
 /// A file of its own for each test, with this text.
 pub fn file(text: &str) -> PathBuf {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let number = number();
     let path = std::env::temp_dir().join(format!("ochrewalk-{}-{number}.json", std::process::id()));
     std::fs::write(&path, text).unwrap();
     path
@@ -72,7 +76,8 @@
 
     pub fn with(change: impl FnOnce(&mut Value)) -> Stand {
         let (executor, below, directory) = (listener(), listener(), listener());
-        let at = listener().local_addr().unwrap().to_string();
+        // An address of its own, whose port no other socket is given by chance.
+        let at = format!("127.{}.{}.1:7001", 10 + number() % 200, 1 + std::process::id() % 250);
         let address = |l: &TcpListener| l.local_addr().unwrap().to_string();
         let mut config = json!({
             "name": "n3", "listen": at, "executor": address(&executor), "lookup": address(&directory),
