Executor: a reply in doubt never goes to a later call of its run

Reread: RETURN names no call, so that one repeated after a broken link could have answered the next call of a run that had gone on meanwhile. Wrong lines: repeat_doubtful took every command of a live run. A call out that comes with the missed notices now clears what was in doubt of its run. The test fails without it.

--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -184,6 +184,9 @@
                 let body = BASE64_STANDARD
                     .decode(text.as_bytes())
                     .map_err(|err| Ending::Malformed(format!("CALLOUT: {err}")))?;
+                // Guards against a reply that goes to a later call of its run: the run has gone on, so that what
+                // was in doubt of it had been read.
+                self.lock().doubtful.retain(|line| notices::named(line).is_none_or(|(_, of)| of != uid));
                 self.news(&uid, Next::NeedsCall { pos, body });
             }
             Notice::Meters { echo, meters } => {
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -3,7 +3,7 @@
 
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -192,15 +192,27 @@
                 Err(err) if err.kind() == ErrorKind::ConnectionReset => return String::new(),
                 Err(err) => panic!("nothing heard: {err}"),
             }
-            let Some(tag) = line.strip_prefix(r#"{"action":"METER","echo":"#) else {
+            if !self.answers_meter(&line) {
                 return line.trim_end().to_string();
-            };
-            let tag = tag.trim_end().trim_end_matches('}');
-            let answer = format!("{{\"action\":\"METERS\",\"echo\":{tag},\"meters\":[0.1,0]}}\n");
-            let _ = self.stream.write_all(answer.as_bytes());
+            }
         }
     }
 
+    fn answers_meter(&mut self, line: &str) -> bool {
+        let Some(tag) = line.strip_prefix(r#"{"action":"METER","echo":"#) else { return false };
+        let tag = tag.trim_end().trim_end_matches('}');
+        let answer = format!("{{\"action\":\"METERS\",\"echo\":{tag},\"meters\":[0.1,0]}}\n");
+        let _ = self.stream.write_all(answer.as_bytes());
+        true
+    }
+
+    /// Hears and answers one question for gauges, and nothing before it.
+    pub fn hear_meter(&mut self) {
+        let mut line = String::new();
+        self.input.read_line(&mut line).unwrap();
+        assert!(self.answers_meter(&line), "{line}");
+    }
+
     /// The next line that holds these words.
     pub fn hear_of(&mut self, words: &str) -> String {
         loop {
@@ -235,6 +247,16 @@
         panic!("the node does not get healthy");
     }
 
+    /// Reads until all of these words have come, answers no question for gauges, so that nothing is confirmed,
+    /// and breaks the connection.
+    pub fn break_after(mut self, words: &[&str]) {
+        let mut seen = String::new();
+        while !words.iter().all(|words| seen.contains(words)) {
+            assert!(self.input.read_line(&mut seen).unwrap() > 0, "the end came before {words:?}");
+        }
+        self.stream.shutdown(Shutdown::Both).unwrap();
+    }
+
     /// Answers gauges until the other side ends the connection.
     pub fn hear_out(&mut self) {
         while !self.hear().is_empty() {}
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use helper::*;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::Shutdown;
 
 const HEARTBEAT: &str = r#"{"jsonrpc":"2.0","id":99,"method":"heartbeat"}"#;
@@ -337,18 +337,9 @@
 fn commands_in_doubt_go_out_again_unless_they_could_act_twice() {
     let (stand, mut executor) = Stand::up();
     let mut caller = stand.caller();
-    // Heard without an answer to any question for gauges: nothing is confirmed.
-    let mut raw = executor.stream.try_clone().unwrap();
     caller.say(&rpc(1, "look"));
     caller.say(&rpc(2, "once"));
-    let mut seen = String::new();
-    while !(seen.contains(&exec(1, "look")) && seen.contains(&exec(2, "once"))) {
-        let mut bytes = [0; 4096];
-        let got = raw.read(&mut bytes).unwrap();
-        seen.push_str(std::str::from_utf8(&bytes[..got]).unwrap());
-    }
-    raw.shutdown(Shutdown::Both).unwrap();
-    executor.hear_out();
+    executor.break_after(&[&exec(1, "look"), &exec(2, "once")]);
     let mut executor = stand.link();
     executor.hear_of("JOIN");
     executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":6000}"#);
@@ -360,6 +351,35 @@
     assert_eq!(executor.hear_of("EXEC"), exec(3, "look"));
 }
 
+#[test]
+fn a_reply_in_doubt_never_goes_to_a_later_call() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    caller.say(&rpc(1, "look"));
+    executor.hear_of(&exec(1, "look"));
+    executor.say(&callout(1, 1));
+    let mut below = Peer::accept(&stand.below);
+    let mut reply = |body: &str| {
+        below.hear_of("CALL");
+        below.hear_bytes(5);
+        below.say(&format!("{} OK 1\r\n{body}\r", req(1)));
+    };
+    reply("A");
+    executor.break_after(&["\"RETURN\""]);
+    let mut executor = stand.link();
+    executor.hear_of("JOIN");
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":6000}"#);
+    // The first reply had been read: the run waits for its second call.
+    executor.say(&callout(2, 1));
+    // What is in doubt would go out after the first answer about gauges.
+    executor.hear_meter();
+    executor.hear_meter();
+    reply("B");
+    assert!(executor.hear_of("RETURN").contains("\"Qg==\""));
+    executor.say(&exit(3, 1, "complete"));
+    assert_eq!(caller.hear(), served(1));
+}
+
 #[test]
 fn the_directory_hears_of_health_through_its_own_failures() {
     let stand = Stand::start();
