--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -335,7 +335,7 @@
 
 #[test]
 fn commands_in_doubt_go_out_again_unless_they_could_act_twice() {
-    let (stand, mut executor) = Stand::up();
+    let (stand, executor) = Stand::up();
     let mut caller = stand.caller();
     caller.say(&rpc(1, "look"));
     caller.say(&rpc(2, "once"));
