SIGHUP reads the node's file again; each call below has a connection of its own

Now the signals are caught before the file is read; a reload goes through deployment.rs, names what waits for the next start, and tries a faulty file again for two seconds. The executor's link closes with nothing left unread and joins anew from the last notice read, without a pause. Calls below have links of their own, up to an eighth of the descriptors: one that is spoilt costs no other call, and links to an old address end with their last reply.

--- a/crates/ochrewalk-node/src/ending.rs
+++ b/crates/ochrewalk-node/src/ending.rs
@@ -27,6 +27,8 @@
     Silent,
     /// We closed it, as this server leaves.
     Leaving,
+    /// We closed it, as the peer has a new address.
+    Moved,
 }
 
 impl Ending {
@@ -58,7 +60,8 @@
             | Ending::Malformed(_)
             | Ending::TooLong
             | Ending::Silent
-            | Ending::Leaving => Outcome::Interrupted,
+            | Ending::Leaving
+            | Ending::Moved => Outcome::Interrupted,
         }
     }
 }
@@ -82,6 +85,7 @@
             Ending::TooLong => f.write_str("closed on a message too long"),
             Ending::Silent => f.write_str("closed on a peer that did not answer"),
             Ending::Leaving => f.write_str("closed as this server leaves"),
+            Ending::Moved => f.write_str("closed for a new address"),
         }
     }
 }
--- a/crates/ochrewalk-node/src/main.rs
+++ b/crates/ochrewalk-node/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use log::LevelFilter;
 use ochrewalk::deployment::Placement;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 #[derive(Parser)]
@@ -40,13 +40,11 @@
             println!("ochrewalk {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::Check { config } => read(&config).map(|placement| {
+        Command::Check { config } => Placement::read_file(&config).map(|placement| {
             let (name, listen) = (&placement.name, placement.listen);
             println!("{}: good: node {name} would listen on {listen}", config.display());
         }),
-        Command::Serve { config, log } => {
-            read(&config).and_then(|placement| ochrewalk_node::node::serve(placement, log))
-        }
+        Command::Serve { config, log } => ochrewalk_node::node::serve(&config, log),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -56,8 +54,3 @@
         }
     }
 }
-
-fn read(file: &Path) -> Result<Placement, String> {
-    let text = std::fs::read(file).map_err(|err| format!("{}: {err}", file.display()))?;
-    Placement::read(&text).map_err(|why| format!("{}: {why}", file.display()))
-}
--- a/crates/ochrewalk-node/src/net/below.rs
+++ b/crates/ochrewalk-node/src/net/below.rs
@@ -1,16 +1,18 @@
-//! Calls to what lies below: one connection for all of them, made when a call needs it and closed by us
-//! before the other side would.
+//! Calls to what lies below. A connection carries one call at a time while there are descriptors for that, as
+//! one spoilt reply makes a connection useless for all calls on it. Connections are kept for later calls and
+//! closed by us before the other side would.
 
 use super::link::{carry, connect, Finish, Outbox, Reader};
 use crate::clock::Clock;
 use crate::ending::Ending;
 use crate::gate::{CallEnd, Next};
 use crate::wire::calls;
-use may::sync::mpsc::{channel, Receiver, Sender};
+use may::sync::mpsc::Sender;
 use may::sync::{Mutex, MutexGuard};
 use ochrewalk::host::RpcId;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 const CONNECT: Duration = Duration::from_millis(500);
@@ -18,84 +20,115 @@
 const IDLE_US: u64 = 8_000_000;
 
 pub struct Below {
-    at: SocketAddr,
     clock: Clock,
-    outbox: Outbox,
+    most_links: usize,
     state: Mutex<State>,
-    /// Tells the keeper that a call wants a connection.
-    wanted: Sender<()>,
 }
 
-#[derive(Default)]
 struct State {
+    /// Where new calls go. Links to a place before it only wait for the replies that are still due.
+    at: SocketAddr,
+    links: Vec<Arc<Link>>,
+}
+
+/// One connection, from the call that wants it to its end.
+struct Link {
+    at: SocketAddr,
+    outbox: Outbox,
+    carried: Mutex<Carried>,
+}
+
+struct Carried {
     calls: HashMap<RpcId, Sender<Next>>,
-    connected: bool,
     used_us: u64,
 }
 
 impl Below {
-    /// The receiver is for [`Below::keep`].
-    pub fn new(at: SocketAddr, clock: Clock) -> (Below, Receiver<()>) {
-        let (wanted, wants) = channel();
-        (Below { at, clock, outbox: Outbox::default(), state: Mutex::default(), wanted }, wants)
+    pub fn new(at: SocketAddr, clock: Clock, most_links: usize) -> Below {
+        Below { clock, most_links, state: Mutex::new(State { at, links: Vec::new() }) }
     }
 
     /// Places a call; what becomes of it goes to `post`.
-    pub fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], post: Sender<Next>) {
-        let connected = {
-            let mut state = self.lock();
-            state.calls.insert(id.clone(), post);
-            state.used_us = self.clock.now_us();
-            state.connected
+    pub fn call(self: &Arc<Self>, id: &RpcId, wait_ms: u64, body: &[u8], post: Sender<Next>) {
+        let mut state = self.lock();
+        let calls_on = |link: &Link| link.lock().calls.len();
+        let here = state.links.iter().filter(|link| link.at == state.at);
+        // The last one used is the first one used again, so that the others are closed as idle.
+        let least = here.min_by_key(|link| {
+            let carried = link.lock();
+            (carried.calls.len(), u64::MAX - carried.used_us)
+        });
+        let room = state.links.len() < self.most_links;
+        let link = match least.filter(|link| !room || calls_on(link) == 0).cloned() {
+            Some(link) => link,
+            None => {
+                let carried = Mutex::new(Carried { calls: HashMap::new(), used_us: 0 });
+                let link = Arc::new(Link { at: state.at, outbox: Outbox::default(), carried });
+                state.links.push(link.clone());
+                let (below, of) = (self.clone(), link.clone());
+                may::go!(move || below.keep(&of));
+                link
+            }
         };
-        self.outbox.push(calls::call(id, wait_ms, body));
-        if !connected {
-            let _ = self.wanted.send(());
+        {
+            let mut carried = link.lock();
+            carried.calls.insert(id.clone(), post);
+            carried.used_us = self.clock.now_us();
         }
+        link.outbox.push(calls::call(id, wait_ms, body));
     }
 
     /// Gives a call up; nothing more is heard of it.
     pub fn give_up(&self, id: &str) {
-        if self.lock().calls.remove(id).is_some() {
-            self.outbox.push(calls::give_up(id));
+        let Some(link) = self.carrier(id) else { return };
+        if link.lock().calls.remove(id).is_some() {
+            link.outbox.push(calls::give_up(id));
+        }
+    }
+
+    /// Calls go to this place from now on. The links to the one before end with their last reply.
+    pub fn move_to(&self, at: SocketAddr) {
+        self.lock().at = at;
+        self.close_idle();
+    }
+
+    /// Closes connections that have carried nothing for a while, for ever.
+    pub fn watch(&self) {
+        loop {
+            may::coroutine::sleep(Duration::from_millis(500));
+            self.close_idle();
         }
     }
 
-    /// Connects whenever there are calls and none is connected.
-    pub fn keep(&self, wants: &Receiver<()>) {
-        while wants.recv().is_ok() {
-            while !self.lock().calls.is_empty() {
-                self.lock().connected = true;
-                let ending = match connect(&self.at, CONNECT) {
-                    Ok(stream) => {
-                        self.lock().used_us = self.clock.now_us();
-                        carry(&stream, &self.outbox, None, calls::LONGEST, &mut Link { below: self })
-                    }
-                    Err(ending) => ending,
-                };
-                self.ended(&ending);
+    fn close_idle(&self) {
+        let state = self.lock();
+        for link in &state.links {
+            let carried = link.lock();
+            let idle_us = self.clock.now_us().saturating_sub(carried.used_us);
+            if carried.calls.is_empty() && (idle_us >= IDLE_US || link.at != state.at) {
+                link.outbox.finish(Finish::Idle);
             }
         }
     }
 
-    /// The connection ended, or was never made: so did every call on it.
-    fn ended(&self, ending: &Ending) {
-        let calls = {
-            let mut state = self.lock();
-            state.connected = false;
-            // We close only with no call open, so that one that has come since is not written yet.
-            if *ending == Ending::Idle {
-                return;
+    /// Carries one link to its end.
+    fn keep(&self, link: &Arc<Link>) {
+        let ending = match connect(&link.at, CONNECT) {
+            Ok(stream) => {
+                carry(&stream, &link.outbox, None, calls::LONGEST, &mut Replies { below: self, link })
             }
-            std::mem::take(&mut state.calls)
+            Err(ending) => ending,
         };
-        let unwritten = self.outbox.take_unwritten();
+        // From here on no call finds it. Guards against a call that comes while it closes as idle.
+        self.lock().links.retain(|other| !Arc::ptr_eq(other, link));
+        let calls = std::mem::take(&mut link.lock().calls);
+        let unwritten = link.outbox.take_unwritten();
         let never_written = |id: &str| {
             let start = format!("CALL {id} ");
             unwritten.iter().any(|line| line.starts_with(start.as_bytes()))
         };
-        if *ending != Ending::Closed || !calls.is_empty() {
-            log::warn!("below {}: {ending}; {} calls under way", self.at, calls.len());
+        if !calls.is_empty() {
+            log::warn!("below {}: {ending}; {} calls under way", link.at, calls.len());
         }
         for (id, post) in calls {
             // What was never written whole never ran, however the connection ended.
@@ -104,16 +137,8 @@
         }
     }
 
-    /// Closes the connection once it has carried nothing for a while.
-    pub fn watch(&self) {
-        loop {
-            may::coroutine::sleep(Duration::from_millis(500));
-            let state = self.lock();
-            let idle_us = self.clock.now_us().saturating_sub(state.used_us);
-            if state.connected && state.calls.is_empty() && idle_us >= IDLE_US {
-                self.outbox.finish(Finish::Idle);
-            }
-        }
+    fn carrier(&self, id: &str) -> Option<Arc<Link>> {
+        self.lock().links.iter().find(|link| link.lock().calls.contains_key(id)).cloned()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -121,17 +146,24 @@
     }
 }
 
-struct Link<'a> {
+impl Link {
+    fn lock(&self) -> MutexGuard<'_, Carried> {
+        self.carried.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+}
+
+struct Replies<'a> {
     below: &'a Below,
+    link: &'a Link,
 }
 
-impl Reader for Link<'_> {
+impl Reader for Replies<'_> {
     fn take(&mut self, input: &[u8]) -> Result<usize, Ending> {
         let Some((reply, taken)) = calls::read(input).map_err(Ending::Malformed)? else { return Ok(0) };
         let post = {
-            let mut state = self.below.lock();
-            state.used_us = self.below.clock.now_us();
-            state.calls.remove(reply.id)
+            let mut carried = self.link.lock();
+            carried.used_us = self.below.clock.now_us();
+            carried.calls.remove(reply.id)
         };
         // One that was given up may still be answered.
         if let Some(post) = post {
--- a/crates/ochrewalk-node/src/net/directory.rs
+++ b/crates/ochrewalk-node/src/net/directory.rs
@@ -15,10 +15,19 @@
 const WAIT: Duration = Duration::from_secs(1);
 
 /// Reports for ever, where there is health to report. `changed` gets a word whenever that may have changed.
-pub fn keep(at: SocketAddr, name: &str, healthy: impl Fn() -> Option<bool>, changed: &Receiver<()>) {
-    let mut stream = None;
+pub fn keep(
+    at: impl Fn() -> SocketAddr,
+    name: &str,
+    healthy: impl Fn() -> Option<bool>,
+    changed: &Receiver<()>,
+) {
+    let (mut stream, mut before) = (None, at());
     let mut failed = false;
     loop {
+        let at = at();
+        if at != before {
+            (stream, before) = (None, at);
+        }
         let report = healthy().map(|healthy| reports::report(name, &at.to_string(), healthy));
         let told = report.map_or(Ok(()), |report| tell(&at, &mut stream, &report));
         if let Err(ending) = &told {
--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -5,7 +5,7 @@
 //! all the time, and who answers them has read all that was written before. What is not confirmed so is
 //! written again once the new link has brought the notices that were missed.
 
-use super::link::{carry, connect, Outbox, Reader};
+use super::link::{carry, connect, Finish, Outbox, Reader};
 use crate::ending::Ending;
 use crate::gate::{Gate, Next};
 use crate::wire::notices::{self, Notice, RunEnd};
@@ -24,13 +24,12 @@
 const METERS: Duration = Duration::from_millis(15);
 
 pub struct Executor {
-    at: SocketAddr,
     outbox: Outbox,
     state: Mutex<State>,
 }
 
-#[derive(Default)]
 struct State {
+    at: SocketAddr,
     /// Where news of each run goes.
     runs: HashMap<RpcId, Run>,
     /// The last notice that was read.
@@ -50,7 +49,24 @@
 
 impl Executor {
     pub fn new(at: SocketAddr) -> Executor {
-        Executor { at, outbox: Outbox::keeping(), state: Mutex::default() }
+        let state = State {
+            at,
+            runs: HashMap::new(),
+            read: 0,
+            welcomed: false,
+            asked: 0,
+            meters: None,
+            doubtful: Vec::new(),
+        };
+        Executor { outbox: Outbox::keeping(), state: Mutex::new(state) }
+    }
+
+    /// It is found there from now on: the link is made anew, and goes on where it was left.
+    pub fn move_to(&self, at: SocketAddr) {
+        let from = std::mem::replace(&mut self.lock().at, at);
+        if from != at {
+            self.outbox.finish(Finish::Moved);
+        }
     }
 
     /// Starts a run; what becomes of it goes to `post`. Where `again` is harmless the command is repeated
@@ -101,9 +117,9 @@
     /// Keeps the link up for ever. `up` gets a word whenever the executor is known to be up.
     pub fn keep(&self, gate: &Gate, up: &Sender<()>) {
         loop {
-            let ending = match connect(&self.at, CONNECT) {
+            let State { at, read, .. } = *self.lock();
+            let ending = match connect(&at, CONNECT) {
                 Ok(stream) => {
-                    let read = self.lock().read;
                     let join = notices::join(read);
                     carry(
                         &stream,
@@ -118,9 +134,12 @@
             let was_up = std::mem::take(&mut self.lock().welcomed);
             self.lock().doubtful.extend(self.outbox.take_written());
             if was_up || ending != Ending::Refused {
-                log::warn!("executor {}: {ending}; joining again", self.at);
+                log::warn!("executor {at}: {ending}; joining again");
+            }
+            // At once where it had been up: each moment without a link is one in which nothing starts.
+            if !was_up {
+                may::coroutine::sleep(PAUSE);
             }
-            may::coroutine::sleep(PAUSE);
         }
     }
 
@@ -165,12 +184,7 @@
     fn notice(&self, gate: &Gate, up: &Sender<()>, notice: Notice) -> Result<(), Ending> {
         match notice {
             Notice::Welcome { cold, up_us } => {
-                log::info!(
-                    "executor {}: up for {} ms, {}",
-                    self.at,
-                    up_us / 1_000,
-                    if cold { "cold" } else { "warm" }
-                );
+                log::info!("executor: up for {} ms, {}", up_us / 1_000, if cold { "cold" } else { "warm" });
                 self.lock().welcomed = true;
                 gate.open(cold, up_us);
                 let _ = up.send(());
@@ -199,7 +213,7 @@
                 }
             }
             Notice::Bad { command, uid } => {
-                log::warn!("executor {}: {command} not carried out for {uid:?}", self.at);
+                log::warn!("executor: {command} not carried out for {uid:?}");
                 let Some(uid) = uid else { return Ok(()) };
                 match &*command {
                     // A run that was never begun is proof; for any other command it is none.
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -38,6 +38,8 @@
 pub enum Finish {
     /// At once.
     Idle,
+    /// Once what has come is read; what was not begun to be written waits for the next stream.
+    Moved,
     /// Nothing more is written, but what still comes is read: closing on unread input would reset answers
     /// that are under way.
     Leaving,
@@ -185,6 +187,11 @@
             Ok(0) => return Err(Ending::Closed),
             Ok(_) => {}
             Err(err) if err.kind() == ErrorKind::WouldBlock => {
+                // Guards against a reset, which could take commands with it that are on their way: nothing is
+                // left unread.
+                if writing.sent == writing.line.len() && outbox.lock().finish == Some(Finish::Moved) {
+                    return Err(Ending::Moved);
+                }
                 if input.is_empty() {
                     *input = Vec::new();
                 }
@@ -221,7 +228,8 @@
                         written.pop_front();
                     }
                 }
-                let next = waiting.lines.pop_front();
+                let moved = waiting.finish == Some(Finish::Moved);
+                let next = if moved { None } else { waiting.lines.pop_front() };
                 waiting.bytes -= next.as_ref().map_or(0, Vec::len);
                 (next, waiting.finish)
             };
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -10,18 +10,25 @@
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
 use ochrewalk::deployment::{Deployment, Placement};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::atomic::AtomicUsize;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Words of a coroutine's stack: 128 KiB, of which only what is used takes memory.
 const STACK_WORDS: usize = 0x4000;
-/// Descriptors that are not dispatchers' connections: the listener, three links and their successors, the
-/// runtime's own, the standard streams.
+/// Descriptors that are not dispatchers' connections, nor below: the listener, two links and their successors,
+/// the runtime's own, the standard streams.
 const OWN_DESCRIPTORS: usize = 24;
+/// One in so many descriptors may be a connection below; dispatchers take half of them at most.
+const OF_BELOW: usize = 8;
 /// Memory that one open RPC may take: its stack, its body and its answer.
 const RPC_BYTES: usize = 32 * 1024;
+/// A file that cannot be used on SIGHUP may be only half written: it is read so many times, so far apart.
+const READINGS: u32 = 20;
+const BETWEEN_READINGS: Duration = Duration::from_millis(100);
 /// Of `stop_ms`, what is kept for the last answers to be written, and for the process to end.
 const FLUSH_MS: u64 = 300;
 const LAST_MS: u64 = 200;
@@ -36,21 +43,25 @@
     pub lanes: Vec<String>,
     pub idle_most_us: u64,
     pub executor: Executor,
-    pub below: Option<Below>,
+    pub below: Option<Arc<Below>>,
+    /// Where the directory is.
+    directory: Mutex<SocketAddr>,
     pub dispatchers: Dispatchers,
     /// RPCs whose coroutines live, and how many may.
     pub lives: AtomicUsize,
     pub most_lives: usize,
 }
 
-/// Serves as the node of that file until SIGTERM or SIGINT, then ends the process. An error comes back before
-/// any socket is open.
-pub fn serve(placement: Placement, level: LevelFilter) -> Result<(), String> {
+/// Serves as the node of that file until SIGTERM or SIGINT, then ends the process. SIGHUP has the file read
+/// again. An error comes back before any socket is open.
+pub fn serve(file: &Path, level: LevelFilter) -> Result<(), String> {
+    // Before anything else: guards against a SIGHUP that ends a process which has only begun.
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
+        .map_err(|err| format!("cannot wait for signals: {err}"))?;
+    let mut placement = Placement::read_file(file)?;
     crate::logger::start(level);
     // One core is ours: one worker runs all coroutines, so that none of them ever waits for a lock for long.
     may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])
-        .map_err(|err| format!("cannot wait for signals: {err}"))?;
     // may lets processes share a port. Guards against two nodes on one address, each with half of the callers.
     let listener = std::net::TcpListener::bind(placement.listen)
         .and_then(|alone| {
@@ -59,31 +70,81 @@
         })
         .map_err(|err| format!("cannot listen on {}: {err}", placement.listen))?;
     log::info!("node {} listens on {}", placement.name, placement.listen);
+    let (node, report_now) = start(&placement, listener);
+    let mut readings = 0;
+    let signal = loop {
+        let came: Vec<i32> = if readings == 0 {
+            signals.wait().collect()
+        } else {
+            std::thread::sleep(BETWEEN_READINGS);
+            signals.pending().collect()
+        };
+        if let Some(end) = came.iter().find(|signal| **signal != SIGHUP) {
+            break *end;
+        }
+        if came.contains(&SIGHUP) {
+            readings = READINGS;
+        }
+        if readings > 0 {
+            readings =
+                if reload(&node, &report_now, file, &mut placement, readings) { 0 } else { readings - 1 };
+        }
+    };
     let stop_ms = placement.stop_ms;
-    let (node, report_now) = start(placement, listener);
-    if let Some(signal) = signals.forever().next() {
-        log::info!("signal {signal}: leaving within {stop_ms} ms");
-        let (left, over) = channel();
-        may::go!(move || {
-            leave(&node, stop_ms, &report_now);
-            let _ = left.send(());
-        });
-        let _ = over.recv_timeout(Duration::from_millis(stop_ms.saturating_sub(END_MS / 2)));
-        log::info!("over");
-        crate::logger::flush();
-    }
+    log::info!("signal {signal}: leaving within {stop_ms} ms");
+    let (left, over) = channel();
+    may::go!(move || {
+        leave(&node, stop_ms, &report_now);
+        let _ = left.send(());
+    });
+    let _ = over.recv_timeout(Duration::from_millis(stop_ms.saturating_sub(END_MS / 2)));
+    log::info!("over");
+    crate::logger::flush();
     // Coroutines that still wait for others end with the process.
     std::process::exit(0)
 }
 
+/// Reads the file again and takes over what may change. False where it can't be used and is worth another try.
+fn reload(
+    node: &Node,
+    report_now: &Sender<()>,
+    file: &Path,
+    placement: &mut Placement,
+    readings: u32,
+) -> bool {
+    let left_alone = match Placement::read_file(file) {
+        Ok(newer) => placement.take_over(newer),
+        Err(why) => {
+            if readings == READINGS || readings == 1 {
+                let then = if readings == 1 { "the old figures stay" } else { "it is read again" };
+                log::error!("SIGHUP: {why}; {then}");
+            }
+            return false;
+        }
+    };
+    let Placement { executor, directory, below, .. } = *placement;
+    let below_name = below.map_or("nothing".into(), |at| at.to_string());
+    log::info!("SIGHUP: executor {executor}, directory {directory}, below {below_name}");
+    for key in left_alone {
+        log::warn!("SIGHUP: {key} has changed; it takes effect with the next start only");
+    }
+    node.executor.move_to(executor);
+    if let (Some(links), Some(at)) = (&node.below, below) {
+        links.move_to(at);
+    }
+    *node.directory.lock().expect("never held over a panic") = directory;
+    let _ = report_now.send(());
+    true
+}
+
 /// Starts every part. What is sent to the sender makes the directory hear of the present health at once.
-fn start(placement: Placement, listener: TcpListener) -> (Arc<Node>, Sender<()>) {
+fn start(placement: &Placement, listener: TcpListener) -> (Arc<Node>, Sender<()>) {
     let clock = Clock::start();
     let bytes = placement.memory_mb as usize * 1024 * 1024;
-    let deployment = placement.deployment;
+    let deployment = placement.deployment.clone();
     let lanes = deployment.method_names.iter().map(|n| serde_json::Value::from(n.as_str()).to_string());
     let (gate, stirred) = Gate::new(clock, deployment.clone(), placement.seed, bytes / 8);
-    let (below, wants) = placement.below.map(|at| Below::new(at, clock)).unzip();
+    let most_links = placement.descriptors / OF_BELOW;
     let node = Arc::new(Node {
         clock,
         gate,
@@ -91,7 +152,8 @@
         idle_most_us: deployment.machine.idle_most_us,
         deployment,
         executor: Executor::new(placement.executor),
-        below,
+        below: placement.below.map(|at| Arc::new(Below::new(at, clock, most_links))),
+        directory: Mutex::new(placement.directory),
         dispatchers: Dispatchers::default(),
         lives: AtomicUsize::new(0),
         most_lives: bytes / 4 / RPC_BYTES,
@@ -99,11 +161,8 @@
     let (report_now, changed) = channel();
     let (of, report) = (node.clone(), report_now.clone());
     may::go!(move || of.executor.keep(&of.gate, &report));
-    if let Some(wants) = wants {
-        let of = node.clone();
-        may::go!(move || of.below.iter().for_each(|below| below.keep(&wants)));
-        let of = node.clone();
-        may::go!(move || of.below.iter().for_each(Below::watch));
+    if let Some(below) = node.below.clone() {
+        may::go!(move || below.watch());
     }
     let of = node.clone();
     may::go!(move || loop {
@@ -118,15 +177,16 @@
             of.gate.tick(of.deployment.gauges(|at| row.get(at).copied()));
         }
     });
-    let of = node.clone();
+    let (of, name) = (node.clone(), placement.name.clone());
     may::go!(move || {
+        let at = || *of.directory.lock().expect("never held over a panic");
         let healthy = || of.gate.posture().healthy;
-        directory::keep(placement.directory, &placement.name, healthy, &changed);
+        directory::keep(at, &name, healthy, &changed);
     });
     let of = node.clone();
     may::go!(move || Dispatchers::sweep(&of));
     let of = node.clone();
-    let most = placement.descriptors - OWN_DESCRIPTORS;
+    let most = placement.descriptors - OWN_DESCRIPTORS - most_links;
     may::go!(move || Dispatchers::accept(&of, &listener, most));
     (node, report_now)
 }
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -124,8 +124,22 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// Puts another text in the place of the node's file and tells it so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.config, text).unwrap();
+        self.signal("-HUP");
+    }
+
+    pub fn config(&self) -> Value {
+        serde_json::from_slice(&std::fs::read(&self.config).unwrap()).unwrap()
     }
 
     pub fn wait(&mut self) -> ExitStatus {
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -413,6 +413,53 @@
     }
 }
 
+#[test]
+fn a_file_read_again_moves_every_peer_and_loses_nothing() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    let mut call = |number, executor: &mut Peer| {
+        caller.say(&rpc(number, "look"));
+        executor.hear_of(&exec(number, "look"));
+        executor.say(&callout(2 * number - 1, number));
+    };
+    call(1, &mut executor);
+    let mut below = Peer::accept(&stand.below);
+    below.hear_of("CALL");
+    // A file that is half written, and one that is wrong, change nothing; they are read again.
+    let mut config = stand.config();
+    stand.reload("{\"name\":");
+    stand.reload(r#"{"name":7}"#);
+    let (new_executor, new_below, new_directory) = (listener(), listener(), listener());
+    for (key, at) in [("executor", &new_executor), ("store", &new_below), ("lookup", &new_directory)] {
+        config[key] = at.local_addr().unwrap().to_string().into();
+    }
+    // What cannot change while it runs is left alone.
+    config["name"] = "n4".into();
+    stand.reload(&config.to_string());
+    let mut executor = Peer::accept(&new_executor);
+    assert_eq!(executor.hear(), r#"{"action":"JOIN","pos":1}"#);
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":6000}"#);
+    // The reply that was due still comes over the old connection; the next call goes to the new place.
+    below.say(&format!("{} OK 0\r\n\r", req(1)));
+    executor.hear_of("RETURN");
+    executor.say(&exit(2, 1, "complete"));
+    assert_eq!(caller.hear(), served(1));
+    let mut call = |number, executor: &mut Peer| {
+        caller.say(&rpc(number, "look"));
+        executor.hear_of(&exec(number, "look"));
+        executor.say(&callout(2 * number - 1, number));
+    };
+    call(2, &mut executor);
+    let mut below = Peer::accept(&new_below);
+    below.hear_of("CALL");
+    below.hear_bytes(5);
+    below.say(&format!("{} OK 0\r\n\r", req(2)));
+    executor.hear_of("RETURN");
+    executor.say(&exit(4, 2, "complete"));
+    assert_eq!(caller.hear(), served(2));
+    assert_eq!(Peer::accept(&new_directory).hear(), "PUT /dir/nodes/n3 HTTP/1.1");
+}
+
 #[test]
 fn a_node_that_leaves_answers_all_that_it_read() {
     let (mut stand, mut executor) = Stand::up();
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -8,10 +8,11 @@
 use serde_json::Value;
 use std::borrow::Cow;
 use std::net::SocketAddr;
+use std::path::Path;
 
 /// What the operators state of a deployment: the object `options` of the simulator's wire, and `settings` in
 /// a real node's file.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
     pub machine: Machine,
     pub crowd: Crowd,
@@ -225,6 +226,30 @@
     }
 }
 
+impl Placement {
+    /// Reads a node's file; a message names it.
+    pub fn read_file(file: &Path) -> Result<Placement, String> {
+        let text = std::fs::read(file).map_err(|err| format!("{}: {err}", file.display()))?;
+        Placement::read(&text).map_err(|why| format!("{}: {why}", file.display()))
+    }
+
+    /// Takes over from a newer file what may change while the node runs: the addresses of its peers and
+    /// `stop_ms`. Gives the keys that have changed and wait for the next start. `seed` is new in any file.
+    pub fn take_over(&mut self, newer: Placement) -> Vec<&'static str> {
+        let same = [
+            ("name", self.name == newer.name),
+            ("listen", self.listen == newer.listen),
+            ("limits", (self.memory_mb, self.descriptors) == (newer.memory_mb, newer.descriptors)),
+            ("settings", self.deployment == newer.deployment),
+            ("store", self.below.is_some() == newer.below.is_some()),
+        ];
+        (self.executor, self.directory, self.stop_ms) = (newer.executor, newer.directory, newer.stop_ms);
+        // A tier that calls below goes on doing so, and the last one has no calls.
+        self.below = self.below.map(|old| newer.below.unwrap_or(old));
+        same.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
+    }
+}
+
 /// A message's fields, read with plain words on what is wrong.
 pub struct Fields<'a> {
     /// The message, or the way to this object in it.
--- a/src/host.rs
+++ b/src/host.rs
@@ -50,7 +50,7 @@
 }
 
 /// A method, as the deployment states it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Method {
     pub criticality: f64,
     /// The answer is wanted within this time.
@@ -79,7 +79,7 @@
 }
 
 /// The machine under this server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Machine {
     pub cores: u32,
     pub memory_kb: f64,
@@ -93,7 +93,7 @@
 }
 
 /// How many RPCs on the cores the server survives, and how that rises after a cold start.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Crowd {
     /// RPCs on the cores for each core that a warm server withstands.
     pub multiple: f64,
@@ -132,7 +132,7 @@
 }
 
 /// What can be told to callers.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Advice {
     pub sent_back: SentBack,
     pub callers: u32,
@@ -143,13 +143,13 @@
 }
 
 /// A customer's share: RPCs a second over the whole fleet, beyond which its RPCs count for little.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Customer {
     pub per_second: f64,
 }
 
 /// How criticality is counted, and between whom the fleet is shared.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Shares {
     /// Criticality counts for each unit of work, not for each RPC.
     pub by_work: bool,
