Bad clients cost only themselves: tokens stand for their work, silent connections go

At fault: keys.rs found a repeat by its token alone; dispatchers.rs entered an RPC on its connection under an id that another caller's RPC may hold, so that a revoke reached that one (gate.gone); accept() waited for room; nothing closed a connection without a whole line; level, via, and what is no base64 went unread (an executor ends its link on what it cannot read).

Now a token stands for a print of method and body; only the very RPC that was picked goes; a revoked RPC gets one word; over 32 open on a connection are pushed back unseen; eight faults, RPCs that the executor knows nothing of included, end a connection; a first line is due within 2 s; a full table sheds the silent, then the longest unused, never one that is owed an answer.

--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::{since_us, whole_ms, Clock};
 use crate::ending::Ending;
-use crate::keys::{Keys, Served, State};
+use crate::keys::{Keys, Known, Served, State};
 use crate::wire::calls::Word;
 use crate::wire::notices::RunEnd;
 use may::sync::mpsc::{channel, Receiver, Sender};
@@ -26,7 +26,23 @@
     pub kb: f64,
     /// When it came to the machine, in Unix time.
     pub ts_ms: u64,
-    pub token: Option<Arc<str>>,
+    pub token: Option<Token>,
+}
+
+/// The mark by which repeats are known, and a print of the work that all of them bring.
+#[derive(Clone, Debug)]
+pub struct Token {
+    pub key: Arc<str>,
+    pub work: u64,
+}
+
+/// Why an RPC was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turned {
+    /// One of its id is open.
+    OpenAlready,
+    /// Its token stands for other work, which `ran`, or is still open.
+    TokenTaken { ran: bool },
 }
 
 /// What an RPC's coroutine does next: a verdict of the module's, or news that came from the network.
@@ -105,7 +121,7 @@
         RunEnd::Complete => Outcome::Ok,
         RunEnd::Failed => Outcome::Error,
         RunEnd::Stopped => Outcome::Stopped,
-        RunEnd::NeverRan => Outcome::Moot,
+        RunEnd::NeverRan | RunEnd::Unknown => Outcome::Moot,
     }
 }
 
@@ -184,7 +200,7 @@
 
 struct Open {
     post: Sender<Next>,
-    token: Option<Arc<str>>,
+    token: Option<Token>,
 }
 
 impl Gate {
@@ -221,20 +237,26 @@
         let _ = self.earlier.send(());
     }
 
-    /// Tells the module of an RPC that was read and waits for the verdict. None where an RPC of that id is
-    /// open already.
-    pub fn pick(&self, new: &Incoming) -> Option<(Ticket, Next)> {
+    /// Tells the module of an RPC that was read and waits for the verdict.
+    pub fn pick(&self, new: &Incoming) -> Result<(Ticket, Next), Turned> {
         let (post, mail) = channel();
         let ticket = Ticket { id: new.id.clone(), post: post.clone(), mail };
         let method = &self.deployment.methods[new.method];
-        let queued_us = since_us(self.clock.unix_ms(), new.ts_ms, method.deadline_us);
+        let unix_ms = self.clock.unix_ms();
+        let queued_us = since_us(unix_ms, new.ts_ms, method.deadline_us);
         let took = self.tell(|module, now_us| {
             let desk = module.host();
             if desk.open.contains_key(&new.id) {
-                return None;
+                return Err(Turned::OpenAlready);
             }
             let token = new.token.clone();
-            let repeats = token.as_ref().and_then(|token| desk.keys.find(token, new.ts_ms));
+            // Guards against a stamp ahead of the clock, which would step over the window.
+            let ts_ms = new.ts_ms.min(unix_ms);
+            let repeats = match token.as_ref().map(|t| desk.keys.find(&t.key, t.work, ts_ms)) {
+                Some(Known::Other { ran }) => return Err(Turned::TokenTaken { ran }),
+                Some(Known::Same(holder)) => Some(holder),
+                Some(Known::No) | None => None,
+            };
             desk.open.insert(new.id.clone(), Open { post, token });
             let arrival = Arrival {
                 id: new.id.clone(),
@@ -248,17 +270,13 @@
                 customer: None,
             };
             module.arrived(now_us, arrival);
-            Some(())
+            Ok(())
         });
-        match took {
-            Some(None) => None,
-            Some(Some(())) => {
-                let next = ticket.wait(None);
-                Some((ticket, next))
-            }
-            // No module yet: it cannot run.
-            None => Some((ticket, Next::PushBack { last: false, come_back_us: 0 })),
-        }
+        // No module yet: it cannot run.
+        let Some(took) = took else { return Ok((ticket, Next::PushBack { last: false, come_back_us: 0 })) };
+        took?;
+        let next = ticket.wait(None);
+        Ok((ticket, next))
     }
 
     /// Tells the module what became of a run or a call and waits for what comes next. After a run's end
@@ -282,11 +300,15 @@
         }
     }
 
-    /// The caller of an RPC has gone. Its coroutine hears of it, too.
-    pub fn gone(&self, id: &str) {
+    /// The caller of an RPC has gone. Its coroutine hears of it, too. Guards against one that was never taken
+    /// here, as another caller's RPC has that id: only the very one that was picked goes.
+    pub fn gone(&self, id: &RpcId) {
         self.tell(|module, _| {
-            module.gone(id);
-            module.host().mail(id, Next::Gone);
+            let picked = module.host().open.get_key_value(id).is_some_and(|(open, _)| Arc::ptr_eq(open, id));
+            if picked {
+                module.gone(id);
+                module.host().mail(id, Next::Gone);
+            }
         });
     }
 
@@ -397,7 +419,7 @@
         }
     }
 
-    fn token(&self, id: &str) -> Option<Arc<str>> {
+    fn token(&self, id: &str) -> Option<Token> {
         self.open.get(id)?.token.clone()
     }
 
@@ -406,14 +428,14 @@
         let Some(token) = self.token(id) else { return };
         match (end, result) {
             // It never ran, so that another try may.
-            (RunEnd::NeverRan, _) => self.forget_token(&token, id),
+            (RunEnd::NeverRan | RunEnd::Unknown, _) => self.forget_token(&token.key, id),
             (RunEnd::Complete, Some(body)) => {
-                for repeat in self.keys.settle(&token, id, State::Served(body.clone())) {
+                for repeat in self.keys.settle(&token.key, id, State::Served(body.clone())) {
                     self.end_shared(repeat, Next::Serve(body.clone()), Outcome::Ok);
                 }
             }
             _ => {
-                for repeat in self.keys.settle(&token, id, State::Failed) {
+                for repeat in self.keys.settle(&token.key, id, State::Failed) {
                     self.end_shared(repeat, Next::Abort, Outcome::Error);
                 }
             }
@@ -460,19 +482,20 @@
 
     fn remember(&mut self, id: &str, ttl_us: u64) {
         let Some(token) = self.token(id) else { return };
-        self.keys.remember(token, id.into(), self.clock.unix_ms() + ttl_us.div_ceil(1_000));
+        let until_ms = self.clock.unix_ms() + ttl_us.div_ceil(1_000);
+        self.keys.remember(token.key, token.work, id.into(), until_ms);
     }
 
     fn forget_key(&mut self, id: &str) {
         if let Some(token) = self.token(id) {
-            self.forget_token(&token, id);
+            self.forget_token(&token.key, id);
         }
     }
 
     fn share_outcome(&mut self, id: &str) {
         let Some(token) = self.token(id) else { return };
         let repeat: RpcId = id.into();
-        match self.keys.share(&token, &repeat) {
+        match self.keys.share(&token.key, &repeat) {
             State::Open => {}
             State::Served(body) => self.end_shared(repeat, Next::Serve(body), Outcome::Ok),
             State::Failed => self.end_shared(repeat, Next::Abort, Outcome::Error),
--- a/crates/ochrewalk-node/src/keys.rs
+++ b/crates/ochrewalk-node/src/keys.rs
@@ -21,9 +21,23 @@
     Failed,
 }
 
+/// Whether a token is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Known {
+    No,
+    /// For the same work, by this RPC.
+    Same(RpcId),
+    /// For other work, which `ran`, or is still open.
+    Other {
+        ran: bool,
+    },
+}
+
 #[derive(Debug)]
 struct Entry {
     holder: RpcId,
+    /// A print of the work: all tries of one RPC carry the same.
+    work: u64,
     until_ms: u64,
     state: State,
     waiting: Vec<RpcId>,
@@ -43,15 +57,19 @@
         Keys { entries: HashMap::new(), bytes: 0, most_bytes }
     }
 
-    /// The RPC that a try of this token, which came at `ts_ms`, repeats.
-    pub fn find(&self, token: &str, ts_ms: u64) -> Option<RpcId> {
-        let live = self.entries.get(token).filter(|e| ts_ms <= e.until_ms + MARGIN_MS);
-        live.map(|e| e.holder.clone())
+    /// What is known of the token of a try that came at `ts_ms`. Guards against a stranger who has come to know
+    /// a token: the result is for those alone who bring the same work.
+    pub fn find(&self, token: &str, work: u64, ts_ms: u64) -> Known {
+        match self.entries.get(token).filter(|e| ts_ms <= e.until_ms + MARGIN_MS) {
+            None => Known::No,
+            Some(e) if e.work == work => Known::Same(e.holder.clone()),
+            Some(e) => Known::Other { ran: e.state != State::Open },
+        }
     }
 
-    /// `holder` has the token until `until_ms`, in Unix time.
-    pub fn remember(&mut self, token: Arc<str>, holder: RpcId, until_ms: u64) {
-        let entry = Entry { holder, until_ms, state: State::Open, waiting: Vec::new() };
+    /// `holder` has the token for that work until `until_ms`, in Unix time.
+    pub fn remember(&mut self, token: Arc<str>, work: u64, holder: RpcId, until_ms: u64) {
+        let entry = Entry { holder, work, until_ms, state: State::Open, waiting: Vec::new() };
         if let Some(old) = self.entries.insert(token, entry) {
             self.bytes -= size(&old.state);
         }
--- a/crates/ochrewalk-node/src/life.rs
+++ b/crates/ochrewalk-node/src/life.rs
@@ -2,7 +2,7 @@
 //! each: it does what the gate says and tells the gate what came of it. Nobody else answers it.
 
 use crate::clock::whole_ms;
-use crate::gate::{CallEnd, Incoming, Next, Report};
+use crate::gate::{CallEnd, Incoming, Next, Report, Turned};
 use crate::net::dispatchers::Connection;
 use crate::node::Node;
 use crate::wire::calls::Word;
@@ -50,10 +50,22 @@
     if !caller.connection.owes(&caller.id) {
         return;
     }
-    let Some((ticket, mut next)) = node.gate.pick(rpc) else {
-        log::warn!("dispatcher: an RPC whose req is open already");
-        let line = jsonrpc::error(&caller.id, -32602, "a req that is open already", "");
-        return caller.connection.answer(&caller.id, node.clock.now_us(), line);
+    let (ticket, mut next) = match node.gate.pick(rpc) {
+        Ok(taken) => taken,
+        Err(turned) => {
+            let why = match turned {
+                Turned::OpenAlready => "a req that is open already",
+                Turned::TokenTaken { .. } => "an opkey that stands for other work",
+            };
+            log::warn!("dispatcher: {why}");
+            let line = match turned {
+                // Who holds it may be the stranger and this one be honest: it never ran, and may elsewhere.
+                Turned::TokenTaken { ran: false } => jsonrpc::refused(&caller.id, false, 0, None),
+                _ => jsonrpc::error(&caller.id, jsonrpc::BAD_PARAMS, why, ""),
+            };
+            caller.connection.answer(&caller.id, node.clock.now_us(), line);
+            return caller.connection.fault();
+        }
     };
     let mut life = Life { node, rpc, caller: Some(caller), running: false, call: None };
     loop {
@@ -181,10 +193,15 @@
     fn run_ended(&mut self, end: RunEnd, result: Option<&str>) {
         self.running = false;
         self.give_up_call();
+        if let (RunEnd::Unknown, Some(caller)) = (end, &self.caller) {
+            caller.connection.fault();
+        }
         match (end, result) {
             (RunEnd::Complete, Some(body)) => self.answer(|id, signal| jsonrpc::served(id, body, signal)),
             // Nothing was started: another server may take it.
-            (RunEnd::NeverRan, _) => self.answer(|id, signal| jsonrpc::refused(id, false, 0, signal)),
+            (RunEnd::NeverRan | RunEnd::Unknown, _) => {
+                self.answer(|id, signal| jsonrpc::refused(id, false, 0, signal))
+            }
             _ => self.answer(jsonrpc::failed),
         }
     }
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -3,7 +3,7 @@
 
 use super::link::{carry, Finish, Outbox, Reader};
 use crate::ending::{out_of_room, Ending};
-use crate::gate::{Incoming, Posture};
+use crate::gate::{Incoming, Posture, Token};
 use crate::life::Caller;
 use crate::node::Node;
 use crate::wire::jsonrpc::{self, Message, Which};
@@ -12,6 +12,7 @@
 use ochrewalk::host::{Effect, RpcId};
 use socket2::SockRef;
 use std::collections::HashMap;
+use std::hash::BuildHasher;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -19,9 +20,19 @@
 
 /// Answers that wait on one connection before nothing more is read from it.
 const UNREAD: usize = 64 * 1024;
-/// The protocol allows 32 RPCs open on a connection.
-const MOST_OPEN: usize = 64;
-const SWEEP: Duration = Duration::from_millis(250);
+/// RPCs that the protocol allows to be open on a connection; more are pushed back unseen.
+const MOST_OPEN: usize = 32;
+const SWEEP: Duration = Duration::from_millis(100);
+/// How long a new connection may say nothing, and how long a line may take from its first byte to its last.
+const FIRST_LINE_US: u64 = 2_000_000;
+const LINE_US: u64 = 2_000_000;
+/// What is no proper RPC is answered so many times on a connection; then it is closed.
+const MOST_FAULTS: u32 = 8;
+/// The farthest that a stamp may be from our clock.
+const STAMP_MS: u64 = 3_600_000;
+/// Past this share of the table, connections that carry nothing are asked to end, and ended after this time.
+const CROWDED: f64 = 0.75;
+const CROWDED_CLOSE_US: u64 = 300_000;
 /// How long a dispatcher may take to close a connection that it was asked to end.
 const TO_CLOSE_US: u64 = 3_000_000;
 /// No descriptor is free: others may be soon.
@@ -52,10 +63,16 @@
     /// RPCs that are owed an answer, by the message's id.
     open: HashMap<Box<str>, RpcId>,
     used_us: u64,
+    /// It has said a whole line, and one that meant something.
+    spoke: bool,
+    good: bool,
+    faults: u32,
+    /// Since when a line is under way that has no end yet.
+    partial_us: Option<u64>,
     /// It has carried an RPC, not health checks alone.
     rpcs: bool,
-    /// When it was asked to end.
-    asked_us: Option<u64>,
+    /// It was asked to end, and ends by then.
+    end_by_us: Option<u64>,
 }
 
 impl Dispatchers {
@@ -66,17 +83,16 @@
             Err(err) => log::error!("cannot clone the listener: {err}"),
         }
         loop {
-            if node.dispatchers.lock().of.len() >= most {
-                log::warn!("{most} connections open: no more are accepted for a while");
-                may::coroutine::sleep(NO_ROOM);
-                continue;
-            }
             let accepted = listener.accept();
             if accepted.is_err() && node.dispatchers.lock().listener.is_none() {
                 return;
             }
             match accepted {
                 Ok((stream, _)) => {
+                    if !node.dispatchers.make_room(most) {
+                        log::warn!("{most} connections open, none of them idle: a new one is closed");
+                        continue;
+                    }
                     let node = node.clone();
                     may::go!(move || serve(&node, &stream));
                 }
@@ -89,21 +105,49 @@
         }
     }
 
-    /// Asks connections to end that have carried nothing for as long as the module says.
-    pub fn sweep(node: &Node) {
+    /// Whether one more may be served, `most` at a time. At need the least worthy goes that is owed no answer:
+    /// guards against a table full of those that say nothing, or asked once and stay, which would keep
+    /// callers out.
+    fn make_room(&self, most: usize) -> bool {
+        let mut open = self.lock();
+        if open.of.len() < most {
+            return true;
+        }
+        let worth = |connection: &Connection| {
+            let state = connection.lock();
+            state.open.is_empty().then_some((state.good, state.used_us))
+        };
+        let least = open.of.iter().filter_map(|(number, c)| Some((worth(c)?, *number))).min();
+        let ended = least.and_then(|(_, number)| open.of.remove(&number));
+        drop(open);
+        ended.map(|connection| connection.outbox.finish(Finish::Silent)).is_some()
+    }
+
+    /// Ends connections that say nothing, asks those to end that have carried nothing for as long as the module
+    /// says, and, where the table fills, those longest unused.
+    pub fn sweep(node: &Node, most: usize) {
         loop {
             may::coroutine::sleep(SWEEP);
             let Posture { idle_us, .. } = node.gate.posture();
             let idle_us = if idle_us < node.idle_most_us { idle_us } else { u64::MAX };
             let now_us = node.clock.now_us();
-            node.dispatchers.all().iter().for_each(|connection| connection.end_if_idle(now_us, idle_us));
+            let all = node.dispatchers.all();
+            all.iter().for_each(|connection| connection.end_if_idle(now_us, idle_us));
+            let over = all.len().saturating_sub((most as f64 * CROWDED) as usize);
+            if over > 0 {
+                let mut idle: Vec<_> = all.iter().filter_map(|c| Some((c.idle_since_us()?, c))).collect();
+                idle.sort_unstable_by_key(|(since_us, _)| *since_us);
+                for (_, connection) in idle.into_iter().take(over) {
+                    connection.ask_to_end(now_us, CROWDED_CLOSE_US);
+                }
+            }
         }
     }
 
     /// This server leaves: no RPC comes on these connections any more.
     pub fn leave(&self, now_us: u64) {
         self.lock().leaving = true;
-        self.all().iter().for_each(|connection| connection.ask_to_end(now_us));
+        self.all().iter().for_each(|connection| connection.ask_to_end(now_us, TO_CLOSE_US));
     }
 
     /// Nothing more is accepted: who comes now is refused, which proves that nothing ran.
@@ -149,25 +193,50 @@
         self.lock().open.contains_key(id)
     }
 
+    /// What came was no proper RPC. Past a few of them the connection ends once its answers are written: guards
+    /// against a flood of what costs its sender nothing.
+    pub fn fault(&self) {
+        let mut state = self.lock();
+        state.faults += 1;
+        if state.faults >= MOST_FAULTS {
+            drop(state);
+            self.outbox.finish(Finish::Faulty);
+        }
+    }
+
     /// Asks for the end of a connection that has carried nothing for so long, and ends it if that is not done.
+    /// One that never said a whole line ends without a word.
     fn end_if_idle(&self, now_us: u64, idle_us: u64) {
         let state = self.lock();
+        let unused_us = now_us.saturating_sub(state.used_us);
+        let unsaid = state.partial_us.is_some_and(|from_us| now_us >= from_us + LINE_US)
+            || !state.spoke && unused_us >= FIRST_LINE_US;
+        if unsaid {
+            return self.outbox.finish(Finish::Silent);
+        }
         if !state.open.is_empty() {
             return;
         }
-        match state.asked_us {
-            Some(at_us) if now_us >= at_us + TO_CLOSE_US => self.outbox.finish(Finish::Idle),
-            None if state.rpcs && now_us.saturating_sub(state.used_us) >= idle_us => {
+        match state.end_by_us {
+            Some(by_us) if now_us >= by_us => self.outbox.finish(Finish::Idle),
+            None if state.rpcs && unused_us >= idle_us => {
                 drop(state);
-                self.ask_to_end(now_us);
+                self.ask_to_end(now_us, TO_CLOSE_US);
             }
             _ => {}
         }
     }
 
-    fn ask_to_end(&self, now_us: u64) {
-        let before = self.lock().asked_us.replace(now_us);
-        if before.is_none() {
+    /// Since when it is owed no answer and has not been asked to end.
+    fn idle_since_us(&self) -> Option<u64> {
+        let state = self.lock();
+        (state.open.is_empty() && state.end_by_us.is_none()).then_some(state.used_us)
+    }
+
+    fn ask_to_end(&self, now_us: u64, within_us: u64) {
+        let mut state = self.lock();
+        if state.end_by_us.is_none() {
+            state.end_by_us = Some(now_us + within_us);
             self.outbox.push(jsonrpc::no_more());
         }
     }
@@ -193,7 +262,7 @@
         (number, open.leaving)
     };
     if leaving {
-        connection.ask_to_end(now_us);
+        connection.ask_to_end(now_us, TO_CLOSE_US);
     }
     let mut reader = Inbound { node, connection: &connection };
     let ending = carry(stream, &connection.outbox, None, jsonrpc::LONGEST, &mut reader);
@@ -214,7 +283,11 @@
 
 impl Reader for Inbound<'_> {
     fn take(&mut self, input: &[u8]) -> Result<usize, Ending> {
-        let Some((line, taken)) = crate::wire::line(input) else { return Ok(0) };
+        let Some((line, taken)) = crate::wire::line(input) else {
+            let now_us = self.node.clock.now_us();
+            self.connection.lock().partial_us.get_or_insert(now_us);
+            return Ok(0);
+        };
         if !line.trim_ascii().is_empty() {
             self.message(jsonrpc::read(line))?;
         }
@@ -222,42 +295,50 @@
     }
 
     fn ready(&self) -> bool {
-        self.connection.outbox.bytes() < UNREAD && self.connection.lock().open.len() < MOST_OPEN
+        self.connection.outbox.bytes() < UNREAD
     }
 }
 
 impl Inbound<'_> {
     fn message(&self, message: Message) -> Result<(), Ending> {
         let now_us = self.node.clock.now_us();
-        self.connection.lock().used_us = now_us;
+        {
+            let mut state = self.connection.lock();
+            (state.used_us, state.partial_us, state.spoke) = (now_us, None, true);
+            state.good |= matches!(message, Message::Rpc(_) | Message::Heartbeat { .. });
+        }
         match message {
             Message::Rpc(rpc) => {
                 let Some(method) = self.node.deployment.method(&rpc.method) else {
-                    return self.faulty(rpc.id, -32601, "unknown method");
+                    return self.faulty(rpc.id, jsonrpc::NO_METHOD, "unknown method");
                 };
+                if self.node.clock.unix_ms().abs_diff(rpc.ts_ms) > STAMP_MS {
+                    return self.faulty(rpc.id, jsonrpc::BAD_PARAMS, "ts is out of range");
+                }
                 let tokened = self.node.deployment.methods[method].effect == Effect::Tokened;
-                if tokened && rpc.opkey.is_none() {
-                    return self.faulty(rpc.id, -32602, "no opkey");
+                let token = rpc.opkey.filter(|_| tokened).map(|key| Token {
+                    key: (&*key).into(),
+                    work: self.node.prints.hash_one((method, rpc.body.get())),
+                });
+                if tokened && token.is_none() {
+                    return self.faulty(rpc.id, jsonrpc::BAD_PARAMS, "no opkey");
                 }
-                let incoming = Incoming {
-                    id: (&*rpc.req).into(),
-                    method,
-                    kb: rpc.kb,
-                    ts_ms: rpc.ts_ms,
-                    token: rpc.opkey.filter(|_| tokened).map(|key| (&*key).into()),
-                };
-                {
+                let incoming =
+                    Incoming { id: (&*rpc.req).into(), method, kb: rpc.kb, ts_ms: rpc.ts_ms, token };
+                let open = {
                     let mut state = self.connection.lock();
                     if state.open.contains_key(rpc.id) {
                         drop(state);
-                        return self.faulty(rpc.id, -32600, "an id that is open already");
+                        return self.faulty(rpc.id, jsonrpc::BAD_REQUEST, "an id that is open already");
                     }
                     state.rpcs = true;
                     state.open.insert(rpc.id.into(), incoming.id.clone());
-                }
+                    state.open.len()
+                };
                 // Guards the program's own memory against a flood: long before this many RPCs are open, the
                 // module's hold is full.
-                if self.node.lives.fetch_add(1, Ordering::Relaxed) >= self.node.most_lives {
+                let lives = self.node.lives.fetch_add(1, Ordering::Relaxed);
+                if open > MOST_OPEN || lives >= self.node.most_lives {
                     self.node.lives.fetch_sub(1, Ordering::Relaxed);
                     let signal = self.node.gate.posture().signal;
                     self.connection.answer(rpc.id, now_us, jsonrpc::refused(rpc.id, false, 0, signal));
@@ -279,10 +360,11 @@
                             state.open.iter().find(|(_, open)| ***open == *req).map(|(id, _)| id.clone())
                         }
                     };
-                    id.and_then(|id| state.open.remove(&id))
+                    id.and_then(|id| state.open.remove_entry(&id))
                 };
-                if let Some(id) = gone {
+                if let Some((number, id)) = gone {
                     self.node.gate.gone(&id);
+                    self.connection.outbox.push(jsonrpc::revoked(&number));
                 }
             }
             Message::Heartbeat { id } => {
@@ -291,18 +373,16 @@
                 self.connection.outbox.push(jsonrpc::heartbeat(id, pass, signal));
             }
             Message::Faulty { id, code, why } => return self.faulty(id, code, why),
-            Message::Nothing { method } => {
-                log::warn!("dispatcher: a notification {method:.20?} with no meaning here");
-            }
             Message::NoRpc => return Err(Ending::Malformed("no JSON-RPC".into())),
         }
         Ok(())
     }
 
-    /// Tells a sender what was wrong; the connection goes on.
+    /// Tells a sender what was wrong; the connection goes on for a while.
     fn faulty(&self, id: &str, code: i32, why: &'static str) -> Result<(), Ending> {
         log::warn!("dispatcher: {why}");
         self.connection.outbox.push(jsonrpc::error(id, code, why, ""));
+        self.connection.fault();
         Ok(())
     }
 }
--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -217,7 +217,7 @@
                 let Some(uid) = uid else { return Ok(()) };
                 match &*command {
                     // A run that was never begun is proof; for any other command it is none.
-                    "EXEC" => self.ended(&uid, RunEnd::NeverRan, None),
+                    "EXEC" => self.ended(&uid, RunEnd::Unknown, None),
                     "RETURN" | "BYPASS" => self.ended(&uid, RunEnd::Failed, None),
                     _ => {}
                 }
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -38,6 +38,10 @@
 pub enum Finish {
     /// At once.
     Idle,
+    /// Whatever else comes, as the peer sends what means nothing.
+    Faulty,
+    /// Whatever else comes, as the peer says nothing.
+    Silent,
     /// Once what has come is read; what was not begun to be written waits for the next stream.
     Moved,
     /// Nothing more is written, but what still comes is read: closing on unread input would reset answers
@@ -238,6 +242,8 @@
             if writing.line.is_empty() {
                 match finish {
                     Some(Finish::Idle) => return Err(Ending::Idle),
+                    Some(Finish::Faulty) => return Err(Ending::Malformed("too many faults".into())),
+                    Some(Finish::Silent) => return Err(Ending::Silent),
                     Some(Finish::Leaving) if !writing.half_closed => {
                         writing.half_closed = true;
                         let _ = stream.shutdown(Shutdown::Write);
@@ -250,7 +256,13 @@
         match stream.inner().write(&writing.line[writing.sent..]) {
             Ok(0) => return Err(Ending::Closed),
             Ok(wrote) => writing.sent += wrote,
-            Err(err) if err.kind() == ErrorKind::WouldBlock => return Ok(()),
+            // Guards against a peer that reads nothing: what is to end does not wait for it.
+            Err(err) if err.kind() == ErrorKind::WouldBlock => {
+                return match outbox.lock().finish {
+                    Some(Finish::Idle | Finish::Faulty | Finish::Silent) => Err(Ending::Silent),
+                    _ => Ok(()),
+                };
+            }
             Err(err) if err.kind() == ErrorKind::Interrupted => {}
             Err(err) => return Err(Ending::of_use(&err)),
         }
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -11,6 +11,7 @@
 use may::sync::mpsc::{channel, Sender};
 use ochrewalk::deployment::{Deployment, Placement};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::collections::hash_map::RandomState;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::AtomicUsize;
@@ -44,6 +45,8 @@
     pub idle_most_us: u64,
     pub executor: Executor,
     pub below: Option<Arc<Below>>,
+    /// Prints of RPCs' work, by a key that no stranger knows.
+    pub prints: RandomState,
     /// Where the directory is.
     directory: Mutex<SocketAddr>,
     pub dispatchers: Dispatchers,
@@ -153,6 +156,7 @@
         deployment,
         executor: Executor::new(placement.executor),
         below: placement.below.map(|at| Arc::new(Below::new(at, clock, most_links))),
+        prints: RandomState::new(),
         directory: Mutex::new(placement.directory),
         dispatchers: Dispatchers::default(),
         lives: AtomicUsize::new(0),
@@ -183,10 +187,10 @@
         let healthy = || of.gate.posture().healthy;
         directory::keep(at, &name, healthy, &changed);
     });
+    let most = placement.descriptors - OWN_DESCRIPTORS - most_links;
     let of = node.clone();
-    may::go!(move || Dispatchers::sweep(&of));
+    may::go!(move || Dispatchers::sweep(&of, most));
     let of = node.clone();
-    let most = placement.descriptors - OWN_DESCRIPTORS - most_links;
     may::go!(move || Dispatchers::accept(&of, &listener, most));
     (node, report_now)
 }
--- a/crates/ochrewalk-node/src/wire/notices.rs
+++ b/crates/ochrewalk-node/src/wire/notices.rs
@@ -16,6 +16,8 @@
     Stopped,
     /// Nothing was started.
     NeverRan,
+    /// Nothing was started, as the executor knows of no such RPC: its sender made it up.
+    Unknown,
 }
 
 #[derive(Debug)]
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -249,6 +249,12 @@
         self.hear()
     }
 
+    /// Takes an RPC back and hears the one word on it.
+    pub fn revoke(&mut self, number: u64) {
+        let revoke = format!(r#"{{"jsonrpc":"2.0","method":"revoke","params":{{"id":{number}}}}}"#);
+        assert!(self.ask(&revoke).contains(&format!(r#""id":{number},"error":{{"code":-32800"#)));
+    }
+
     /// Asks for health until it is good; gives that answer.
     pub fn wait_healthy(&mut self) -> String {
         for _ in 0..1000 {
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -63,8 +63,13 @@
 
 #[test]
 fn a_tokened_rpc_runs_once_and_its_repeats_share_the_outcome() {
-    let (stand, mut executor) = Stand::up();
+    let stand = Stand::with(|config| {
+        config["settings"]["categories"][2]["window-ns"] = 1_500_000_000u64.into();
+    });
+    let mut executor = stand.executor();
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
     let (mut one, mut two) = (stand.caller(), stand.caller());
+    one.wait_healthy();
     let now = unix_ms();
     let sale = |number, ts, key: &str| rpc_with(number, "sale", ts, &format!(r#","opkey":"{key}""#));
     one.say(&sale(1, now - 1_000, "aa"));
@@ -77,14 +82,20 @@
     assert_eq!(one.hear(), served(1));
     assert_eq!(two.hear(), served(2));
     assert_eq!(two.hear(), served(3));
-    // After it, up to the end of the window that counts from the first one's stamp.
-    assert_eq!(two.ask(&sale(4, now + 18_900, "aa")), served(4));
-    two.say(&sale(5, now + 19_200, "aa"));
+    // A stranger with the token and other work gets neither the result nor a run.
+    let other = |number, ts| sale(number, ts, "aa").replace("QUJD", "QUJE");
+    assert!(two.ask(&other(40, now)).contains(r#""id":40,"error":{"code":-32602"#));
+    // After it, up to the end of the window that counts from the first one's stamp. A stamp from the future
+    // does not step over it.
+    assert_eq!(two.ask(&sale(4, now + 5_000, "aa")), served(4));
+    std::thread::sleep(std::time::Duration::from_millis(700));
+    let now = unix_ms();
+    two.say(&sale(5, now, "aa"));
     assert_eq!(executor.hear(), exec(5, "sale"));
     executor.say(&exit(2, 5, "error"));
     assert!(two.hear().contains("-32000"));
     // What failed may have had its effect: never again.
-    assert!(two.ask(&sale(6, now + 19_900, "aa")).contains("-32000"));
+    assert!(two.ask(&sale(6, now, "aa")).contains("-32000"));
     // What was never begun may be.
     two.say(&sale(7, now, "bb"));
     assert_eq!(executor.hear(), exec(7, "sale"));
@@ -96,7 +107,7 @@
     two.say(&sale(9, now, "bb"));
     assert_eq!(executor.hear(), exec(9, "sale"));
     // A caller that has gone stops nothing: its repeat gets the result.
-    two.say(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":9}}"#);
+    two.revoke(9);
     two.say(&sale(10, now, "bb"));
     assert!(two.ask(HEARTBEAT).contains("pass"));
     executor.say(&exit(4, 9, "complete"));
@@ -109,7 +120,7 @@
     let mut caller = stand.caller();
     caller.say(&rpc(1, "look"));
     assert_eq!(executor.hear(), exec(1, "look"));
-    caller.say(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":1}}"#);
+    caller.revoke(1);
     let kill = |number| format!(r#"{{"action":"KILL","uid":"{}"}}"#, req(number));
     assert_eq!(executor.hear(), kill(1));
     executor.say(&exit(1, 1, "cancelled"));
@@ -121,6 +132,7 @@
     executor.say(&exit(2, 2, "complete"));
     // One that is revoked in the same breath never starts: the next start is another's.
     caller.say(&(rpc(4, "look") + "\n" + r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":4}}"#));
+    assert!(caller.hear().contains(r#""id":4,"error":{"code":-32800"#));
     caller.say(&rpc(5, "look"));
     assert_eq!(executor.hear_of("EXEC"), exec(5, "look"));
     executor.say(&exit(3, 5, "complete"));
@@ -204,7 +216,7 @@
     assert_eq!(below.hear(), format!("DROP {}", req(301)));
     begin(303, "look", &mut caller, &mut executor);
     called(&mut below, 303);
-    caller.say(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":303}}"#);
+    caller.revoke(303);
     assert_eq!(below.hear(), format!("DROP {}", req(303)));
     executor.say(&exit(607, 303, "cancelled"));
     // A connection that breaks under a call proves nothing; nor does one that speaks in tongues.
@@ -270,8 +282,7 @@
     executor.hear_of("BYPASS");
     executor.say(&exit(3, 2, "complete"));
     assert_eq!(caller.hear(), served(2));
-    caller.say(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":1}}"#);
-    assert!(caller.ask(HEARTBEAT).contains("pass"));
+    caller.revoke(1);
 }
 
 #[test]
@@ -507,15 +518,46 @@
     ] {
         assert!(bad.ask(&line).contains(wanted), "{line}");
     }
-    // An id, and a req, that is open already.
-    bad.say(&rpc(5, "look"));
-    assert!(bad.ask(&rpc(5, "look")).contains(r#""id":5,"error":{"code":-32600"#));
-    assert!(good.ask(&rpc(5, "look")).contains(r#""id":5,"error":{"code":-32602"#));
+    // An id, and a req, that is open already. Neither a revoke of the second nor the end of its connection
+    // touches the first.
+    good.say(&rpc(5, "look"));
+    assert!(good.ask(&rpc(5, "look")).contains(r#""id":5,"error":{"code":-32600"#));
     executor.hear_of(&exec(5, "look"));
-    executor.say(&exit(1, 5, "complete"));
-    assert_eq!(bad.hear(), served(5));
+    let revoke = r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":5}}"#;
+    bad.say(&format!("{}\n{revoke}", rpc(5, "look")));
+    assert!(bad.hear().contains(r#""id":5,"error":{"code":-32"#));
     bad.say("{}{}");
     assert_eq!(bad.hear(), "");
+    executor.say(&exit(1, 5, "complete"));
+    assert_eq!(good.hear(), served(5));
+    // More RPCs than may be open: one word for each, also for those that are taken back.
+    let mut many = stand.caller();
+    let lines: String = (100..140).map(|number| rpc(number, "look") + "\n").collect();
+    many.stream.write_all(lines.as_bytes()).unwrap();
+    for number in 132..140 {
+        assert!(many.hear().contains(&format!(r#""id":{number},"error":{{"code":-32011"#)));
+    }
+    let lines: String = (100..132).map(|number| revoke.replace('5', &number.to_string()) + "\n").collect();
+    many.stream.write_all(lines.as_bytes()).unwrap();
+    for number in 100..132 {
+        assert!(many.hear().contains(&format!(r#""id":{number},"error":{{"code":-32800"#)));
+    }
+    drop(many);
+    // A connection that goes on with faults ends, as does one whose RPCs the executor knows nothing of.
+    let mut faulty = stand.caller();
+    let mut stranger = stand.caller();
+    for number in 200..208 {
+        assert!(faulty.ask(&rpc(number, "dance")).contains("-32601"));
+        stranger.say(&rpc(number, "look"));
+        executor.hear_of(&exec(number, "look"));
+        executor.say(&format!(r#"{{"action":"BAD","code":"EXEC","uid":"{}"}}"#, req(number)));
+        assert!(stranger.hear().contains("-32011"));
+    }
+    assert_eq!((faulty.hear(), stranger.hear()), (String::new(), String::new()));
+    // So does one that says nothing, and one that says half a line.
+    let (mut silent, mut half) = (stand.caller(), stand.caller());
+    half.stream.write_all(b"{\"jsonrpc\"").unwrap();
+    assert_eq!((silent.hear(), half.hear()), (String::new(), String::new()));
     let mut long = stand.caller();
     // The node may close before all of it is written.
     let _ = long.stream.write_all(&vec![b'a'; 100_000]);
@@ -555,14 +597,15 @@
             break;
         }
     }
+    // Some say nothing; others ask once and stay: they have to go first.
     let mut crowd: Vec<Peer> = (0..60).map(|_| stand.caller()).collect();
+    crowd.iter_mut().skip(30).for_each(|peer| peer.say(HEARTBEAT));
     for number in 1..20 {
         first.say(&rpc(number, "look"));
         first.hear_of(&format!(r#""id":{number},"#));
     }
-    // Room comes back as others leave.
-    let mut last = crowd.pop().unwrap();
-    crowd.clear();
+    // Who comes while they all stay is served nevertheless.
+    let mut last = stand.caller();
     assert!(last.ask(HEARTBEAT).contains("pass"));
 }
 
--- a/crates/ochrewalk-node/tests/wire.rs
+++ b/crates/ochrewalk-node/tests/wire.rs
@@ -5,7 +5,7 @@
 use ochrewalk_node::clock::since_us;
 use ochrewalk_node::ending::Ending;
 use ochrewalk_node::gate::CallEnd;
-use ochrewalk_node::keys::{Keys, State};
+use ochrewalk_node::keys::{Keys, Known, State};
 use ochrewalk_node::wire::calls::{self, Word};
 use ochrewalk_node::wire::jsonrpc::{self, Message, Which};
 use ochrewalk_node::wire::notices::{self, Notice};
@@ -16,9 +16,9 @@
 
 #[test]
 fn an_rpc_is_read_with_its_body_as_it_came() {
-    let line = r#"{"jsonrpc":"2.0","id":"a\u0041","method":"look","params":{"req":"9b1f","ts":17,"via":4,"need":24.5,"level":0.6,"opkey":"5c0f","subject":null,"more":[{}],"body":"QU\/D"}}"#;
+    let line = r#"{"jsonrpc":"2.0","id":"a\u0041","method":"look","params":{"req":"9b1f03aa5c7e2d41","ts":17,"via":4,"need":24.5,"level":0.6,"opkey":"5c0f","subject":null,"more":[{}],"body":"QU\/D"}}"#;
     let Message::Rpc(rpc) = jsonrpc::read(line.as_bytes()) else { panic!("no RPC") };
-    assert_eq!((rpc.id, &*rpc.method, &*rpc.req), (r#""a\u0041""#, "look", "9b1f"));
+    assert_eq!((rpc.id, &*rpc.method, &*rpc.req), (r#""a\u0041""#, "look", "9b1f03aa5c7e2d41"));
     assert_eq!((rpc.ts_ms, rpc.kb, rpc.opkey.as_deref()), (17, 24.5, Some("5c0f")));
     assert_eq!(rpc.body.get(), r#""QU\/D""#);
 }
@@ -30,7 +30,7 @@
         ("not json".to_string(), "none"),
         ("[1,\"look\",{}]".into(), "none"),
         ("{}".into(), "none"),
-        (r#"{"id":{"a":1},"method":"look","params":{}}"#.into(), "nothing"),
+        (r#"{"id":{"a":1},"method":"look","params":{}}"#.into(), "-32600"),
         (r#"{"id":3}"#.into(), "-32600"),
         (r#"{"id":3,"method":"look"}"#.into(), "-32602"),
         (good.replace("20.5", "0"), "-32602"),
@@ -39,8 +39,21 @@
         (good.replace("\"ts\"", "\"tz\""), "-32602"),
         (good.replace("0000000000000007", "has space"), "-32602"),
         (good.replace("0000000000000007", ""), "-32602"),
-        (r#"{"method":"shout"}"#.into(), "nothing"),
-        (r#"{"method":"revoke"}"#.into(), "nothing"),
+        (good.replace("0000000000000007", "000000000000000z"), "-32602"),
+        (good.replace("\"level\":0.5", "\"level\":1"), "-32602"),
+        (good.replace("\"level\":0.5", "\"level\":-0.1"), "-32602"),
+        (good.replace("\"level\":0.5", "\"level\":\"x\""), "-32602"),
+        (good.replace("20.5", "1e999"), "-32602"),
+        (good.replace("\"via\":1", "\"via\":-1"), "-32602"),
+        (good.replace("QUJD", "QUJ"), "-32602"),
+        (good.replace("QUJD", "QU=D"), "-32602"),
+        (good.replace("QUJD", "Q\\u0055JD"), "-32602"),
+        (good.replace("QUJD", &"QUJD".repeat(684)), "-32602"),
+        (good.replace("QUJD", &"QUJD".repeat(683)), "rpc"),
+        (good.replace("QUJD", "QUI\\/QQ=="), "rpc"),
+        (good.replace("\"id\":7", "\"id\":null"), "-32600"),
+        (r#"{"method":"shout"}"#.into(), "-32600"),
+        (r#"{"method":"revoke"}"#.into(), "-32602"),
         (r#"{"method":"revoke","params":{"id":7}}"#.into(), "revoke 7"),
         (r#"{"method":"revoke","params":{"req":"ab"}}"#.into(), "revoke ab"),
         (r#"{"method":"revoke","id":9}"#.into(), "revoke 9"),
@@ -53,7 +66,6 @@
             Message::Revoke(Which::Req(req)) => format!("revoke {req}"),
             Message::Heartbeat { id } => format!("heartbeat {id}"),
             Message::Faulty { code, .. } => code.to_string(),
-            Message::Nothing { .. } => "nothing".into(),
             Message::NoRpc => "none".into(),
         };
         assert_eq!(read, wanted, "{line}");
@@ -208,30 +220,33 @@
 #[test]
 fn a_token_is_known_for_its_window_and_waits_for_its_run() {
     let mut keys = Keys::new(10);
-    keys.remember("k".into(), "a".into(), 1_000);
-    for (ts, found) in [(0, true), (1_000, true), (1_050, true), (1_051, false)] {
-        assert_eq!(keys.find("k", ts).is_some(), found, "{ts}");
+    keys.remember("k".into(), 7, "a".into(), 1_000);
+    let same = || Known::Same("a".into());
+    for (ts, known) in [(0, same()), (1_000, same()), (1_050, same()), (1_051, Known::No)] {
+        assert_eq!(keys.find("k", 7, ts), known, "{ts}");
     }
-    assert_eq!(keys.find("other", 0), None);
+    assert_eq!(keys.find("other", 7, 0), Known::No);
+    assert_eq!(keys.find("k", 8, 0), Known::Other { ran: false });
     assert_eq!(keys.share("k", &"b".into()), State::Open);
     assert!(keys.settle("k", "not-a", State::Failed).is_empty(), "only the holder settles");
     assert_eq!(keys.settle("k", "a", State::Served("12345678".into())), vec!["b".into()]);
     assert_eq!(keys.share("k", &"c".into()), State::Served("12345678".into()));
+    assert_eq!(keys.find("k", 8, 0), Known::Other { ran: true });
     // Past the limit of bytes the oldest result goes, but not that it ran.
-    keys.remember("l".into(), "d".into(), 2_000);
+    keys.remember("l".into(), 7, "d".into(), 2_000);
     keys.settle("l", "d", State::Served("12345".into()));
     assert_eq!(keys.share("k", &"e".into()), State::Failed);
     assert_eq!(keys.share("l", &"f".into()), State::Served("12345".into()));
     // Another holder, forgotten with those that wait for it.
-    keys.remember("l".into(), "g".into(), 3_000);
+    keys.remember("l".into(), 7, "g".into(), 3_000);
     keys.share("l", &"h".into());
     assert!(keys.forget("l", "d").is_empty());
     assert_eq!(keys.forget("l", "g"), vec!["h".into()]);
-    assert_eq!(keys.find("l", 0), None);
+    assert_eq!(keys.find("l", 7, 0), Known::No);
     // What is open outlives its window, what is settled does not for long.
-    keys.remember("m".into(), "i".into(), 5_000);
+    keys.remember("m".into(), 7, "i".into(), 5_000);
     keys.sweep(1_000_000);
-    assert_eq!((keys.find("k", 0), keys.find("m", 0).is_some()), (None, true));
+    assert_eq!((keys.find("k", 7, 0), keys.find("m", 7, 0)), (Known::No, Known::Same("i".into())));
 }
 
 #[test]
