Stacks pooled by the dozen, idle connections shed early: memory stays flat

A probe of the nodes' memory maps showed 1,000 stacks of 128 KiB, 8.0 MB touched at the start and 12.0 MB later: may keeps a thousand stacks (node.rs did not say how many) and hands them round in turn, so that each reaches its deepest use in time. Heap grew by 14 KB with each connection that stays; a second probe laid a part of that to the queues inside may's locks, of which each connection has two. Ruled out: input buffers (a smaller one changed nothing), a leak per RPC (memory is level once connections are).

Now 64 stacks are kept; locks, which are never held over a wait, are the standard library's; past a quarter of the table connections unused for a second are asked to end.

--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -8,13 +8,12 @@
 use crate::wire::calls::Word;
 use crate::wire::notices::RunEnd;
 use may::sync::mpsc::{channel, Receiver, Sender};
-use may::sync::{Mutex, MutexGuard};
 use ochrewalk::decide::Decide;
 use ochrewalk::deployment::Deployment;
 use ochrewalk::host::{Arrival, Gauges, Host, Outcome, RpcId};
 use std::collections::HashMap;
 use std::sync::mpsc::RecvTimeoutError;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 /// What the module needs to know of an RPC.
--- a/crates/ochrewalk-node/src/net/below.rs
+++ b/crates/ochrewalk-node/src/net/below.rs
@@ -8,11 +8,10 @@
 use crate::gate::{CallEnd, Next};
 use crate::wire::calls;
 use may::sync::mpsc::Sender;
-use may::sync::{Mutex, MutexGuard};
 use ochrewalk::host::RpcId;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 const CONNECT: Duration = Duration::from_millis(500);
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -8,14 +8,13 @@
 use crate::node::Node;
 use crate::wire::jsonrpc::{self, Message, Which};
 use may::net::{TcpListener, TcpStream};
-use may::sync::{Mutex, MutexGuard};
 use ochrewalk::host::{Effect, RpcId};
 use socket2::SockRef;
 use std::collections::HashMap;
 use std::hash::BuildHasher;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 /// Answers that wait on one connection before nothing more is read from it.
@@ -30,8 +29,11 @@
 const MOST_FAULTS: u32 = 8;
 /// The farthest that a stamp may be from our clock.
 const STAMP_MS: u64 = 3_600_000;
-/// Past this share of the table, connections that carry nothing are asked to end, and ended after this time.
-const CROWDED: f64 = 0.75;
+/// Past this share of the table, connections that have carried nothing for a while are asked to end, and ended
+/// soon. Guards against callers that ask once and stay: each would cost its stack, and more of them memory that
+/// grows all day. Those in use are used far more often.
+const CROWDED: f64 = 0.25;
+const CROWDED_IDLE_US: u64 = 1_000_000;
 const CROWDED_CLOSE_US: u64 = 300_000;
 /// How long a dispatcher may take to close a connection that it was asked to end.
 const TO_CLOSE_US: u64 = 3_000_000;
@@ -133,10 +135,12 @@
             let now_us = node.clock.now_us();
             let all = node.dispatchers.all();
             all.iter().for_each(|connection| connection.end_if_idle(now_us, idle_us));
-            let over = all.len().saturating_sub((most as f64 * CROWDED) as usize);
+            let staying = all.iter().filter(|c| c.lock().end_by_us.is_none()).count();
+            let over = staying.saturating_sub((most as f64 * CROWDED) as usize);
             if over > 0 {
                 let mut idle: Vec<_> = all.iter().filter_map(|c| Some((c.idle_since_us()?, c))).collect();
                 idle.sort_unstable_by_key(|(since_us, _)| *since_us);
+                idle.retain(|(since_us, _)| now_us >= since_us + CROWDED_IDLE_US);
                 for (_, connection) in idle.into_iter().take(over) {
                     connection.ask_to_end(now_us, CROWDED_CLOSE_US);
                 }
--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -11,11 +11,10 @@
 use crate::wire::notices::{self, Notice, RunEnd};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use may::sync::mpsc::{channel, Receiver, Sender};
-use may::sync::{Mutex, MutexGuard};
 use ochrewalk::host::RpcId;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 const CONNECT: Duration = Duration::from_secs(1);
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -5,10 +5,10 @@
 use crate::ending::Ending;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
-use may::sync::{Mutex, MutexGuard};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 /// Read at once, and before others get their turn.
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -20,6 +20,9 @@
 
 /// Words of a coroutine's stack: 128 KiB, of which only what is used takes memory.
 const STACK_WORDS: usize = 0x4000;
+/// Stacks kept for later coroutines. may keeps a thousand of its own accord, and hands them round in turn, so
+/// that all of them grow to the deepest use over the first minutes of a day.
+const POOLED_STACKS: usize = 64;
 /// Descriptors that are not dispatchers' connections, nor below: the listener, two links and their successors,
 /// the runtime's own, the standard streams.
 const OWN_DESCRIPTORS: usize = 24;
@@ -64,7 +67,11 @@
     let mut placement = Placement::read_file(file)?;
     crate::logger::start(level);
     // One core is ours: one worker runs all coroutines, so that none of them ever waits for a lock for long.
-    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
+    may::config()
+        .set_workers(1)
+        .set_stack_size(STACK_WORDS)
+        .set_pool_capacity(POOLED_STACKS)
+        .set_worker_pin(false);
     // may lets processes share a port. Guards against two nodes on one address, each with half of the callers.
     let listener = std::net::TcpListener::bind(placement.listen)
         .and_then(|alone| {
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -609,6 +609,26 @@
     assert!(last.ask(HEARTBEAT).contains("pass"));
 }
 
+#[test]
+fn callers_that_ask_once_and_stay_are_sent_away_before_the_table_fills() {
+    let stand = Stand::with(|config| config["limits"]["sockets"] = 64.into());
+    let mut executor = stand.executor();
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+    std::thread::spawn(move || executor.hear_out());
+    stand.caller().wait_healthy();
+    // Stacks are not kept by the thousand.
+    assert!(stand.peak_kb() < 12 * 1024, "{} kB", stand.peak_kb());
+    let mut stay: Vec<Peer> = (0..20).map(|_| stand.caller()).collect();
+    assert!(stay.iter_mut().all(|peer| peer.ask(HEARTBEAT).contains("pass")));
+    // The first are asked to close, and closed where they don't.
+    for peer in &mut stay[..10] {
+        assert_eq!(peer.hear(), r#"{"jsonrpc":"2.0","method":"noMore"}"#);
+        assert_eq!(peer.hear(), "");
+    }
+    // There is still room for the last of them.
+    assert!(stay[19].ask(HEARTBEAT).contains("pass"));
+}
+
 #[test]
 fn a_flood_stays_inside_the_program_s_memory() {
     let stand = Stand::with(|config| config["limits"]["memory_mb"] = 64.into());
