--- a/src/decide.rs
+++ b/src/decide.rs
@@ -246,8 +246,7 @@
         }
         self.most_y = self.y.max(FADE * self.most_y);
         self.most_admitted = self.admitted.max(FADE * self.most_admitted);
-        (self.y, self.admitted, self.predicted) = (0.0, 0.0, 0.0);
-        (self.signs, self.reached) = (0.0, false);
+        (self.y, self.admitted, self.predicted, self.signs, self.reached) = (0.0, 0.0, 0.0, 0.0, false);
         self.ends_us = now_us + PERIOD_US;
         true
     }
@@ -617,12 +616,14 @@
             (rpc.stage, rpc.on_core_us) = (Stage::Running, now_us);
             return;
         }
-        // It waits again. A call whose effect may have happened is never repeated unless that is harmless.
-        let method = &self.methods[rpc.method];
+        // It waits again; where its effect may have happened, only if that is harmless. Then it does so even if
+        // it may be left out, where its connection broke: that is no sign of load below.
+        let harmless = self.methods[rpc.method].effect == Effect::Idempotent;
+        let can_skip = self.methods[rpc.method].skip_share > 0.0;
         rpc.stage = Stage::AtCall(now_us + 2 * PULSE_US);
-        if method.skip_share > 0.0 && !rpc.answered {
+        if can_skip && !rpc.answered && !(harmless && outcome == Outcome::Interrupted) {
             self.skip(now_us, seq);
-        } else if !rpc.answered && !outcome.never_ran() && method.effect != Effect::Idempotent {
+        } else if !rpc.answered && !outcome.never_ran() && !harmless {
             self.give_up(seq);
         }
     }
@@ -749,9 +750,8 @@
             // Guards against calls into a silent place, which would fill the crowd until their RPCs are due:
             // past the latency target a call gets a few times its usual time. Harms a late answer that still
             // earns a part.
-            let target_us = rpc.target_us.saturating_sub(rest_us);
             let patient_us = if can_skip { 0 } else { now_us + patience_us };
-            let until_us = target_us.max(patient_us).min(due_us);
+            let until_us = rpc.target_us.saturating_sub(rest_us).max(patient_us).min(due_us);
             if can_skip && (rpc.callless || now_us + typical_us >= until_us) {
                 self.skip(now_us, seq);
             } else if now_us >= from_us && self.below_has_room() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -94,6 +94,8 @@
         (TOKEN, TimedOut, "abort a"),
         (SKIP, TimedOut, "skip a"),
         (SKIP, PushedBack, "skip a"),
+        (SKIP, Unreachable, "skip a"),
+        (SKIP, Interrupted, "call a"),
     ] {
         let mut s = Given::default().start();
         s.arrive("a", method);
