Spoilt replies below end their connection soon; reports keep their pace without answers

Now the first line of a reply has 128 bytes at most, a reply 250 ms from first byte to last, and an answer of the directory 300 ms inside the second.

--- a/crates/ochrewalk-node/src/net/below.rs
+++ b/crates/ochrewalk-node/src/net/below.rs
@@ -19,6 +19,9 @@
 /// reset it at the next call, and nothing tells that from a reset in a reply's place. A new one costs little.
 const TRUSTED_US: u64 = 50_000;
 const SWEEP: Duration = Duration::from_millis(100);
+/// How long a reply may take from its first byte to its last. Guards against a length that says more than comes:
+/// its call would wait all its time.
+const REPLY_US: u64 = 250_000;
 
 pub struct Below {
     clock: Clock,
@@ -42,6 +45,8 @@
 struct Carried {
     calls: HashMap<RpcId, Sender<Next>>,
     used_us: u64,
+    /// Since when a reply is under way that has no end yet.
+    partial_us: Option<u64>,
 }
 
 impl Below {
@@ -68,7 +73,8 @@
         let link = match least.cloned() {
             Some(link) => link,
             None => {
-                let carried = Mutex::new(Carried { calls: HashMap::new(), used_us: now_us });
+                let carried =
+                    Mutex::new(Carried { calls: HashMap::new(), used_us: now_us, partial_us: None });
                 let link = Arc::new(Link { at: state.at, outbox: Outbox::default(), carried });
                 state.links.push(link.clone());
                 let (below, of) = (self.clone(), link.clone());
@@ -110,8 +116,11 @@
         let state = self.lock();
         for link in &state.links {
             let carried = link.lock();
-            let idle_us = self.clock.now_us().saturating_sub(carried.used_us);
-            if carried.calls.is_empty() && (idle_us >= TRUSTED_US || link.at != state.at) {
+            let now_us = self.clock.now_us();
+            let idle_us = now_us.saturating_sub(carried.used_us);
+            if carried.partial_us.is_some_and(|from_us| now_us >= from_us + REPLY_US) {
+                link.outbox.finish(Finish::Silent);
+            } else if carried.calls.is_empty() && (idle_us >= TRUSTED_US || link.at != state.at) {
                 link.outbox.finish(Finish::Idle);
             }
         }
@@ -165,10 +174,14 @@
 
 impl Reader for Replies<'_> {
     fn take(&mut self, input: &[u8]) -> Result<usize, Ending> {
-        let Some((reply, taken)) = calls::read(input).map_err(Ending::Malformed)? else { return Ok(0) };
+        let now_us = self.below.clock.now_us();
+        let Some((reply, taken)) = calls::read(input).map_err(Ending::Malformed)? else {
+            self.link.lock().partial_us.get_or_insert(now_us);
+            return Ok(0);
+        };
         let post = {
             let mut carried = self.link.lock();
-            carried.used_us = self.below.clock.now_us();
+            (carried.used_us, carried.partial_us) = (now_us, None);
             carried.calls.remove(reply.id)
         };
         // One that was given up may still be answered.
--- a/crates/ochrewalk-node/src/net/directory.rs
+++ b/crates/ochrewalk-node/src/net/directory.rs
@@ -2,6 +2,7 @@
 //! coroutine waits for it.
 
 use super::link::connect;
+use crate::clock::whole_ms;
 use crate::ending::Ending;
 use crate::wire::reports;
 use may::net::TcpStream;
@@ -9,10 +10,12 @@
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::mpsc::RecvTimeoutError;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const EVERY: Duration = Duration::from_secs(1);
-const WAIT: Duration = Duration::from_secs(1);
+/// How long an answer is waited for. A report without one may count all the same, so that the next keeps its
+/// time, and a change of health does not wait for long.
+const WAIT: Duration = Duration::from_millis(300);
 
 /// Reports for ever, where there is health to report. `changed` gets a word whenever that may have changed.
 pub fn keep(
@@ -28,6 +31,7 @@
         if at != before {
             (stream, before) = (None, at);
         }
+        let from = Instant::now();
         let report = healthy().map(|healthy| reports::report(name, &at.to_string(), healthy));
         let told = report.map_or(Ok(()), |report| tell(&at, &mut stream, &report));
         if let Err(ending) = &told {
@@ -39,7 +43,8 @@
             log::info!("directory {at}: reports arrive again");
         }
         failed = told.is_err();
-        if changed.recv_timeout(EVERY) == Err(RecvTimeoutError::Disconnected) {
+        let rest_us = EVERY.saturating_sub(from.elapsed()).as_micros() as u64;
+        if changed.recv_timeout(whole_ms(rest_us)) == Err(RecvTimeoutError::Disconnected) {
             return;
         }
         while changed.try_recv().is_ok() {}
--- a/crates/ochrewalk-node/src/wire/calls.rs
+++ b/crates/ochrewalk-node/src/wire/calls.rs
@@ -4,6 +4,9 @@
 /// The longest reply that is read.
 pub const LONGEST: usize = 64 * 1024;
 
+/// The longest first line of a reply: an id, a word, a length. Guards against noise that never ends a line.
+const LONGEST_HEAD: usize = 128;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Word {
     Ok,
@@ -34,7 +37,9 @@
 
 /// The first whole reply of what was read, and how many bytes it takes.
 pub fn read(input: &[u8]) -> Result<Option<(Reply<'_>, usize)>, String> {
-    let Some((head, head_len)) = super::line(input) else { return Ok(None) };
+    let Some((head, head_len)) = super::line(&input[..input.len().min(LONGEST_HEAD)]) else {
+        return if input.len() < LONGEST_HEAD { Ok(None) } else { Err("a reply without a line".into()) };
+    };
     let head = std::str::from_utf8(head).map_err(|_| "a reply that is no text")?;
     let mut words = head.split(' ');
     let (id, word) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -232,17 +232,28 @@
 
 #[test]
 fn a_connection_that_breaks_under_a_call_or_speaks_in_tongues_proves_nothing() {
-    let (stand, mut executor) = Stand::up();
+    // Its callers have time: none of these endings waits for their deadline.
+    let stand = Stand::with(|config| {
+        config["settings"]["categories"][3]["on-time-ns"] = 60_000_000_000u64.into();
+        config["settings"]["categories"][3]["deadline-ns"] = 120_000_000_000u64.into();
+    });
+    let mut executor = stand.executor();
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
     let mut caller = stand.caller();
-    for (number, tongues) in [(305, false), (407, true)] {
+    caller.wait_healthy();
+    // Nor does one whose reply says that more comes than does, or whose noise does not end its line.
+    for (number, tongues) in [
+        (305, None),
+        (407, Some("what?\r\n".into())),
+        (509, Some(format!("{} OK 9\r\n", req(509)))),
+        (611, Some("z".repeat(200))),
+    ] {
         begin(number, "once", &mut caller, &mut executor);
         let mut below = Peer::accept(&stand.below);
         called(&stand, &mut below, number);
-        if tongues {
-            below.say("what?\r");
-            below.hear_out();
-        } else {
-            below.stream.shutdown(Shutdown::Both).unwrap();
+        match tongues {
+            Some(words) => below.stream.write_all(words.as_bytes()).unwrap(),
+            None => below.stream.shutdown(Shutdown::Both).unwrap(),
         }
         assert!(caller.hear().contains("-32000"));
         executor.say(&exit(2 * number + 1, number, "cancelled"));
@@ -599,7 +610,7 @@
     let _ = long.stream.write_all(&vec![b'a'; 100_000]);
     assert_eq!(long.hear(), "");
     good.say(&rpc(6, "look"));
-    assert_eq!(executor.hear(), exec(6, "look"));
+    executor.hear_of(&exec(6, "look"));
     executor.say(&exit(2, 6, "complete"));
     assert_eq!(good.hear(), served(6));
     assert!(stand.is_running());
