Faults forgiven once an RPC has run; none for a caller whose token a stranger holds

Also: an address that changed while the executor's link was being made was forgotten, as carry() cleared what the outbox was asked (link.rs); the keeper clears it before it reads the address.

--- a/crates/ochrewalk-node/src/life.rs
+++ b/crates/ochrewalk-node/src/life.rs
@@ -56,18 +56,13 @@
     let (ticket, mut next) = match node.gate.pick(rpc) {
         Ok(taken) => taken,
         Err(turned) => {
-            let why = match turned {
-                Turned::OpenAlready => "a req that is open already",
-                Turned::TokenTaken { .. } => "an opkey that stands for other work",
-            };
-            log::warn!("dispatcher: {why}");
             let line = match turned {
                 // Who holds it may be the stranger and this one be honest: it never ran, and may elsewhere.
                 Turned::TokenTaken { ran: false } => jsonrpc::refused(&caller.id, false, 0, None),
-                _ => jsonrpc::error(&caller.id, jsonrpc::BAD_PARAMS, why, ""),
+                Turned::TokenTaken { ran: true } => fault(&caller, "an opkey that stands for other work"),
+                Turned::OpenAlready => fault(&caller, "a req that is open already"),
             };
-            caller.connection.answer(&caller.id, node.clock.now_us(), line);
-            return caller.connection.fault();
+            return caller.connection.answer(&caller.id, node.clock.now_us(), line);
         }
     };
     let again = node.deployment.methods[rpc.method].effect == Effect::Idempotent;
@@ -136,6 +131,13 @@
     node.gate.close(&ticket);
 }
 
+/// Tells a sender what was wrong, and counts it against its connection.
+fn fault(caller: &Caller, why: &str) -> Vec<u8> {
+    log::warn!("dispatcher: {why}");
+    caller.connection.fault();
+    jsonrpc::error(&caller.id, jsonrpc::BAD_PARAMS, why, "")
+}
+
 impl Life<'_> {
     fn answer(&mut self, line: impl FnOnce(&str, Option<f64>) -> Vec<u8>) {
         if let Some(Caller { connection, id }) = self.caller.take() {
@@ -196,8 +198,10 @@
     fn run_ended(&mut self, end: RunEnd, result: Option<&str>) {
         self.running = false;
         self.give_up_call();
-        if let (RunEnd::Unknown, Some(caller)) = (end, &self.caller) {
-            caller.connection.fault();
+        match (end, &self.caller) {
+            (RunEnd::Unknown, Some(caller)) => caller.connection.fault(),
+            (RunEnd::Complete, Some(caller)) => caller.connection.proven(),
+            _ => {}
         }
         match (end, result) {
             (RunEnd::Complete, Some(body)) => self.answer(|id, signal| jsonrpc::served(id, body, signal)),
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -197,6 +197,11 @@
         self.lock().open.contains_key(id)
     }
 
+    /// An RPC that came here has run: its sender is no stranger.
+    pub fn proven(&self) {
+        self.lock().faults = 0;
+    }
+
     /// What came was no proper RPC. Past a few of them the connection ends once its answers are written: guards
     /// against a flood of what costs its sender nothing.
     pub fn fault(&self) {
--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -127,6 +127,8 @@
     /// Keeps the link up for ever. `up` gets a word whenever the executor is known to be up.
     pub fn keep(&self, gate: &Gate, up: &Sender<()>) {
         loop {
+            // Before the address is read: guards against a new one that comes while this one is connected to.
+            self.outbox.begin();
             let State { at, read, .. } = *self.lock();
             let ending = match connect(&at, CONNECT) {
                 Ok(stream) => {
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -73,6 +73,11 @@
         self.change(|w| w.finish = Some(how));
     }
 
+    /// The next stream is not asked to end yet.
+    pub fn begin(&self) {
+        self.change(|w| w.finish = None);
+    }
+
     /// Takes back what was not written.
     pub fn take_unwritten(&self) -> VecDeque<Vec<u8>> {
         self.change(|w| {
@@ -137,7 +142,7 @@
     longest: usize,
     reader: &mut impl Reader,
 ) -> Ending {
-    outbox.change(|w| (w.waker, w.finish) = (Some(stream.waker()), None));
+    outbox.change(|w| w.waker = Some(stream.waker()));
     let mut writing = Writing { line: first.unwrap_or_default(), own: true, ..Writing::default() };
     let mut input = Vec::new();
     let ending = loop {
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -85,6 +85,16 @@
     // A stranger with the token and other work gets neither the result nor a run.
     let other = |number, ts| sale(number, ts, "aa").replace("QUJD", "QUJE");
     assert!(two.ask(&other(40, now)).contains(r#""id":40,"error":{"code":-32602"#));
+    // While the token's holder may be the stranger, the other is pushed back, which is no fault of its own.
+    one.say(&sale(50, now, "cc").replace("QUJD", "QUJE"));
+    executor.hear_of("EXEC");
+    for number in 51..60 {
+        assert!(two
+            .ask(&sale(number, now, "cc"))
+            .contains(&format!(r#""id":{number},"error":{{"code":-32011"#)));
+    }
+    executor.say(&format!(r#"{{"action":"BAD","code":"EXEC","uid":"{}"}}"#, req(50)));
+    assert!(one.hear().contains("-32011"));
     // After it, up to the end of the window that counts from the first one's stamp. A stamp from the future
     // does not step over it.
     assert_eq!(two.ask(&sale(4, now + 5_000, "aa")), served(4));
