A link to the executor that ends at once is made anew after a pause

Found by reading: since the first new attempt comes without a pause, a peer that welcomes and then ends each link, say on a notice that cannot be read and comes again after each JOIN, would have been joined as fast as the core allows. Only a link that lasted 0.1 s is made anew at once.

--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -19,7 +19,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const CONNECT: Duration = Duration::from_secs(1);
 const PAUSE: Duration = Duration::from_millis(100);
@@ -127,6 +127,7 @@
     /// Keeps the link up for ever. `up` gets a word whenever the executor is known to be up.
     pub fn keep(&self, gate: &Gate, up: &Sender<()>) {
         loop {
+            let from = Instant::now();
             // Before the address is read: guards against a new one that comes while this one is connected to.
             self.outbox.begin();
             let State { at, read, .. } = *self.lock();
@@ -148,10 +149,7 @@
             if was_up || ending != Ending::Refused {
                 log::warn!("executor {at}: {ending}; joining again");
             }
-            // At once where it had been up: each moment without a link is one in which nothing starts.
-            if !was_up {
-                may::coroutine::sleep(PAUSE);
-            }
+            may::coroutine::sleep(pause_after(from.elapsed()));
         }
     }
 
@@ -270,6 +268,16 @@
     }
 }
 
+/// How long after a link that lasted so long the next one is tried: at once, as each moment without a link is one
+/// in which nothing starts. Guards against a peer that nobody listens at, or that ends each link at once.
+pub fn pause_after(lasted: Duration) -> Duration {
+    if lasted < PAUSE {
+        PAUSE
+    } else {
+        Duration::ZERO
+    }
+}
+
 struct Link<'a> {
     executor: &'a Executor,
     gate: &'a Gate,
--- a/crates/ochrewalk-node/tests/wire.rs
+++ b/crates/ochrewalk-node/tests/wire.rs
@@ -6,11 +6,13 @@
 use ochrewalk_node::ending::Ending;
 use ochrewalk_node::gate::CallEnd;
 use ochrewalk_node::keys::{Keys, Known, State};
+use ochrewalk_node::net::executor::pause_after;
 use ochrewalk_node::wire::calls::{self, Word};
 use ochrewalk_node::wire::jsonrpc::{self, Message, Which};
 use ochrewalk_node::wire::notices::{self, Notice};
 use ochrewalk_node::wire::reports;
 use std::io::{Error, ErrorKind};
+use std::time::Duration;
 
 mod helper;
 
@@ -163,6 +165,13 @@
     assert_eq!(calls::call("ab", 250, b"x\n"), b"CALL ab 250 2\r\nx\n\r\n");
 }
 
+#[test]
+fn a_link_that_lasted_is_made_anew_at_once_and_one_that_did_not_after_a_pause() {
+    for (lasted_ms, wanted_ms) in [(0, 100), (99, 100), (100, 0), (60_000, 0)] {
+        assert_eq!(pause_after(Duration::from_millis(lasted_ms)).as_millis(), wanted_ms, "{lasted_ms}");
+    }
+}
+
 #[test]
 fn the_directory_s_answers_say_whether_their_connection_goes_on() {
     let report = String::from_utf8(reports::report("n3", "h:1", true)).unwrap();
