Connections end as silent, idle or faulty only once all that came is read

A node that was kept from reading (starved, flooded, stopped) judged connections by when it had last read, and link.rs acted on Idle, Silent and Faulty before the socket was read again. Whole RPCs were lost so.

Change: a stream that is asked to end first reads until its socket is empty and then asks its reader again; the reader judges by the state after that. No connection ends that owes an answer. One with eight faults answers what it owes, pushes back up to 32 further RPCs unseen and ends then. make_room keeps a victim that turns out to have RPCs unread, and a new connection takes its place in the table when it is accepted. Peers that take no bytes are given 1 s. The flood test wrote to connections that had rightly been sent away; it writes at once now.

--- a/crates/ochrewalk-node/src/net/below.rs
+++ b/crates/ochrewalk-node/src/net/below.rs
@@ -190,4 +190,13 @@
         }
         Ok(taken)
     }
+
+    fn may_end(&self, how: Finish) -> bool {
+        let carried = self.link.lock();
+        let now_us = self.below.clock.now_us();
+        match how {
+            Finish::Silent => carried.partial_us.is_some_and(|from_us| now_us >= from_us + REPLY_US),
+            _ => carried.calls.is_empty() && carried.partial_us.is_none(),
+        }
+    }
 }
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -39,6 +39,14 @@
 const TO_CLOSE_US: u64 = 3_000_000;
 /// No descriptor is free: others may be soon.
 const NO_ROOM: Duration = Duration::from_millis(50);
+/// Connections that may be ending beyond the table's bound, to make room; and how often, and how long, a new one
+/// waits for their ends.
+const ENDING: usize = 8;
+const ROOM_TRIES: u32 = 20;
+const ROOM_WAIT: Duration = Duration::from_millis(1);
+/// RPCs of a sender of faults that are still answered, each pushed back unseen: as many as a proper dispatcher
+/// may have under way. What comes after them is not read.
+const AFTER_FAULTS: u32 = 32;
 
 #[derive(Default)]
 pub struct Dispatchers {
@@ -69,6 +77,10 @@
     spoke: bool,
     good: bool,
     faults: u32,
+    /// Messages read since the faults were too many.
+    after_faults: u32,
+    /// It goes to make room for another.
+    going: bool,
     /// Since when a line is under way that has no end yet.
     partial_us: Option<u64>,
     /// It has carried an RPC, not health checks alone.
@@ -91,12 +103,19 @@
             }
             match accepted {
                 Ok((stream, _)) => {
-                    if !node.dispatchers.make_room(most) {
+                    let room = (0..ROOM_TRIES).any(|tried| {
+                        if tried > 0 {
+                            may::coroutine::sleep(ROOM_WAIT);
+                        }
+                        node.dispatchers.make_room(most)
+                    });
+                    if !room {
                         log::warn!("{most} connections open, none of them idle: a new one is closed");
                         continue;
                     }
+                    let (number, connection) = node.dispatchers.enter(node.clock.now_us());
                     let node = node.clone();
-                    may::go!(move || serve(&node, &stream));
+                    may::go!(move || serve(&node, &stream, number, &connection));
                 }
                 Err(err) => {
                     log::warn!("cannot accept: {err}");
@@ -107,22 +126,44 @@
         }
     }
 
-    /// Whether one more may be served, `most` at a time. At need the least worthy goes that is owed no answer:
-    /// guards against a table full of those that say nothing, or asked once and stay, which would keep
-    /// callers out.
-    fn make_room(&self, most: usize) -> bool {
+    /// A new connection takes its place in the table at once: guards against many that are accepted before the
+    /// first of them is looked at.
+    fn enter(&self, now_us: u64) -> (u64, Arc<Connection>) {
+        let state = Mutex::new(Carried { used_us: now_us, ..Carried::default() });
+        let connection = Arc::new(Connection { outbox: Outbox::default(), state });
         let mut open = self.lock();
-        if open.of.len() < most {
+        open.next += 1;
+        let number = open.next;
+        open.of.insert(number, connection.clone());
+        if open.leaving {
+            connection.ask_to_end(now_us, TO_CLOSE_US);
+        }
+        (number, connection)
+    }
+
+    /// Whether one more may be served, `most` at a time and a few that are about to end. At need the least worthy
+    /// is asked to go that is owed no answer: guards against a table full of those that say nothing, or asked
+    /// once and stay, which would keep callers out. One that turns out to have whole RPCs unread stays.
+    fn make_room(&self, most: usize) -> bool {
+        let open = self.lock();
+        let going = open.of.values().filter(|c| c.lock().going).count();
+        if open.of.len() - going < most && open.of.len() < most + ENDING {
             return true;
         }
+        if going >= ENDING {
+            return false;
+        }
         let worth = |connection: &Connection| {
             let state = connection.lock();
-            state.open.is_empty().then_some((state.good, state.used_us))
+            (state.open.is_empty() && !state.going).then_some((state.good, state.used_us))
         };
         let least = open.of.iter().filter_map(|(number, c)| Some((worth(c)?, *number))).min();
-        let ended = least.and_then(|(_, number)| open.of.remove(&number));
+        let Some(least) = least.map(|(_, number)| open.of[&number].clone()) else { return false };
+        let over = open.of.len() - going > most;
         drop(open);
-        ended.map(|connection| connection.outbox.finish(Finish::Silent)).is_some()
+        least.lock().going = true;
+        least.outbox.finish(Finish::Silent);
+        !over
     }
 
     /// Ends connections that say nothing, asks those to end that have carried nothing for as long as the module
@@ -213,27 +254,34 @@
         }
     }
 
+    /// Whether its faults are too many for anything more to be taken from it.
+    fn is_faulty(&self) -> bool {
+        self.lock().faults >= MOST_FAULTS
+    }
+
     /// Asks for the end of a connection that has carried nothing for so long, and ends it if that is not done.
     /// One that never said a whole line ends without a word.
     fn end_if_idle(&self, now_us: u64, idle_us: u64) {
         let state = self.lock();
         let unused_us = now_us.saturating_sub(state.used_us);
-        let unsaid = state.partial_us.is_some_and(|from_us| now_us >= from_us + LINE_US)
-            || !state.spoke && unused_us >= FIRST_LINE_US;
-        if unsaid {
-            return self.outbox.finish(Finish::Silent);
-        }
-        if !state.open.is_empty() {
-            return;
-        }
-        match state.end_by_us {
-            Some(by_us) if now_us >= by_us => self.outbox.finish(Finish::Idle),
-            None if state.rpcs && unused_us >= idle_us => {
-                drop(state);
+        let ask = !state.going && state.end_by_us.is_none() && state.rpcs && unused_us >= idle_us;
+        // Again and again: guards against a peer that takes no answers, and so never wakes its coroutine.
+        let finish = if state.faults >= MOST_FAULTS {
+            Finish::Faulty
+        } else if state.may_end(Finish::Silent, now_us) {
+            Finish::Silent
+        } else if state.may_end(Finish::Idle, now_us) {
+            Finish::Idle
+        } else {
+            let quiet = state.open.is_empty();
+            drop(state);
+            if ask && quiet {
                 self.ask_to_end(now_us, TO_CLOSE_US);
             }
-            _ => {}
-        }
+            return;
+        };
+        drop(state);
+        self.outbox.finish(finish);
     }
 
     /// Since when it is owed no answer and has not been asked to end.
@@ -255,26 +303,26 @@
     }
 }
 
-fn serve(node: &Arc<Node>, stream: &TcpStream) {
-    if let Err(err) = stream.set_nodelay(true) {
-        log::debug!("dispatcher: {}", Ending::of_use(&err));
-        return;
+impl Carried {
+    /// Whether it may end so. It never may while an answer is owed.
+    fn may_end(&self, how: Finish, now_us: u64) -> bool {
+        let unsaid = self.partial_us.is_some_and(|from_us| now_us >= from_us + LINE_US)
+            || !self.spoke && now_us >= self.used_us + FIRST_LINE_US;
+        self.open.is_empty()
+            && match how {
+                Finish::Faulty => self.faults >= MOST_FAULTS,
+                Finish::Silent => unsaid || self.going,
+                _ => self.partial_us.is_none() && self.end_by_us.is_some_and(|by_us| now_us >= by_us),
+            }
     }
-    let now_us = node.clock.now_us();
-    let state = Mutex::new(Carried { used_us: now_us, ..Carried::default() });
-    let connection = Arc::new(Connection { outbox: Outbox::default(), state });
-    let (number, leaving) = {
-        let mut open = node.dispatchers.lock();
-        open.next += 1;
-        let number = open.next;
-        open.of.insert(number, connection.clone());
-        (number, open.leaving)
+}
+
+fn serve(node: &Arc<Node>, stream: &TcpStream, number: u64, connection: &Arc<Connection>) {
+    let mut reader = Inbound { node, connection };
+    let ending = match stream.set_nodelay(true) {
+        Ok(()) => carry(stream, &connection.outbox, None, jsonrpc::LONGEST, &mut reader),
+        Err(err) => Ending::of_use(&err),
     };
-    if leaving {
-        connection.ask_to_end(now_us, TO_CLOSE_US);
-    }
-    let mut reader = Inbound { node, connection: &connection };
-    let ending = carry(stream, &connection.outbox, None, jsonrpc::LONGEST, &mut reader);
     node.dispatchers.lock().of.remove(&number);
     let open = std::mem::take(&mut connection.lock().open);
     match &ending {
@@ -304,7 +352,14 @@
     }
 
     fn ready(&self) -> bool {
-        self.connection.outbox.bytes() < UNREAD
+        self.connection.outbox.bytes() < UNREAD && self.connection.lock().after_faults < AFTER_FAULTS
+    }
+
+    fn may_end(&self, how: Finish) -> bool {
+        let mut state = self.connection.lock();
+        let may = state.may_end(how, self.node.clock.now_us());
+        state.going &= may;
+        may
     }
 }
 
@@ -316,6 +371,16 @@
             (state.used_us, state.partial_us, state.spoke) = (now_us, None, true);
             state.good |= matches!(message, Message::Rpc(_) | Message::Heartbeat { .. });
         }
+        if self.connection.is_faulty() {
+            self.connection.lock().after_faults += 1;
+            if let Message::Rpc(rpc) = &message {
+                let owed = self.connection.lock().open.contains_key(rpc.id);
+                if !owed {
+                    self.connection.outbox.push(jsonrpc::refused(rpc.id, false, 0, None));
+                }
+                return Ok(());
+            }
+        }
         match message {
             Message::Rpc(rpc) => {
                 let Some(method) = self.node.deployment.method(&rpc.method) else {
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -9,11 +9,13 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Read at once, and before others get their turn.
 const CHUNK: usize = 8 * 1024;
 const TURN: usize = 16;
+/// A stream that is to end is not written out if its peer has taken nothing for so long.
+const STUCK: Duration = Duration::from_secs(1);
 /// Written lines that are kept until they are confirmed.
 const MOST_WRITTEN: usize = 4_096;
 
@@ -33,14 +35,16 @@
     written: Option<VecDeque<Vec<u8>>>,
 }
 
-/// How a stream is to end once all that waits is written.
+/// How a stream is to end once all that waits is written. The first three end it only where nothing whole lies
+/// unread and [`Reader::may_end`] still holds: guards against a node that is slow to read and takes its own
+/// slowness for a peer's silence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Finish {
-    /// At once.
+    /// It carries nothing.
     Idle,
-    /// Whatever else comes, as the peer sends what means nothing.
+    /// The peer sends what means nothing.
     Faulty,
-    /// Whatever else comes, as the peer says nothing.
+    /// The peer says nothing.
     Silent,
     /// Once what has come is read; what was not begun to be written waits for the next stream.
     Moved,
@@ -70,7 +74,8 @@
     }
 
     pub fn finish(&self, how: Finish) {
-        self.change(|w| w.finish = Some(how));
+        // One that leaves does so whatever else is asked: what still comes on it is read.
+        self.change(|w| w.finish = w.finish.filter(|now| *now == Finish::Leaving).or(Some(how)));
     }
 
     /// The next stream is not asked to end yet.
@@ -125,6 +130,11 @@
     fn ready(&self) -> bool {
         true
     }
+
+    /// Whether the stream may still end so, now that all that had come was read (or no more of it is to be).
+    fn may_end(&self, _how: Finish) -> bool {
+        true
+    }
 }
 
 pub fn connect(to: &SocketAddr, within: Duration) -> Result<TcpStream, Ending> {
@@ -171,6 +181,8 @@
     /// The line belongs to this stream alone.
     own: bool,
     half_closed: bool,
+    /// Since when the peer has taken nothing.
+    stuck: Option<Instant>,
 }
 
 /// Writes and reads what can be without waiting. True where more could have been read.
@@ -185,7 +197,7 @@
     write(stream, outbox, writing)?;
     for _ in 0..TURN {
         if !reader.ready() {
-            return Ok(false);
+            return end_if_asked(outbox, writing, reader);
         }
         let had = input.len();
         input.resize(had + CHUNK, 0);
@@ -196,15 +208,12 @@
             Ok(0) => return Err(Ending::Closed),
             Ok(_) => {}
             Err(err) if err.kind() == ErrorKind::WouldBlock => {
-                // Guards against a reset, which could take commands with it that are on their way: nothing is
-                // left unread.
-                if writing.sent == writing.line.len() && outbox.lock().finish == Some(Finish::Moved) {
-                    return Err(Ending::Moved);
-                }
                 if input.is_empty() {
                     *input = Vec::new();
                 }
-                return Ok(false);
+                // Guards against a reset, which could take commands with it that are on their way: nothing is
+                // left unread.
+                return end_if_asked(outbox, writing, reader);
             }
             Err(err) if err.kind() == ErrorKind::Interrupted => continue,
             Err(err) => return Err(Ending::of_use(&err)),
@@ -223,6 +232,27 @@
     Ok(true)
 }
 
+/// Ends the stream if it was asked to, all is written and the reader agrees; else forgets that it was asked.
+fn end_if_asked(outbox: &Outbox, writing: &Writing, reader: &impl Reader) -> Result<bool, Ending> {
+    let asked = {
+        let waiting = outbox.lock();
+        waiting.finish.filter(|_| writing.sent == writing.line.len() && waiting.lines.is_empty())
+    };
+    let ending = match asked {
+        Some(Finish::Idle) => Ending::Idle,
+        Some(Finish::Faulty) => Ending::Malformed("too many faults".into()),
+        Some(Finish::Silent) => Ending::Silent,
+        Some(Finish::Moved) => return Err(Ending::Moved),
+        Some(Finish::Leaving) | None => return Ok(false),
+    };
+    if asked.is_some_and(|how| reader.may_end(how)) {
+        return Err(ending);
+    }
+    let mut waiting = outbox.lock();
+    waiting.finish = waiting.finish.filter(|how| Some(*how) != asked);
+    Ok(false)
+}
+
 fn write(stream: &TcpStream, outbox: &Outbox, writing: &mut Writing) -> Result<(), Ending> {
     loop {
         if writing.sent == writing.line.len() {
@@ -245,26 +275,23 @@
             (writing.sent, writing.own) = (0, false);
             writing.line = next.unwrap_or_default();
             if writing.line.is_empty() {
-                match finish {
-                    Some(Finish::Idle) => return Err(Ending::Idle),
-                    Some(Finish::Faulty) => return Err(Ending::Malformed("too many faults".into())),
-                    Some(Finish::Silent) => return Err(Ending::Silent),
-                    Some(Finish::Leaving) if !writing.half_closed => {
-                        writing.half_closed = true;
-                        let _ = stream.shutdown(Shutdown::Write);
-                    }
-                    _ => {}
+                if finish == Some(Finish::Leaving) && !writing.half_closed {
+                    writing.half_closed = true;
+                    let _ = stream.shutdown(Shutdown::Write);
                 }
                 return Ok(());
             }
         }
         match stream.inner().write(&writing.line[writing.sent..]) {
             Ok(0) => return Err(Ending::Closed),
-            Ok(wrote) => writing.sent += wrote,
+            Ok(wrote) => (writing.sent, writing.stuck) = (writing.sent + wrote, None),
             // Guards against a peer that reads nothing: what is to end does not wait for it.
             Err(err) if err.kind() == ErrorKind::WouldBlock => {
+                let since = *writing.stuck.get_or_insert_with(Instant::now);
                 return match outbox.lock().finish {
-                    Some(Finish::Idle | Finish::Faulty | Finish::Silent) => Err(Ending::Silent),
+                    Some(Finish::Idle | Finish::Faulty | Finish::Silent) if since.elapsed() >= STUCK => {
+                        Err(Ending::Silent)
+                    }
                     _ => Ok(()),
                 };
             }
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -685,18 +685,74 @@
     assert!(stay[19].ask(HEARTBEAT).contains("pass"));
 }
 
+/// The node is stopped while whole RPCs come on connections that it holds for silent, idle or unused ones.
 #[test]
-fn a_flood_stays_inside_the_program_s_memory() {
-    let stand = Stand::with(|config| config["limits"]["memory_mb"] = 64.into());
+fn rpcs_that_lay_unread_while_the_node_stood_still_are_answered() {
+    let stand = Stand::with(|config| {
+        config["limits"]["sockets"] = 128.into();
+        config["settings"]["extra"]["keepalive-max-ns"] = 60_000_000_000u64.into();
+    });
     let mut executor = stand.executor();
     executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
     std::thread::spawn(move || executor.hear_out());
     stand.caller().wait_healthy();
-    let mut callers: Vec<Peer> = (0..300).map(|_| stand.caller()).collect();
+    // Half of them never spoke, and one in four has begun a line; the rest asked for health once.
+    let mut callers: Vec<Peer> = (0..60).map(|_| stand.caller()).collect();
+    let lines: Vec<String> = (1..=60).map(|n| rpc(n, "look") + "\n").collect();
+    for (caller, line) in callers.iter_mut().zip(&lines).skip(30) {
+        assert!(caller.ask(HEARTBEAT).contains("pass"));
+        caller.stream.write_all(&line.as_bytes()[..20 * (line.len() % 2)]).unwrap();
+    }
+    for caller in callers.iter_mut().take(15) {
+        caller.stream.write_all(b" ").unwrap();
+    }
+    stand.signal("-STOP");
+    for (at, (caller, line)) in callers.iter_mut().zip(&lines).enumerate() {
+        let begun = if at < 30 { 0 } else { 20 * (line.len() % 2) };
+        caller.stream.write_all(&line.as_bytes()[begun..]).unwrap();
+    }
+    std::thread::sleep(std::time::Duration::from_millis(2_400));
+    stand.signal("-CONT");
     for (at, caller) in callers.iter_mut().enumerate() {
-        let lines: String = (1..=32).map(|n| rpc(at as u64 * 100 + n, "look") + "\n").collect();
-        caller.stream.write_all(lines.replace("QUJD", &"QUJD".repeat(600)).as_bytes()).unwrap();
+        let line = caller.hear_of("\"id\":");
+        assert!(line.contains("error") || line.contains("result") || line.contains("noMore"), "{at}: {line}");
     }
+}
+
+/// Eight faults end a connection, but no answer that is owed on it, and no whole RPC that has come.
+#[test]
+fn a_sender_of_faults_still_gets_its_answers_before_the_end() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    caller.say(&rpc(1, "look"));
+    executor.hear_of(&exec(1, "look"));
+    let wrong: String = (10..18).map(|n| rpc(n, "none") + "\n").collect();
+    caller.stream.write_all((wrong + &rpc(18, "look") + "\n").as_bytes()).unwrap();
+    for number in 10..18 {
+        assert!(caller.hear().contains(&format!(r#""id":{number},"error":{{"code":-32601"#)));
+    }
+    assert!(caller.hear().contains(r#""id":18,"error":{"code":-32011"#));
+    executor.say(&exit(1, 1, "error"));
+    assert!(caller.hear().contains(r#""id":1,"error":{"code":-32000"#));
+    assert_eq!(caller.hear(), "");
+}
+
+#[test]
+fn a_flood_stays_inside_the_program_s_memory() {
+    let stand = Stand::with(|config| config["limits"]["memory_mb"] = 64.into());
+    let mut executor = stand.executor();
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+    std::thread::spawn(move || executor.hear_out());
+    stand.caller().wait_healthy();
+    // Each writes as soon as it is connected: one that said nothing for a second might be sent away.
+    let mut callers: Vec<Peer> = (0..300)
+        .map(|at| {
+            let mut caller = stand.caller();
+            let lines: String = (1..=32).map(|n| rpc(at * 100 + n, "look") + "\n").collect();
+            caller.stream.write_all(lines.replace("QUJD", &"QUJD".repeat(600)).as_bytes()).unwrap();
+            caller
+        })
+        .collect();
     // Most are turned away at once, each with one answer, and the node still speaks.
     callers.iter_mut().rev().take(100).for_each(|caller| drop(caller.hear_of("-32011")));
     stand.caller().wait_healthy();
