An RPC's life meets its asker and what lies below by two small interfaces

Need: life.rs, dispatchers.rs and node.rs imported one another in a circle, as a life held a concrete JSON-RPC connection. AJP on either side needs the same life.

Change: seam.rs has Asker (is an answer owed, give it, count a fault, note a proof) and Beneath (place a call, give it up). core.rs holds what all fronts share and starts lives; node.rs only puts parts together. How a call ended is one type beside how a connection ended, in ending.rs, with no protocol's words. Tokens' prints pass over JSON's escapes, so that the work is the same by any protocol.

Tests unchanged but for the type's names.

--- /dev/null
+++ b/crates/ochrewalk-node/src/core.rs
@@ -0,0 +1,103 @@
+//! What the fronts share: the gate, the executor, what lies below, and the bound on open RPCs. A front reads an
+//! RPC from its protocol and hands it over here; from then on it is the same for all of them.
+
+use crate::clock::Clock;
+use crate::gate::{Gate, Incoming, Token};
+use crate::net::executor::Executor;
+use crate::seam::{Answer, Asker, Beneath};
+use ochrewalk::deployment::Deployment;
+use ochrewalk::host::{Effect, RpcId};
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+/// Memory that one open RPC may take: its stack, its body and its answer.
+const RPC_BYTES: usize = 32 * 1024;
+/// The farthest that a stamp may be from our clock.
+const STAMP_MS: u64 = 3_600_000;
+
+pub struct Core {
+    pub clock: Clock,
+    pub gate: Gate,
+    pub deployment: Deployment,
+    /// The methods' names as JSON strings.
+    pub lanes: Vec<String>,
+    pub executor: Executor,
+    pub below: Option<Arc<dyn Beneath>>,
+    /// Prints of RPCs' work, by a key that no stranger knows.
+    prints: RandomState,
+    /// RPCs whose coroutines live, and how many may.
+    lives: AtomicUsize,
+    most_lives: usize,
+}
+
+/// An RPC as a front has read it.
+pub struct Asked<'a> {
+    pub id: &'a str,
+    /// Position in the deployment's list.
+    pub method: usize,
+    pub kb: f64,
+    pub ts_ms: u64,
+    pub token: Option<&'a str>,
+    /// A JSON string of base64.
+    pub body: &'a str,
+}
+
+impl Core {
+    /// `bytes` of memory are the program's own.
+    pub fn new(
+        clock: Clock,
+        gate: Gate,
+        deployment: Deployment,
+        executor: Executor,
+        below: Option<Arc<dyn Beneath>>,
+        bytes: usize,
+    ) -> Core {
+        let lanes = deployment.method_names.iter().map(|n| serde_json::Value::from(n.as_str()).to_string());
+        Core {
+            clock,
+            gate,
+            lanes: lanes.collect(),
+            deployment,
+            executor,
+            below,
+            prints: RandomState::new(),
+            lives: AtomicUsize::new(0),
+            most_lives: bytes / 4 / RPC_BYTES,
+        }
+    }
+
+    /// Checks what no protocol can check alone. The error says in a few words what is wrong.
+    pub fn check(&self, asked: &Asked) -> Result<Incoming, &'static str> {
+        if self.clock.unix_ms().abs_diff(asked.ts_ms) > STAMP_MS {
+            return Err("ts is out of range");
+        }
+        let tokened = self.deployment.methods[asked.method].effect == Effect::Tokened;
+        let token = asked.token.filter(|_| tokened).map(|key| Token {
+            key: key.into(),
+            // Some escape the solidus: the work is the same by any protocol.
+            work: self.prints.hash_one((asked.method, asked.body.replace('\\', ""))),
+        });
+        if tokened && token.is_none() {
+            return Err("no token");
+        }
+        let id: RpcId = asked.id.into();
+        Ok(Incoming { id, method: asked.method, kb: asked.kb, ts_ms: asked.ts_ms, token })
+    }
+
+    /// Starts the life of an RPC that its front has entered as owed an answer.
+    pub fn begin(self: &Arc<Core>, incoming: Incoming, body: &str, asker: impl Asker + 'static) {
+        // Guards the program's own memory against a flood: long before this many RPCs are open, the module's
+        // hold is full.
+        if self.lives.fetch_add(1, Ordering::Relaxed) >= self.most_lives {
+            self.lives.fetch_sub(1, Ordering::Relaxed);
+            return asker.answer(Answer::UNSEEN, self.gate.posture().signal);
+        }
+        let (core, body) = (self.clone(), body.to_string());
+        may::go!(move || {
+            crate::life::live(&core, &incoming, &body, &asker);
+            core.lives.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
--- a/crates/ochrewalk-node/src/ending.rs
+++ b/crates/ochrewalk-node/src/ending.rs
@@ -1,5 +1,5 @@
-//! How a connection ends. Every way is one value of one type, whoever is at the other side, and what it
-//! means for a call that was under way is said in one place.
+//! How a connection ends, and how a call. Every way is one value of one type, whoever is at the other side, and
+//! what it proves of a call that was under way is said in this file alone.
 
 use ochrewalk::host::Outcome;
 use std::fmt;
@@ -66,6 +66,42 @@
     }
 }
 
+/// What became of a call below, by any protocol.
+#[derive(Debug)]
+pub enum CallEnd {
+    /// It went well; its reply.
+    Good(Vec<u8>),
+    /// What lies below said so, whole: it was turned away unseen.
+    PushedBack,
+    /// It said that the call failed, and it may have had its effect.
+    Failed,
+    /// It said that the call ran out of time.
+    OutOfTime,
+    /// It said that nobody waits for the call.
+    Moot,
+    /// We waited as long as we said we would.
+    Late,
+    /// The connection that was to carry it ended before a byte of it was written, or no place took it.
+    Unsent,
+    /// The connection that carried it ended.
+    Link(Ending),
+}
+
+impl CallEnd {
+    /// What it means to the module.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            CallEnd::Good(_) => Outcome::Ok,
+            CallEnd::PushedBack => Outcome::PushedBack,
+            CallEnd::Failed => Outcome::Error,
+            CallEnd::OutOfTime | CallEnd::Late => Outcome::TimedOut,
+            CallEnd::Moot => Outcome::Moot,
+            CallEnd::Unsent => Outcome::Unreachable,
+            CallEnd::Link(ending) => ending.outcome(),
+        }
+    }
+}
+
 /// Whether the system had no descriptor or memory left.
 pub fn out_of_room(err: &Error) -> bool {
     const EMFILE_ENFILE_ENOBUFS_ENOMEM: [i32; 4] = [24, 23, 105, 12];
--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -3,9 +3,8 @@
 //! module's events and actions. One lock guards it, and nothing is read or written while it is held.
 
 use crate::clock::{since_us, whole_ms, Clock};
-use crate::ending::Ending;
+use crate::ending::CallEnd;
 use crate::keys::{Keys, Known, Served, State};
-use crate::wire::calls::Word;
 use crate::wire::notices::RunEnd;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use ochrewalk::decide::Decide;
@@ -80,18 +79,6 @@
     Nothing,
 }
 
-/// What became of a call below.
-#[derive(Debug)]
-pub enum CallEnd {
-    Reply(Word, Vec<u8>),
-    /// We waited as long as we said we would.
-    Late,
-    /// The connection that was to carry it ended before it was written.
-    Unsent,
-    /// The connection that carried it ended.
-    Link(Ending),
-}
-
 /// What became of an RPC's run or call, for [`Gate::report`].
 #[derive(Debug)]
 pub enum Report {
@@ -100,21 +87,6 @@
     RunEnded(RunEnd, Option<Served>),
 }
 
-impl CallEnd {
-    /// What it means to the module.
-    pub fn outcome(&self) -> Outcome {
-        match self {
-            CallEnd::Reply(Word::Ok, _) => Outcome::Ok,
-            CallEnd::Reply(Word::Busy, _) => Outcome::PushedBack,
-            CallEnd::Reply(Word::Err, _) => Outcome::Error,
-            CallEnd::Reply(Word::Late, _) | CallEnd::Late => Outcome::TimedOut,
-            CallEnd::Reply(Word::Void, _) => Outcome::Moot,
-            CallEnd::Unsent => Outcome::Unreachable,
-            CallEnd::Link(ending) => ending.outcome(),
-        }
-    }
-}
-
 fn run_outcome(end: RunEnd) -> Outcome {
     match end {
         RunEnd::Complete => Outcome::Ok,
--- a/crates/ochrewalk-node/src/lib.rs
+++ b/crates/ochrewalk-node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The real node's parts, round the module. See docs/architecture.md.
 
 pub mod clock;
+pub mod core;
 pub mod ending;
 pub mod gate;
 pub mod keys;
@@ -8,4 +9,5 @@
 pub mod logger;
 pub mod net;
 pub mod node;
+pub mod seam;
 pub mod wire;
--- a/crates/ochrewalk-node/src/net/below.rs
+++ b/crates/ochrewalk-node/src/net/below.rs
@@ -4,9 +4,10 @@
 
 use super::link::{carry, connect, Finish, Outbox, Reader};
 use crate::clock::Clock;
-use crate::ending::Ending;
-use crate::gate::{CallEnd, Next};
-use crate::wire::calls;
+use crate::ending::{CallEnd, Ending};
+use crate::gate::Next;
+use crate::seam::Beneath;
+use crate::wire::calls::{self, Word};
 use may::sync::mpsc::Sender;
 use ochrewalk::host::RpcId;
 use std::collections::HashMap;
@@ -23,7 +24,10 @@
 /// its call would wait all its time.
 const REPLY_US: u64 = 250_000;
 
-pub struct Below {
+#[derive(Clone)]
+pub struct Below(Arc<Links>);
+
+struct Links {
     clock: Clock,
     most_links: usize,
     state: Mutex<State>,
@@ -51,12 +55,38 @@
 
 impl Below {
     pub fn new(at: SocketAddr, clock: Clock, most_links: usize) -> Below {
-        Below { clock, most_links, state: Mutex::new(State { at, links: Vec::new() }) }
+        Below(Arc::new(Links { clock, most_links, state: Mutex::new(State { at, links: Vec::new() }) }))
+    }
+
+    /// Calls go to this place from now on. The links to the one before end with their last reply.
+    pub fn move_to(&self, at: SocketAddr) {
+        self.0.lock().at = at;
+        self.0.close_idle();
+    }
+
+    /// Closes connections that have carried nothing for a while, for ever.
+    pub fn watch(&self) {
+        loop {
+            may::coroutine::sleep(SWEEP);
+            self.0.close_idle();
+        }
+    }
+}
+
+impl Beneath for Below {
+    fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Sender<Next>) {
+        self.0.call(id, wait_ms, body, again, post);
     }
 
-    /// Places a call; what becomes of it goes to `post`. One that is not to be made `again` goes on a connection
-    /// of its own: guards against one that was forgotten below, which would leave it without proof.
-    pub fn call(self: &Arc<Self>, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Sender<Next>) {
+    fn give_up(&self, id: &str) {
+        self.0.give_up(id);
+    }
+}
+
+impl Links {
+    /// One that is not to be made `again` goes on a connection of its own: guards against one that was forgotten
+    /// below, which would leave it without proof.
+    fn call(self: &Arc<Self>, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Sender<Next>) {
         let mut state = self.lock();
         let now_us = self.clock.now_us();
         let room = state.links.len() < self.most_links;
@@ -90,28 +120,13 @@
         link.outbox.push(calls::call(id, wait_ms, body));
     }
 
-    /// Gives a call up; nothing more is heard of it.
-    pub fn give_up(&self, id: &str) {
+    fn give_up(&self, id: &str) {
         let Some(link) = self.carrier(id) else { return };
         if link.lock().calls.remove(id).is_some() {
             link.outbox.push(calls::give_up(id));
         }
     }
 
-    /// Calls go to this place from now on. The links to the one before end with their last reply.
-    pub fn move_to(&self, at: SocketAddr) {
-        self.lock().at = at;
-        self.close_idle();
-    }
-
-    /// Closes connections that have carried nothing for a while, for ever.
-    pub fn watch(&self) {
-        loop {
-            may::coroutine::sleep(SWEEP);
-            self.close_idle();
-        }
-    }
-
     fn close_idle(&self) {
         let state = self.lock();
         for link in &state.links {
@@ -168,7 +183,7 @@
 }
 
 struct Replies<'a> {
-    below: &'a Below,
+    below: &'a Links,
     link: &'a Link,
 }
 
@@ -186,7 +201,13 @@
         };
         // One that was given up may still be answered.
         if let Some(post) = post {
-            let _ = post.send(Next::CallEnded(CallEnd::Reply(reply.word, reply.body.to_vec())));
+            let _ = post.send(Next::CallEnded(match reply.word {
+                Word::Ok => CallEnd::Good(reply.body.to_vec()),
+                Word::Busy => CallEnd::PushedBack,
+                Word::Err => CallEnd::Failed,
+                Word::Late => CallEnd::OutOfTime,
+                Word::Void => CallEnd::Moot,
+            }));
         }
         Ok(taken)
     }
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -2,18 +2,16 @@
 //! asked to end.
 
 use super::link::{carry, Finish, Outbox, Reader};
+use crate::core::{Asked, Core};
 use crate::ending::{out_of_room, Ending};
-use crate::gate::{Incoming, Posture, Token};
-use crate::life::Caller;
-use crate::node::Node;
+use crate::gate::Posture;
+use crate::seam::{Answer, Asker};
 use crate::wire::jsonrpc::{self, Message, Which};
 use may::net::{TcpListener, TcpStream};
-use ochrewalk::host::{Effect, RpcId};
+use ochrewalk::host::RpcId;
 use socket2::SockRef;
 use std::collections::HashMap;
-use std::hash::BuildHasher;
 use std::net::Shutdown;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -27,8 +25,6 @@
 const LINE_US: u64 = 2_000_000;
 /// What is no proper RPC is answered so many times on a connection; then it is closed.
 const MOST_FAULTS: u32 = 8;
-/// The farthest that a stamp may be from our clock.
-const STAMP_MS: u64 = 3_600_000;
 /// Past this share of the table, connections that have carried nothing for a while are asked to end, and ended
 /// soon. Guards against callers that ask once and stay: each would cost its stack, and more of them memory that
 /// grows all day. Those in use are used far more often.
@@ -48,8 +44,9 @@
 /// may have under way. What comes after them is not read.
 const AFTER_FAULTS: u32 = 32;
 
-#[derive(Default)]
 pub struct Dispatchers {
+    core: Arc<Core>,
+    most: usize,
     open: Mutex<Connections>,
 }
 
@@ -90,15 +87,20 @@
 }
 
 impl Dispatchers {
-    /// Accepts until [`Dispatchers::shut`], `most` connections at a time.
-    pub fn accept(node: &Arc<Node>, listener: &TcpListener, most: usize) {
+    /// `most` connections at a time.
+    pub fn new(core: Arc<Core>, most: usize) -> Dispatchers {
+        Dispatchers { core, most, open: Mutex::default() }
+    }
+
+    /// Accepts until [`Dispatchers::shut`].
+    pub fn accept(self: &Arc<Self>, listener: &TcpListener) {
         match listener.inner().try_clone() {
-            Ok(second) => node.dispatchers.lock().listener = Some(second),
+            Ok(second) => self.lock().listener = Some(second),
             Err(err) => log::error!("cannot clone the listener: {err}"),
         }
         loop {
             let accepted = listener.accept();
-            if accepted.is_err() && node.dispatchers.lock().listener.is_none() {
+            if accepted.is_err() && self.lock().listener.is_none() {
                 return;
             }
             match accepted {
@@ -107,15 +109,15 @@
                         if tried > 0 {
                             may::coroutine::sleep(ROOM_WAIT);
                         }
-                        node.dispatchers.make_room(most)
+                        self.make_room()
                     });
                     if !room {
-                        log::warn!("{most} connections open, none of them idle: a new one is closed");
+                        log::warn!("{} connections open, none of them idle: a new one is closed", self.most);
                         continue;
                     }
-                    let (number, connection) = node.dispatchers.enter(node.clock.now_us());
-                    let node = node.clone();
-                    may::go!(move || serve(&node, &stream, number, &connection));
+                    let (number, connection) = self.enter();
+                    let all = self.clone();
+                    may::go!(move || all.serve(&stream, number, &connection));
                 }
                 Err(err) => {
                     log::warn!("cannot accept: {err}");
@@ -128,7 +130,8 @@
 
     /// A new connection takes its place in the table at once: guards against many that are accepted before the
     /// first of them is looked at.
-    fn enter(&self, now_us: u64) -> (u64, Arc<Connection>) {
+    fn enter(&self) -> (u64, Arc<Connection>) {
+        let now_us = self.core.clock.now_us();
         let state = Mutex::new(Carried { used_us: now_us, ..Carried::default() });
         let connection = Arc::new(Connection { outbox: Outbox::default(), state });
         let mut open = self.lock();
@@ -141,11 +144,11 @@
         (number, connection)
     }
 
-    /// Whether one more may be served, `most` at a time and a few that are about to end. At need the least worthy
+    /// Whether one more may be served, beside a few that are about to end. At need the least worthy
     /// is asked to go that is owed no answer: guards against a table full of those that say nothing, or asked
     /// once and stay, which would keep callers out. One that turns out to have whole RPCs unread stays.
-    fn make_room(&self, most: usize) -> bool {
-        let open = self.lock();
+    fn make_room(&self) -> bool {
+        let (open, most) = (self.lock(), self.most);
         let going = open.of.values().filter(|c| c.lock().going).count();
         if open.of.len() - going < most && open.of.len() < most + ENDING {
             return true;
@@ -168,16 +171,17 @@
 
     /// Ends connections that say nothing, asks those to end that have carried nothing for as long as the module
     /// says, and, where the table fills, those longest unused.
-    pub fn sweep(node: &Node, most: usize) {
+    pub fn sweep(&self) {
         loop {
             may::coroutine::sleep(SWEEP);
-            let Posture { idle_us, .. } = node.gate.posture();
-            let idle_us = if idle_us < node.idle_most_us { idle_us } else { u64::MAX };
-            let now_us = node.clock.now_us();
-            let all = node.dispatchers.all();
+            let Posture { idle_us, .. } = self.core.gate.posture();
+            let bounded = idle_us < self.core.deployment.machine.idle_most_us;
+            let idle_us = if bounded { idle_us } else { u64::MAX };
+            let now_us = self.core.clock.now_us();
+            let all = self.all();
             all.iter().for_each(|connection| connection.end_if_idle(now_us, idle_us));
             let staying = all.iter().filter(|c| c.lock().end_by_us.is_none()).count();
-            let over = staying.saturating_sub((most as f64 * CROWDED) as usize);
+            let over = staying.saturating_sub((self.most as f64 * CROWDED) as usize);
             if over > 0 {
                 let mut idle: Vec<_> = all.iter().filter_map(|c| Some((c.idle_since_us()?, c))).collect();
                 idle.sort_unstable_by_key(|(since_us, _)| *since_us);
@@ -190,7 +194,8 @@
     }
 
     /// This server leaves: no RPC comes on these connections any more.
-    pub fn leave(&self, now_us: u64) {
+    pub fn leave(&self) {
+        let now_us = self.core.clock.now_us();
         self.lock().leaving = true;
         self.all().iter().for_each(|connection| connection.ask_to_end(now_us, TO_CLOSE_US));
     }
@@ -220,9 +225,47 @@
     }
 }
 
+/// Who asked, by JSON-RPC.
+struct Caller {
+    core: Arc<Core>,
+    connection: Arc<Connection>,
+    /// The message's id.
+    id: Box<str>,
+}
+
+impl Asker for Caller {
+    fn is_owed(&self) -> bool {
+        self.connection.lock().open.contains_key(&self.id)
+    }
+
+    fn answer(&self, answer: Answer, signal: Option<f64>) {
+        let line = match answer {
+            Answer::Served(body) => jsonrpc::served(&self.id, body, signal),
+            Answer::PushedBack { last, come_back_us } => {
+                jsonrpc::refused(&self.id, last, come_back_us.div_ceil(1_000), signal)
+            }
+            Answer::Aborted => jsonrpc::failed(&self.id, signal),
+            Answer::Fault(why) => {
+                log::warn!("dispatcher: {why}");
+                self.connection.fault();
+                jsonrpc::error(&self.id, jsonrpc::BAD_PARAMS, why, "")
+            }
+        };
+        self.connection.answer(&self.id, self.core.clock.now_us(), line);
+    }
+
+    fn fault(&self) {
+        self.connection.fault();
+    }
+
+    fn proven(&self) {
+        self.connection.lock().faults = 0;
+    }
+}
+
 impl Connection {
     /// Writes the answer to an RPC, if one is still owed.
-    pub fn answer(&self, id: &str, now_us: u64, line: Vec<u8>) {
+    fn answer(&self, id: &str, now_us: u64, line: Vec<u8>) {
         let owed = {
             let mut state = self.lock();
             state.used_us = now_us;
@@ -233,19 +276,9 @@
         }
     }
 
-    /// Whether an answer to that message is still owed.
-    pub fn owes(&self, id: &str) -> bool {
-        self.lock().open.contains_key(id)
-    }
-
-    /// An RPC that came here has run: its sender is no stranger.
-    pub fn proven(&self) {
-        self.lock().faults = 0;
-    }
-
     /// What came was no proper RPC. Past a few of them the connection ends once its answers are written: guards
     /// against a flood of what costs its sender nothing.
-    pub fn fault(&self) {
+    fn fault(&self) {
         let mut state = self.lock();
         state.faults += 1;
         if state.faults >= MOST_FAULTS {
@@ -317,31 +350,33 @@
     }
 }
 
-fn serve(node: &Arc<Node>, stream: &TcpStream, number: u64, connection: &Arc<Connection>) {
-    let mut reader = Inbound { node, connection };
-    let ending = match stream.set_nodelay(true) {
-        Ok(()) => carry(stream, &connection.outbox, None, jsonrpc::LONGEST, &mut reader),
-        Err(err) => Ending::of_use(&err),
-    };
-    node.dispatchers.lock().of.remove(&number);
-    let open = std::mem::take(&mut connection.lock().open);
-    match &ending {
-        Ending::Malformed(_) | Ending::TooLong => log::warn!("dispatcher: {ending}"),
-        _ => log::debug!("dispatcher: {ending}; {} RPCs open", open.len()),
+impl Dispatchers {
+    fn serve(&self, stream: &TcpStream, number: u64, connection: &Arc<Connection>) {
+        let mut reader = Inbound { core: &self.core, connection };
+        let ending = match stream.set_nodelay(true) {
+            Ok(()) => carry(stream, &connection.outbox, None, jsonrpc::LONGEST, &mut reader),
+            Err(err) => Ending::of_use(&err),
+        };
+        self.lock().of.remove(&number);
+        let open = std::mem::take(&mut connection.lock().open);
+        match &ending {
+            Ending::Malformed(_) | Ending::TooLong => log::warn!("dispatcher: {ending}"),
+            _ => log::debug!("dispatcher: {ending}; {} RPCs open", open.len()),
+        }
+        // Nobody can be answered there any more.
+        open.values().for_each(|id| self.core.gate.gone(id));
     }
-    // Nobody can be answered there any more.
-    open.values().for_each(|id| node.gate.gone(id));
 }
 
 struct Inbound<'a> {
-    node: &'a Arc<Node>,
+    core: &'a Arc<Core>,
     connection: &'a Arc<Connection>,
 }
 
 impl Reader for Inbound<'_> {
     fn take(&mut self, input: &[u8]) -> Result<usize, Ending> {
         let Some((line, taken)) = crate::wire::line(input) else {
-            let now_us = self.node.clock.now_us();
+            let now_us = self.core.clock.now_us();
             self.connection.lock().partial_us.get_or_insert(now_us);
             return Ok(0);
         };
@@ -357,7 +392,7 @@
 
     fn may_end(&self, how: Finish) -> bool {
         let mut state = self.connection.lock();
-        let may = state.may_end(how, self.node.clock.now_us());
+        let may = state.may_end(how, self.core.clock.now_us());
         state.going &= may;
         may
     }
@@ -365,7 +400,7 @@
 
 impl Inbound<'_> {
     fn message(&self, message: Message) -> Result<(), Ending> {
-        let now_us = self.node.clock.now_us();
+        let now_us = self.core.clock.now_us();
         {
             let mut state = self.connection.lock();
             (state.used_us, state.partial_us, state.spoke) = (now_us, None, true);
@@ -383,22 +418,21 @@
         }
         match message {
             Message::Rpc(rpc) => {
-                let Some(method) = self.node.deployment.method(&rpc.method) else {
+                let Some(method) = self.core.deployment.method(&rpc.method) else {
                     return self.faulty(rpc.id, jsonrpc::NO_METHOD, "unknown method");
                 };
-                if self.node.clock.unix_ms().abs_diff(rpc.ts_ms) > STAMP_MS {
-                    return self.faulty(rpc.id, jsonrpc::BAD_PARAMS, "ts is out of range");
-                }
-                let tokened = self.node.deployment.methods[method].effect == Effect::Tokened;
-                let token = rpc.opkey.filter(|_| tokened).map(|key| Token {
-                    key: (&*key).into(),
-                    work: self.node.prints.hash_one((method, rpc.body.get())),
-                });
-                if tokened && token.is_none() {
-                    return self.faulty(rpc.id, jsonrpc::BAD_PARAMS, "no opkey");
-                }
-                let incoming =
-                    Incoming { id: (&*rpc.req).into(), method, kb: rpc.kb, ts_ms: rpc.ts_ms, token };
+                let asked = Asked {
+                    id: &rpc.req,
+                    method,
+                    kb: rpc.kb,
+                    ts_ms: rpc.ts_ms,
+                    token: rpc.opkey.as_deref(),
+                    body: rpc.body.get(),
+                };
+                let incoming = match self.core.check(&asked) {
+                    Ok(incoming) => incoming,
+                    Err(why) => return self.faulty(rpc.id, jsonrpc::BAD_PARAMS, why),
+                };
                 let open = {
                     let mut state = self.connection.lock();
                     if state.open.contains_key(rpc.id) {
@@ -409,21 +443,13 @@
                     state.open.insert(rpc.id.into(), incoming.id.clone());
                     state.open.len()
                 };
-                // Guards the program's own memory against a flood: long before this many RPCs are open, the
-                // module's hold is full.
-                let lives = self.node.lives.fetch_add(1, Ordering::Relaxed);
-                if open > MOST_OPEN || lives >= self.node.most_lives {
-                    self.node.lives.fetch_sub(1, Ordering::Relaxed);
-                    let signal = self.node.gate.posture().signal;
-                    self.connection.answer(rpc.id, now_us, jsonrpc::refused(rpc.id, false, 0, signal));
-                    return Ok(());
+                let connection = self.connection.clone();
+                let caller = Caller { core: self.core.clone(), connection, id: rpc.id.into() };
+                if open > MOST_OPEN {
+                    caller.answer(Answer::UNSEEN, self.core.gate.posture().signal);
+                } else {
+                    self.core.begin(incoming, rpc.body.get(), caller);
                 }
-                let caller = Caller { connection: self.connection.clone(), id: rpc.id.into() };
-                let (node, body) = (self.node.clone(), rpc.body.get().to_string());
-                may::go!(move || {
-                    crate::life::live(&node, &incoming, &body, caller);
-                    node.lives.fetch_sub(1, Ordering::Relaxed);
-                });
             }
             Message::Revoke(which) => {
                 let gone = {
@@ -437,12 +463,12 @@
                     id.and_then(|id| state.open.remove_entry(&id))
                 };
                 if let Some((number, id)) = gone {
-                    self.node.gate.gone(&id);
+                    self.core.gate.gone(&id);
                     self.connection.outbox.push(jsonrpc::revoked(&number));
                 }
             }
             Message::Heartbeat { id } => {
-                let Posture { healthy, signal, .. } = self.node.gate.posture();
+                let Posture { healthy, signal, .. } = self.core.gate.posture();
                 let pass = healthy.unwrap_or(false);
                 self.connection.outbox.push(jsonrpc::heartbeat(id, pass, signal));
             }
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -1,21 +1,21 @@
 //! One node: its parts put together, started, and brought to an end on a signal.
 
 use crate::clock::Clock;
+use crate::core::Core;
 use crate::gate::Gate;
 use crate::net::below::Below;
 use crate::net::directory;
 use crate::net::dispatchers::Dispatchers;
 use crate::net::executor::{rows, Executor};
+use crate::seam::Beneath;
 use log::LevelFilter;
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
-use ochrewalk::deployment::{Deployment, Placement};
+use ochrewalk::deployment::Placement;
 use ochrewalk::host::Stopping;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use std::collections::hash_map::RandomState;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -29,8 +29,6 @@
 const OWN_DESCRIPTORS: usize = 24;
 /// One in so many descriptors may be a connection below; dispatchers take half of them at most.
 const OF_BELOW: usize = 8;
-/// Memory that one open RPC may take: its stack, its body and its answer.
-const RPC_BYTES: usize = 32 * 1024;
 /// A file that cannot be used on SIGHUP may be only half written: it is read so many times, so far apart.
 const READINGS: u32 = 20;
 const BETWEEN_READINGS: Duration = Duration::from_millis(100);
@@ -39,24 +37,13 @@
 const LAST_MS: u64 = 200;
 const END_MS: u64 = 120;
 
-/// What all parts of a node share.
-pub struct Node {
-    pub clock: Clock,
-    pub gate: Gate,
-    pub deployment: Deployment,
-    /// The methods' names as JSON strings.
-    pub lanes: Vec<String>,
-    pub idle_most_us: u64,
-    pub executor: Executor,
-    pub below: Option<Arc<Below>>,
-    /// Prints of RPCs' work, by a key that no stranger knows.
-    pub prints: RandomState,
+/// What signals act on.
+struct Node {
+    core: Arc<Core>,
+    store: Option<Below>,
     /// Where the directory is.
     directory: Mutex<SocketAddr>,
-    pub dispatchers: Dispatchers,
-    /// RPCs whose coroutines live, and how many may.
-    pub lives: AtomicUsize,
-    pub most_lives: usize,
+    dispatchers: Arc<Dispatchers>,
 }
 
 /// Serves as the node of that file until SIGTERM or SIGINT, then ends the process. SIGHUP has the file read
@@ -139,8 +126,8 @@
     for key in left_alone {
         log::warn!("SIGHUP: {key} has changed; it takes effect with the next start only");
     }
-    node.executor.move_to(executor);
-    if let (Some(links), Some(at)) = (&node.below, below) {
+    node.core.executor.move_to(executor);
+    if let (Some(links), Some(at)) = (&node.store, below) {
         links.move_to(at);
     }
     *node.directory.lock().expect("never held over a panic") = directory;
@@ -153,34 +140,27 @@
     let clock = Clock::start();
     let bytes = placement.memory_mb as usize * 1024 * 1024;
     let deployment = placement.deployment.clone();
-    let lanes = deployment.method_names.iter().map(|n| serde_json::Value::from(n.as_str()).to_string());
     let (gate, stirred) = Gate::new(clock, deployment.clone(), placement.seed, bytes / 8);
     let most_links = placement.descriptors / OF_BELOW;
-    let node = Arc::new(Node {
-        clock,
-        gate,
-        lanes: lanes.collect(),
-        executor: Executor::new(placement.executor, deployment.machine.stopping == Stopping::Pause),
-        idle_most_us: deployment.machine.idle_most_us,
-        deployment,
-        below: placement.below.map(|at| Arc::new(Below::new(at, clock, most_links))),
-        prints: RandomState::new(),
-        directory: Mutex::new(placement.directory),
-        dispatchers: Dispatchers::default(),
-        lives: AtomicUsize::new(0),
-        most_lives: bytes / 4 / RPC_BYTES,
-    });
+    let executor = Executor::new(placement.executor, deployment.machine.stopping == Stopping::Pause);
+    let store = placement.below.map(|at| Below::new(at, clock, most_links));
+    let below = store.clone().map(|store| Arc::new(store) as Arc<dyn Beneath>);
+    let core = Arc::new(Core::new(clock, gate, deployment, executor, below, bytes));
+    let most = placement.descriptors - OWN_DESCRIPTORS - most_links;
+    let dispatchers = Arc::new(Dispatchers::new(core.clone(), most));
+    let directory = Mutex::new(placement.directory);
+    let node = Arc::new(Node { core: core.clone(), store, directory, dispatchers });
     let (report_now, changed) = channel();
-    let (of, report) = (node.clone(), report_now.clone());
+    let (of, report) = (core.clone(), report_now.clone());
     may::go!(move || of.executor.keep(&of.gate, &report));
-    if let Some(below) = node.below.clone() {
-        may::go!(move || below.watch());
+    if let Some(store) = node.store.clone() {
+        may::go!(move || store.watch());
     }
-    let of = node.clone();
+    let of = core.clone();
     may::go!(move || loop {
         of.gate.turn(&stirred.told);
     });
-    let of = node.clone();
+    let of = core;
     may::go!(move || {
         let rows = rows();
         loop {
@@ -192,37 +172,35 @@
     let (of, name) = (node.clone(), placement.name.clone());
     may::go!(move || {
         let at = || *of.directory.lock().expect("never held over a panic");
-        let healthy = || of.gate.posture().healthy;
+        let healthy = || of.core.gate.posture().healthy;
         directory::keep(at, &name, healthy, &changed);
     });
-    let most = placement.descriptors - OWN_DESCRIPTORS - most_links;
-    let of = node.clone();
-    may::go!(move || Dispatchers::sweep(&of, most));
-    let of = node.clone();
-    may::go!(move || Dispatchers::accept(&of, &listener, most));
+    let of = node.dispatchers.clone();
+    may::go!(move || of.sweep());
+    let of = node.dispatchers.clone();
+    may::go!(move || of.accept(&listener));
     (node, report_now)
 }
 
 /// Leaves: no new work is asked for, all that was read is answered, and every answer is written.
 fn leave(node: &Node, stop_ms: u64, report_now: &Sender<()>) {
-    let from_us = node.clock.now_us();
+    let Core { clock, gate, .. } = &*node.core;
+    let from_us = clock.now_us();
     let at = |ms: u64| {
         let until_us = from_us + ms * 1_000;
-        may::coroutine::sleep(Duration::from_micros(until_us.saturating_sub(node.clock.now_us())));
+        may::coroutine::sleep(Duration::from_micros(until_us.saturating_sub(clock.now_us())));
     };
-    node.gate.leave(stop_ms.saturating_sub(FLUSH_MS) * 1_000);
+    gate.leave(stop_ms.saturating_sub(FLUSH_MS) * 1_000);
     let _ = report_now.send(());
-    node.dispatchers.leave(from_us);
+    node.dispatchers.leave();
     at(stop_ms.saturating_sub(FLUSH_MS));
     node.dispatchers.shut();
     // Who connected just before still writes, and gets an answer.
     at(stop_ms.saturating_sub(LAST_MS));
     node.dispatchers.finish();
     // What is still on its way to us is read, so that no answer is reset.
-    while node.clock.now_us() < from_us + stop_ms.saturating_sub(END_MS) * 1_000
-        && node.dispatchers.count() > 0
-    {
+    while clock.now_us() < from_us + stop_ms.saturating_sub(END_MS) * 1_000 && node.dispatchers.count() > 0 {
         may::coroutine::sleep(Duration::from_millis(5));
     }
-    log::info!("{} RPCs and {} connections left", node.gate.open_rpcs(), node.dispatchers.count());
+    log::info!("{} RPCs and {} connections left", gate.open_rpcs(), node.dispatchers.count());
 }
--- /dev/null
+++ b/crates/ochrewalk-node/src/seam.rs
@@ -0,0 +1,49 @@
+//! What an RPC's life needs of the two sides that it stands between: of whoever asked, and of whatever lies
+//! below. Each protocol brings its own; the life knows none of them.
+
+use crate::gate::Next;
+use may::sync::mpsc::Sender;
+use ochrewalk::host::RpcId;
+
+/// The final answer to an RPC, before a protocol has put it into bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer<'a> {
+    /// The result of its run, a JSON string of base64 as the executor gave it.
+    Served(&'a str),
+    /// It never ran. `last` asks not to try elsewhere, `come_back_us` (0 for none) to keep away for so long.
+    PushedBack { last: bool, come_back_us: u64 },
+    /// Given up, with no word on whether it ran.
+    Aborted,
+    /// It can't be done as it was asked, for this reason; it did not run.
+    Fault(&'static str),
+}
+
+impl Answer<'_> {
+    /// Pushed back with no advice.
+    pub const UNSEEN: Answer<'static> = Answer::PushedBack { last: false, come_back_us: 0 };
+}
+
+/// Who waits for the answer to one RPC.
+pub trait Asker: Send {
+    /// Whether an answer is still owed.
+    fn is_owed(&self) -> bool;
+
+    /// Gives the answer, if it is still owed. `signal` is the value sent back, where there is one.
+    fn answer(&self, answer: Answer, signal: Option<f64>);
+
+    /// The executor knows of no such RPC: it counts against its sender.
+    fn fault(&self);
+
+    /// The RPC has run: its sender is no stranger.
+    fn proven(&self);
+}
+
+/// What lies below.
+pub trait Beneath: Send + Sync {
+    /// Places a call that may take so long; what becomes of it goes to `post`, once. Only one that may be made
+    /// `again` can be repeated, or go where its fate would not be known for certain.
+    fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Sender<Next>);
+
+    /// Gives a call up; nothing more is heard of it.
+    fn give_up(&self, id: &str);
+}
--- a/crates/ochrewalk-node/tests/wire.rs
+++ b/crates/ochrewalk-node/tests/wire.rs
@@ -3,8 +3,7 @@
 use ochrewalk::deployment::Placement;
 use ochrewalk::host::Outcome;
 use ochrewalk_node::clock::since_us;
-use ochrewalk_node::ending::Ending;
-use ochrewalk_node::gate::CallEnd;
+use ochrewalk_node::ending::{CallEnd, Ending};
 use ochrewalk_node::keys::{Keys, Known, State};
 use ochrewalk_node::net::executor::pause_after;
 use ochrewalk_node::wire::calls::{self, Word};
@@ -214,12 +213,12 @@
         assert_eq!(CallEnd::Link(ending).outcome().never_ran(), proof);
     }
     for (end, outcome) in [
-        (CallEnd::Reply(Word::Ok, vec![]), Outcome::Ok),
-        (CallEnd::Reply(Word::Busy, vec![]), Outcome::PushedBack),
-        (CallEnd::Reply(Word::Err, vec![]), Outcome::Error),
-        (CallEnd::Reply(Word::Late, vec![]), Outcome::TimedOut),
+        (CallEnd::Good(vec![]), Outcome::Ok),
+        (CallEnd::PushedBack, Outcome::PushedBack),
+        (CallEnd::Failed, Outcome::Error),
+        (CallEnd::OutOfTime, Outcome::TimedOut),
         (CallEnd::Late, Outcome::TimedOut),
-        (CallEnd::Reply(Word::Void, vec![]), Outcome::Moot),
+        (CallEnd::Moot, Outcome::Moot),
         (CallEnd::Unsent, Outcome::Unreachable),
     ] {
         assert_eq!(end.outcome(), outcome);
