--- a/crates/ochrewalk-ajp/src/packet.rs
+++ b/crates/ochrewalk-ajp/src/packet.rs
@@ -155,6 +155,9 @@
     }
 }
 
+/// Headers: names and values as they came.
+pub type Pairs<'a> = Vec<(&'a [u8], &'a [u8])>;
+
 /// The length that stands for no string at all.
 const NO_TEXT: u16 = 0xFFFF;
 /// Headers and attributes of one message.
@@ -203,7 +206,7 @@
         Ok(self.maybe_text()?.unwrap_or_default())
     }
 
-    pub fn headers(&mut self, of: Headers) -> Result<Vec<(&'a [u8], &'a [u8])>, Broken> {
+    pub fn headers(&mut self, of: Headers) -> Result<Pairs<'a>, Broken> {
         let count = usize::from(self.number()?);
         if count > MOST_HEADERS {
             return Err(Broken::TooMany);
--- a/crates/ochrewalk-ajp/src/reply.rs
+++ b/crates/ochrewalk-ajp/src/reply.rs
@@ -2,7 +2,7 @@
 //! request's body.
 
 use crate::codes::Headers;
-use crate::packet::{header, split, write, Broken, Rest, Sender};
+use crate::packet::{header, split, write, Broken, Pairs, Rest, Sender};
 
 const SEND_BODY_CHUNK: u8 = 3;
 const SEND_HEADERS: u8 = 4;
@@ -27,7 +27,7 @@
 pub struct Head<'a> {
     pub status: u16,
     pub words: &'a [u8],
-    pub headers: Vec<(&'a [u8], &'a [u8])>,
+    pub headers: Pairs<'a>,
 }
 
 impl<'a> Head<'a> {
--- a/crates/ochrewalk-ajp/src/request.rs
+++ b/crates/ochrewalk-ajp/src/request.rs
@@ -1,7 +1,7 @@
 //! What the asker sends: requests, their bodies in pieces, and questions whether the other side is there.
 
 use crate::codes::{method, method_code, Headers, STORED_METHOD};
-use crate::packet::{header, split, write, Broken, Rest, Sender, MOST_HEADERS};
+use crate::packet::{header, split, write, Broken, Pairs, Rest, Sender, MOST_HEADERS};
 
 const FORWARD_REQUEST: u8 = 2;
 const SHUTDOWN: u8 = 7;
@@ -35,7 +35,7 @@
     pub server_name: Option<&'a [u8]>,
     pub server_port: u16,
     pub ssl: bool,
-    pub headers: Vec<(&'a [u8], &'a [u8])>,
+    pub headers: Pairs<'a>,
     pub attributes: Vec<Attribute<'a>>,
 }
 
--- /dev/null
+++ b/crates/ochrewalk-fronts/src/routes.rs
@@ -0,0 +1,175 @@
+//! Decides which method of the deployment a request stands for, by its HTTP method and path. A literal segment wins
+//! over `{}`, which is any one segment, and that over a trailing `*`, which is any number of them; so the outcome does
+//! not hang on the order in which routes were named.
+
+use std::collections::BTreeMap;
+
+/// Segments of a path: guards against a path that costs more to look at than its request.
+const MOST_SEGMENTS: usize = 32;
+
+/// Routes as a tree of segments.
+#[derive(Clone, Debug, Default)]
+pub struct Routes {
+    root: Node,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Node {
+    literal: BTreeMap<Vec<u8>, Node>,
+    any: Option<Box<Node>>,
+    /// What ends here, and what goes on here with anything.
+    here: BTreeMap<String, usize>,
+    rest: BTreeMap<String, usize>,
+}
+
+/// Why a path is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPath {
+    NotAbsolute,
+    /// `.` or `..`, which others might resolve before or after us.
+    Dots,
+    /// A percent sign with no two hex digits, or one that hides a slash or a zero.
+    Escape,
+    TooLong,
+}
+
+/// What a request stands for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// Position in the deployment's list of methods.
+    Method(usize),
+    /// The path is known, but for these HTTP methods only.
+    OtherMethods(Vec<String>),
+    NoRoute,
+}
+
+impl Routes {
+    /// Names a route. An error says what is wrong with the pattern, or that it stands already.
+    pub fn add(&mut self, http: &str, pattern: &str, method: usize) -> Result<(), String> {
+        let mut segments = segments(pattern.as_bytes()).map_err(|why| why.in_words().to_string())?;
+        let open = segments.last().is_some_and(|last| last == b"*");
+        if open {
+            segments.pop();
+        }
+        if segments.iter().any(|s| s.contains(&b'*')) {
+            return Err("'*' may only be the last segment by itself".into());
+        }
+        let mut node = &mut self.root;
+        for segment in segments {
+            node = match &*segment {
+                b"{}" => node.any.get_or_insert_default(),
+                literal if literal.contains(&b'{') || literal.contains(&b'}') => {
+                    return Err("a segment is '{}' as a whole or holds no braces".into());
+                }
+                _ => node.literal.entry(segment).or_default(),
+            };
+        }
+        let methods = if open { &mut node.rest } else { &mut node.here };
+        match methods.insert(http.to_string(), method) {
+            None => Ok(()),
+            Some(_) => Err(format!("{http} {pattern} is routed already")),
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.root.is_empty()
+    }
+
+    /// Finds what a request stands for. What follows `?` in a path is not part of it, nor what follows `;` in a
+    /// segment.
+    ///
+    /// ```
+    /// use ochrewalk_fronts::routes::{Found, Routes};
+    /// let mut routes = Routes::default();
+    /// routes.add("GET", "/items/{}", 0).unwrap();
+    /// routes.add("GET", "/items/all", 1).unwrap();
+    /// assert_eq!(routes.find(b"GET", b"/items/7;s=1?x"), Ok(Found::Method(0)));
+    /// assert_eq!(routes.find(b"GET", b"/items/all"), Ok(Found::Method(1)));
+    /// assert_eq!(routes.find(b"PUT", b"/items/all"), Ok(Found::OtherMethods(vec!["GET".into()])));
+    /// ```
+    pub fn find(&self, http: &[u8], path: &[u8]) -> Result<Found, NoPath> {
+        let path = path.split(|b| *b == b'?').next().unwrap_or_default();
+        let segments = segments(path)?;
+        let mut others = Vec::new();
+        let found = self.root.find(http, &segments, &mut others);
+        others.sort_unstable();
+        others.dedup();
+        Ok(match found {
+            Some(method) => Found::Method(method),
+            None if others.is_empty() => Found::NoRoute,
+            None => Found::OtherMethods(others),
+        })
+    }
+}
+
+impl Node {
+    fn is_empty(&self) -> bool {
+        self.literal.is_empty() && self.any.is_none() && self.here.is_empty() && self.rest.is_empty()
+    }
+
+    fn find(&self, http: &[u8], segments: &[Vec<u8>], others: &mut Vec<String>) -> Option<usize> {
+        let of = |methods: &BTreeMap<String, usize>, others: &mut Vec<String>| {
+            let found = methods.iter().find(|(name, _)| name.as_bytes() == http).map(|(_, method)| *method);
+            if found.is_none() {
+                others.extend(methods.keys().cloned());
+            }
+            found
+        };
+        let found = match segments.split_first() {
+            None => of(&self.here, others),
+            Some((first, rest)) => {
+                let literal = self.literal.get(first).and_then(|node| node.find(http, rest, others));
+                let any = || self.any.as_ref().and_then(|node| node.find(http, rest, others));
+                literal.or_else(any)
+            }
+        };
+        found.or_else(|| of(&self.rest, others))
+    }
+}
+
+impl NoPath {
+    pub fn in_words(self) -> &'static str {
+        match self {
+            NoPath::NotAbsolute => "a path begins with '/'",
+            NoPath::Dots => "a path has no '.' or '..' segments",
+            NoPath::Escape => "a path's '%' is followed by two hex digits that hide no slash",
+            NoPath::TooLong => "a path has too many segments",
+        }
+    }
+}
+
+fn segments(path: &[u8]) -> Result<Vec<Vec<u8>>, NoPath> {
+    let rest = path.strip_prefix(b"/").ok_or(NoPath::NotAbsolute)?;
+    let mut segments = Vec::new();
+    // A trailing slash and doubled ones are passed over.
+    for raw in rest.split(|b| *b == b'/').filter(|s| !s.is_empty()) {
+        let segment = unescaped(raw.split(|b| *b == b';').next().unwrap_or_default())?;
+        // Guards against a path that others resolve to another one.
+        if segment == b"." || segment == b".." {
+            return Err(NoPath::Dots);
+        }
+        segments.push(segment);
+        if segments.len() > MOST_SEGMENTS {
+            return Err(NoPath::TooLong);
+        }
+    }
+    Ok(segments)
+}
+
+fn unescaped(raw: &[u8]) -> Result<Vec<u8>, NoPath> {
+    let mut segment = Vec::with_capacity(raw.len());
+    let mut bytes = raw.iter();
+    while let Some(byte) = bytes.next() {
+        if *byte != b'%' {
+            segment.push(*byte);
+            continue;
+        }
+        let digit = |b: Option<&u8>| b.and_then(|b| char::from(*b).to_digit(16)).ok_or(NoPath::Escape);
+        let byte = (digit(bytes.next())? * 16 + digit(bytes.next())?) as u8;
+        if matches!(byte, b'/' | b'\\' | 0) {
+            return Err(NoPath::Escape);
+        }
+        segment.push(byte);
+    }
+    Ok(segment)
+}
