The operators' own file: one directive a line, every fault named by its line

Need: what is new is set by operators, apart from the node's JSON file, and a mistake in it has to be found before a node starts.

Change: crates/ochrewalk-operators. Directives host, ajp and below with units, blanks, comments and quotation; checked against the node's methods (a method that may not happen twice is refused for HTTP methods that others may send again), its descriptors and whether it calls; all faults at once as file:line: what is wrong; what would be right.

Not read by the node yet.

--- /dev/null
+++ b/crates/ochrewalk-operators/src/lib.rs
@@ -0,0 +1,70 @@
+//! The operators' own file, for what the platform's file does not know: one directive a line, in the manner of
+//! classic daemons. It is read and checked here and nowhere else; every fault is named as
+//! `file:line: what is wrong; what would be right`, all of them at once.
+//!
+//! ```
+//! use ochrewalk_operators::{read, Node};
+//! let node = Node { methods: &[("look".into(), true)], descriptors: 512, calls: false };
+//! let text = "ajp listen 127.0.0.1:8009\najp allow 127.0.0.0/8\najp route GET /look lok\n";
+//! let faults = read(text, "my.conf", &node).unwrap_err();
+//! assert_eq!(faults[0].to_string(), "my.conf:3: lok is no method here; did you mean look?");
+//! ```
+
+mod read;
+mod units;
+mod words;
+
+pub use read::{read, Fault, Node};
+
+use ochrewalk_fronts::guests::Guests;
+use ochrewalk_fronts::judge::Rules;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// What the file sets. What it does not name is off.
+#[derive(Clone, Debug, Default)]
+pub struct Operators {
+    pub ajp: Option<AjpFront>,
+    pub below: Option<AjpBelow>,
+}
+
+/// The front that takes AJP.
+#[derive(Clone, Debug)]
+pub struct AjpFront {
+    pub listen: SocketAddr,
+    pub guests: Guests,
+    pub rules: Rules,
+    /// Where the secret stands, if in a file of its own; read when the node starts.
+    pub secret_file: Option<PathBuf>,
+    /// The longest packet with its header.
+    pub packet: usize,
+    /// Descriptors that are its own.
+    pub connections: usize,
+    pub idle_us: u64,
+}
+
+/// Calls below by AJP.
+#[derive(Clone, Debug)]
+pub struct AjpBelow {
+    pub places: Vec<SocketAddr>,
+    /// The name that calls are sent to, which servers with several names go by.
+    pub server_name: String,
+    pub uri: String,
+    pub secret: Option<Vec<u8>>,
+    pub secret_file: Option<PathBuf>,
+    pub packet: usize,
+    pub connections: usize,
+    pub connect_us: u64,
+    pub pong_us: u64,
+    pub reply_us: u64,
+    /// How long a connection that carries nothing is trusted without a ping.
+    pub trust_us: u64,
+    /// How long it is kept.
+    pub keep_us: u64,
+    /// Failures in a row after which a place is left out, and for how long at first and at most.
+    pub leave_out_after: u32,
+    pub pause_us: u64,
+    pub most_pause_us: u64,
+    /// Repeated calls as a share of first ones.
+    pub repeats: f64,
+}
--- /dev/null
+++ b/crates/ochrewalk-operators/src/read.rs
@@ -0,0 +1,458 @@
+//! Directives: each line's words into what they set, checked one by one and then together.
+
+use crate::{units, words, AjpBelow, AjpFront, Operators};
+use ipnet::IpNet;
+use ochrewalk_ajp::packet::{LARGEST_PACKET, USUAL_PACKET};
+use ochrewalk_fronts::guests::Guests;
+use ochrewalk_fronts::judge::{Headers, Rules};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+
+/// What the node's own file says that this one has to fit.
+pub struct Node<'a> {
+    /// Methods by name, and whether each may happen twice.
+    pub methods: &'a [(String, bool)],
+    pub descriptors: usize,
+    /// There is something below.
+    pub calls: bool,
+}
+
+/// One fault in the file.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fault {
+    pub file: String,
+    /// From 1 on; 0 where it is of the file as a whole.
+    pub line: usize,
+    pub wrong: String,
+    /// What would be right.
+    pub right: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "{}: {}; {}", self.file, self.wrong, self.right),
+            line => write!(f, "{}:{line}: {}; {}", self.file, self.wrong, self.right),
+        }
+    }
+}
+
+/// What is wrong with one line, and what would be right.
+type Wrong = (String, String);
+
+fn wrong<T>(what: impl Into<String>, right: impl Into<String>) -> Result<T, Wrong> {
+    Err((what.into(), right.into()))
+}
+
+/// A directive: its words, what they are, whether it may stand more than once.
+struct Directive {
+    section: &'static str,
+    name: &'static str,
+    usage: &'static str,
+    repeats: bool,
+}
+
+const fn once(section: &'static str, name: &'static str, usage: &'static str) -> Directive {
+    Directive { section, name, usage, repeats: false }
+}
+
+const fn many(section: &'static str, name: &'static str, usage: &'static str) -> Directive {
+    Directive { section, name, usage, repeats: true }
+}
+
+const DIRECTIVES: [Directive; 28] = [
+    many("host", "", "host NAME ADDRESS"),
+    once("ajp", "listen", "ajp listen ADDRESS:PORT"),
+    many("ajp", "allow", "ajp allow NETWORK"),
+    many("ajp", "deny", "ajp deny NETWORK"),
+    once("ajp", "secret", "ajp secret WORD"),
+    once("ajp", "secret-file", "ajp secret-file PATH"),
+    once("ajp", "packet", "ajp packet SIZE"),
+    once("ajp", "connections", "ajp connections NUMBER"),
+    once("ajp", "idle", "ajp idle TIME"),
+    once("ajp", "memory", "ajp memory KB"),
+    once("ajp", "health", "ajp health PATH"),
+    many("ajp", "header", "ajp header id|token|left|memory NAME"),
+    many("ajp", "route", "ajp route HTTP-METHOD PATH METHOD"),
+    many("below", "ajp", "below ajp ADDRESS:PORT"),
+    once("below", "name", "below name SERVER-NAME"),
+    once("below", "uri", "below uri PATH"),
+    once("below", "secret", "below secret WORD"),
+    once("below", "secret-file", "below secret-file PATH"),
+    once("below", "packet", "below packet SIZE"),
+    once("below", "connections", "below connections NUMBER"),
+    once("below", "connect", "below connect TIME"),
+    once("below", "pong", "below pong TIME"),
+    once("below", "reply", "below reply TIME"),
+    once("below", "trust", "below trust TIME"),
+    once("below", "keep", "below keep TIME"),
+    once("below", "leave-out", "below leave-out FAILURES"),
+    once("below", "pause", "below pause TIME TIME"),
+    once("below", "repeats", "below repeats SHARE"),
+];
+
+/// Reads the file's text. `file` names it in faults.
+pub fn read(text: &str, file: &str, node: &Node) -> Result<Operators, Vec<Fault>> {
+    let mut reading = Reading::new(node);
+    let mut faults = Vec::new();
+    let mut fault = |line: usize, (wrong, right): Wrong| {
+        faults.push(Fault { file: file.into(), line, wrong, right });
+    };
+    // Names first: a host may be named below its use.
+    let mut lines = Vec::new();
+    for (at, line) in text.lines().enumerate() {
+        match words::split(line) {
+            Ok(words) if words.is_empty() => {}
+            Ok(words) => lines.push((at + 1, words)),
+            Err(why) => fault(at + 1, (why.into(), "write \"a b\" for a word with a blank".into())),
+        }
+    }
+    lines.sort_by_key(|(line, words)| (words[0] != "host", *line));
+    for (line, words) in &lines {
+        if let Err(why) = reading.line(*line, words) {
+            fault(*line, why);
+        }
+    }
+    match reading.whole() {
+        Ok(operators) if faults.is_empty() => Ok(operators),
+        Ok(_) => {
+            faults.sort();
+            Err(faults)
+        }
+        Err((line, why)) => {
+            // What is missing may only be missing because its line is faulty.
+            if faults.is_empty() {
+                faults.push(Fault { file: file.into(), line, wrong: why.0, right: why.1 });
+            }
+            faults.sort();
+            Err(faults)
+        }
+    }
+}
+
+struct Reading<'a> {
+    node: &'a Node<'a>,
+    hosts: BTreeMap<String, IpAddr>,
+    /// The line at which each directive first stood.
+    stood: BTreeMap<String, usize>,
+    listen: Option<SocketAddr>,
+    front: AjpFront,
+    below: AjpBelow,
+}
+
+impl<'a> Reading<'a> {
+    fn new(node: &'a Node<'a>) -> Reading<'a> {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        Reading {
+            node,
+            hosts: BTreeMap::new(),
+            stood: BTreeMap::new(),
+            listen: None,
+            front: AjpFront {
+                listen: nowhere,
+                guests: Guests::default(),
+                rules: Rules { most_kb: 2_000.0, headers: Headers::default(), ..Rules::default() },
+                secret_file: None,
+                packet: USUAL_PACKET,
+                connections: node.descriptors / 8,
+                idle_us: 60_000_000,
+            },
+            below: AjpBelow {
+                places: Vec::new(),
+                server_name: "localhost".into(),
+                uri: "/".into(),
+                secret: None,
+                secret_file: None,
+                packet: USUAL_PACKET,
+                connections: node.descriptors / 8,
+                connect_us: 500_000,
+                pong_us: 250_000,
+                reply_us: 250_000,
+                trust_us: 50_000,
+                keep_us: 10_000_000,
+                leave_out_after: 3,
+                pause_us: 200_000,
+                most_pause_us: 10_000_000,
+                repeats: 0.1,
+            },
+        }
+    }
+
+    fn line(&mut self, line: usize, words: &[String]) -> Result<(), Wrong> {
+        let section = &*words[0];
+        let name = words.get(1).map_or("", |w| w.as_str());
+        let stands = |d: &&Directive| d.section == section && (d.name == name || section == "host");
+        let Some(directive) = DIRECTIVES.iter().find(stands) else { return Err(unknown(section, name)) };
+        let given = &words[if section == "host" { 1 } else { 2 }..];
+        let takes = directive.usage.split(' ').count() - (words.len() - given.len());
+        if given.len() != takes {
+            let count = |n: usize| if n == 1 { "1 word".to_string() } else { format!("{n} words") };
+            let wanted = format!("{} after {}", count(takes), words[..words.len() - given.len()].join(" "));
+            return wrong(
+                format!("{wanted} needed, {} found", given.len()),
+                format!("write {}", directive.usage),
+            );
+        }
+        let key = format!("{section} {name}");
+        if !directive.repeats {
+            if let Some(before) = self.stood.get(&key) {
+                return wrong(format!("{key} was set on line {before} already"), "keep one of the two");
+            }
+        }
+        self.stood.entry(key).or_insert(line);
+        self.set(section, name, given)
+    }
+
+    fn set(&mut self, section: &str, name: &str, given: &[String]) -> Result<(), Wrong> {
+        let word = &given[0];
+        let (front, below) = (&mut self.front, &mut self.below);
+        match (section, name) {
+            ("host", _) => {
+                let address = given[1].parse().map_err(|_| {
+                    (format!("{} is no IP address", given[1]), "write one such as 127.0.0.21".to_string())
+                })?;
+                if self.hosts.insert(word.clone(), address).is_some_and(|old| old != address) {
+                    return wrong(format!("host {word} has two addresses"), "keep one of the two");
+                }
+            }
+            ("ajp", "listen") => self.listen = Some(self.address(word)?),
+            ("ajp", "allow") => guest(&mut front.guests, word, true)?,
+            ("ajp", "deny") => guest(&mut front.guests, word, false)?,
+            ("ajp", "secret") => front.rules.secret = Some(word.clone().into_bytes()),
+            ("ajp", "secret-file") => front.secret_file = Some(PathBuf::from(word)),
+            ("ajp", "packet") => front.packet = packet(word)?,
+            ("ajp", "connections") => front.connections = whole(word, 4, self.node.descriptors / 4)?,
+            ("ajp", "idle") => front.idle_us = time(word, 100_000, 3_600_000_000)?,
+            ("ajp", "memory") => {
+                let kb = word.parse::<f64>().ok().filter(|kb| *kb > 0.0 && *kb < front.rules.most_kb);
+                front.rules.usual_kb = Some(kb.ok_or_else(|| {
+                    let right =
+                        format!("write a number above 0 and under {} without a unit", front.rules.most_kb);
+                    (format!("{word} is no size in KB"), right)
+                })?);
+            }
+            ("ajp", "health") => front.rules.health = Some(path(word)?),
+            ("ajp", "header") => header(&mut front.rules.headers, word, &given[1])?,
+            ("ajp", "route") => self.route(given)?,
+            ("below", "ajp") => {
+                let at = self.address(word)?;
+                if self.below.places.contains(&at) {
+                    return wrong(format!("{at} stands here already"), "name each place once");
+                }
+                self.below.places.push(at);
+            }
+            ("below", "name") => below.server_name = word.clone(),
+            ("below", "uri") => below.uri = path(word)?,
+            ("below", "secret") => below.secret = Some(word.clone().into_bytes()),
+            ("below", "secret-file") => below.secret_file = Some(PathBuf::from(word)),
+            ("below", "packet") => below.packet = packet(word)?,
+            ("below", "connections") => below.connections = whole(word, 1, self.node.descriptors / 4)?,
+            ("below", "connect") => below.connect_us = time(word, 1_000, 10_000_000)?,
+            ("below", "pong") => below.pong_us = time(word, 1_000, 10_000_000)?,
+            ("below", "reply") => below.reply_us = time(word, 1_000, 60_000_000)?,
+            ("below", "trust") => below.trust_us = time(word, 0, 60_000_000)?,
+            ("below", "keep") => below.keep_us = time(word, 1_000, 3_600_000_000)?,
+            ("below", "leave-out") => below.leave_out_after = whole(word, 1, 1_000)? as u32,
+            ("below", "pause") => {
+                below.pause_us = time(word, 1_000, 60_000_000)?;
+                below.most_pause_us = time(&given[1], 1_000, 3_600_000_000)?;
+                if below.most_pause_us < below.pause_us {
+                    return wrong(
+                        "the longest pause is shorter than the first",
+                        "write the shorter one first",
+                    );
+                }
+            }
+            ("below", "repeats") => {
+                let share = word.parse::<f64>().ok().filter(|share| (0.0..=1.0).contains(share));
+                below.repeats = share.ok_or_else(|| {
+                    (format!("{word} is no share"), "write one from 0 to 1, such as 0.1".to_string())
+                })?;
+            }
+            _ => return Err(unknown(section, name)),
+        }
+        Ok(())
+    }
+
+    fn route(&mut self, given: &[String]) -> Result<(), Wrong> {
+        let [http, path, method] = given else { unreachable!("three words were counted") };
+        if http.is_empty() || !http.bytes().all(|b| b.is_ascii_uppercase() || b == b'-') {
+            return wrong(format!("{http} is no HTTP method"), "write one in capitals, such as POST");
+        }
+        let names = || self.node.methods.iter().map(|(name, _)| name.as_str());
+        let Some(at) = names().position(|name| name == method) else {
+            let right = match nearest(method, names()) {
+                Some(near) => format!("did you mean {near}?"),
+                None => format!("write one of {}", names().collect::<Vec<_>>().join(", ")),
+            };
+            return wrong(format!("{method} is no method here"), right);
+        };
+        // Guards against what stands between: it may send these again of its own accord.
+        if !self.node.methods[at].1 && ["GET", "HEAD", "PUT", "DELETE", "OPTIONS"].contains(&http.as_str()) {
+            let what =
+                format!("{method} may not happen twice, and {http} may be sent again by anybody between");
+            return wrong(what, "route it for POST");
+        }
+        let added = self.front.rules.routes.add(http, path, at);
+        added.map_err(|why| (why, "write a path such as /items/{}/price or /stock/*".to_string()))
+    }
+
+    /// An address and port; the address may be one of the hosts.
+    fn address(&self, text: &str) -> Result<SocketAddr, Wrong> {
+        if let Ok(at) = text.parse::<SocketAddr>() {
+            return Ok(at);
+        }
+        let right = "write ADDRESS:PORT, with an IP address or the name of a host line";
+        let Some((name, port)) = text.rsplit_once(':') else {
+            return wrong(format!("{text} has no port"), right);
+        };
+        let Some(port) = port.parse::<u16>().ok().filter(|port| *port > 0) else {
+            return wrong(format!("{port} is no port"), "write a port from 1 to 65535");
+        };
+        match self.hosts.get(name) {
+            Some(address) => Ok(SocketAddr::new(*address, port)),
+            None => wrong(
+                format!("{name} is no address and no host"),
+                format!("add a line such as: host {name} 127.0.0.21"),
+            ),
+        }
+    }
+
+    /// Everything together. A fault is given with its line.
+    fn whole(mut self) -> Result<Operators, (usize, Wrong)> {
+        let line = |key: &str| self.stood.get(key).copied();
+        let first =
+            |section: &str| self.stood.iter().filter(|(k, _)| k.starts_with(section)).map(|(_, l)| *l).min();
+        let fault = |line: usize, what: &str, right: &str| Err((line, (what.to_string(), right.to_string())));
+        let rules = &self.front.rules;
+        if let (Some(first), None) = (first("ajp "), self.listen) {
+            return fault(first, "nothing listens for AJP", "add a line such as: ajp listen 127.0.0.1:8009");
+        }
+        if let Some(listen) = line("ajp listen") {
+            if rules.routes.is_empty() {
+                return fault(
+                    listen,
+                    "no request can come in without a route",
+                    "add a line such as: ajp route POST /sales METHOD",
+                );
+            }
+            if self.front.guests.is_empty() {
+                return fault(listen, "nobody may connect", "add a line such as: ajp allow 127.0.0.0/8");
+            }
+        }
+        for section in ["ajp", "below"] {
+            let (word, file) = (line(&format!("{section} secret")), line(&format!("{section} secret-file")));
+            if let (Some(_), Some(at)) = (word, file) {
+                return fault(at, "the secret is set twice", "keep the word or the file");
+            }
+        }
+        if let (Some(first), true) = (first("below "), self.below.places.is_empty()) {
+            return fault(
+                first,
+                "no place below is named",
+                "add a line such as: below ajp ledger.example.org:8009",
+            );
+        }
+        if let (Some(at), false) = (line("below ajp"), self.node.calls) {
+            return fault(
+                at,
+                "the node's file says that nothing is called",
+                "set \"below\" there or remove this line",
+            );
+        }
+        self.front.listen = self.listen.unwrap_or(self.front.listen);
+        Ok(Operators {
+            ajp: self.listen.is_some().then_some(self.front),
+            below: (!self.below.places.is_empty()).then_some(self.below),
+        })
+    }
+}
+
+fn unknown(section: &str, name: &str) -> Wrong {
+    let of = |d: &&Directive| d.section == section && !d.name.is_empty();
+    let known: Vec<&str> = DIRECTIVES.iter().filter(of).map(|d| d.name).collect();
+    if known.is_empty() {
+        let sections = ["host", "ajp", "below"];
+        let right = nearest(section, sections.into_iter())
+            .map_or("a line begins with host, ajp or below".into(), |near| format!("did you mean {near}?"));
+        return (format!("{section} is no directive"), right);
+    }
+    let right = match nearest(name, known.iter().copied()) {
+        Some(near) => format!("did you mean {section} {near}?"),
+        None => format!("after {section} comes one of {}", known.join(", ")),
+    };
+    (format!("{section} {name}").trim_end().to_string() + " is no directive", right)
+}
+
+fn nearest<'a>(word: &str, among: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    let near = among.map(|known| (strsim::damerau_levenshtein(word, known), known)).min()?;
+    (near.0 <= 2 && near.0 < near.1.len()).then_some(near.1)
+}
+
+fn guest(guests: &mut Guests, text: &str, let_in: bool) -> Result<(), Wrong> {
+    let network = text.parse::<IpNet>().or_else(|_| text.parse::<IpAddr>().map(IpNet::from));
+    let Ok(network) = network else {
+        return wrong(format!("{text} is no network"), "write one such as 10.1.0.0/16 or fd00::/8");
+    };
+    match guests.state(network, let_in) {
+        Some(before) if before != let_in => {
+            wrong(format!("{text} is both let in and kept out"), "keep one of the two")
+        }
+        _ => Ok(()),
+    }
+}
+
+fn header(headers: &mut Headers, which: &str, name: &str) -> Result<(), Wrong> {
+    if !name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-') || name.is_empty() {
+        return wrong(format!("{name} is no name of a header"), "write letters, digits and '-'");
+    }
+    let slot = match which {
+        "id" => &mut headers.id,
+        "token" => &mut headers.token,
+        "left" => &mut headers.left,
+        "memory" => &mut headers.memory,
+        _ => return wrong(format!("no header for {which}"), "write id, token, left or memory"),
+    };
+    *slot = name.to_ascii_lowercase();
+    Ok(())
+}
+
+fn path(text: &str) -> Result<String, Wrong> {
+    if text.starts_with('/') && text.bytes().all(|b| b.is_ascii_graphic() && b != b'?') {
+        return Ok(text.to_string());
+    }
+    wrong(format!("{text} is no path"), "write one that begins with '/' and has no '?'")
+}
+
+fn packet(text: &str) -> Result<usize, Wrong> {
+    let sizes = USUAL_PACKET as u64..=LARGEST_PACKET as u64;
+    match units::bytes(text).filter(|n| sizes.contains(n)) {
+        Some(bytes) => Ok(bytes as usize),
+        None => wrong(format!("{text} is no packet size"), "write one from 8k to 64k"),
+    }
+}
+
+fn whole(text: &str, least: usize, most: usize) -> Result<usize, Wrong> {
+    match text.parse::<usize>().ok().filter(|n| (least..=most).contains(n)) {
+        Some(number) => Ok(number),
+        None => {
+            wrong(format!("{text} is out of range"), format!("write a whole number from {least} to {most}"))
+        }
+    }
+}
+
+fn time(text: &str, least_us: u64, most_us: u64) -> Result<u64, Wrong> {
+    let range = format!("from {} to {}", units::show_time(least_us), units::show_time(most_us));
+    if text.bytes().all(|b| b.is_ascii_digit() || b == b'.') {
+        return wrong(format!("{text} has no unit"), format!("write {text}ms or {text}s, {range}"));
+    }
+    match units::time_us(text) {
+        None => wrong(format!("{text} is no time"), "write a number and us, ms, s, m or h, such as 500ms"),
+        Some(us) if !(least_us..=most_us).contains(&us) => {
+            wrong(format!("{text} is out of range"), format!("write a time {range}"))
+        }
+        Some(us) => Ok(us),
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-operators/tests/operators.rs
@@ -0,0 +1,155 @@
+//! The operators' file: what a whole one sets, and one clear message for each fault.
+
+use ochrewalk_fronts::judge::{Asks, Headers};
+use ochrewalk_fronts::routes::Found;
+use ochrewalk_operators::{read, Node, Operators};
+
+fn methods() -> Vec<(String, bool)> {
+    [("item-lookup", true), ("stock-upload", true), ("sale-record", false)]
+        .map(|(n, a)| (n.to_string(), a))
+        .to_vec()
+}
+
+fn get(text: &str) -> Result<Operators, Vec<String>> {
+    let node = Node { methods: &methods(), descriptors: 512, calls: true };
+    read(text, "my.conf", &node).map_err(|faults| faults.iter().map(|f| f.to_string()).collect())
+}
+
+const WHOLE: &str = r#"
+# A whole file.
+host ledger.example.org 127.0.0.21     # stands for a look-up
+ajp listen ledger.example.org:8009
+ajp allow 127.0.0.0/8
+ajp deny 127.9.0.0/16
+ajp secret "two words"
+ajp packet 16k
+ajp connections 64
+ajp idle 30s
+ajp memory 20.5
+ajp health /health
+ajp header token X-Sale
+ajp route POST /sale sale-record
+ajp route GET /items/{} item-lookup
+below ajp ledger.example.org:8010
+below ajp 127.0.0.22:8010
+below name ledger.example.org
+below uri /ledger
+below secret peach
+below packet 64k
+below connections 40
+below connect 300ms
+below pong 100ms
+below reply 1.5s
+below trust 20ms
+below keep 5s
+below leave-out 5
+below pause 100ms 1m
+below repeats 0.25
+"#;
+
+#[test]
+fn a_whole_file_sets_what_it_says() {
+    let Operators { ajp, below } = get(WHOLE).unwrap();
+    let (front, below) = (ajp.unwrap(), below.unwrap());
+    assert_eq!(front.listen, "127.0.0.21:8009".parse().unwrap());
+    let may = |text: &str| front.guests.may_connect(text.parse().unwrap());
+    assert_eq!([may("127.0.0.1"), may("127.9.0.1"), may("10.0.0.1")], [true, false, false]);
+    assert_eq!((front.packet, front.connections, front.idle_us), (16_384, 64, 30_000_000));
+    let rules = front.rules;
+    assert_eq!(
+        (rules.secret, rules.usual_kb, rules.health),
+        (Some(b"two words".to_vec()), Some(20.5), Some("/health".into()))
+    );
+    assert_eq!(rules.headers, Headers { token: "x-sale".into(), ..Headers::default() });
+    assert_eq!(rules.routes.find(b"POST", b"/sale"), Ok(Found::Method(2)));
+    assert_eq!(below.places, ["127.0.0.21:8010".parse().unwrap(), "127.0.0.22:8010".parse().unwrap()]);
+    assert_eq!((below.server_name.as_str(), below.uri.as_str()), ("ledger.example.org", "/ledger"));
+    assert_eq!((below.packet, below.connections, below.secret), (65_536, 40, Some(b"peach".to_vec())));
+    assert_eq!([below.connect_us, below.pong_us, below.reply_us], [300_000, 100_000, 1_500_000]);
+    assert_eq!([below.trust_us, below.keep_us], [20_000, 5_000_000]);
+    assert_eq!(
+        (below.leave_out_after, below.pause_us, below.most_pause_us, below.repeats),
+        (5, 100_000, 60_000_000, 0.25)
+    );
+}
+
+#[test]
+fn without_a_line_nothing_is_on_and_little_is_enough() {
+    let nothing = get("# nothing\n\n   \n").unwrap();
+    assert!(nothing.ajp.is_none() && nothing.below.is_none());
+    let little = get("ajp route POST /a sale-record\najp allow ::1\najp listen [::1]:8009").unwrap();
+    let front = little.ajp.unwrap();
+    assert!(little.below.is_none() && front.guests.may_connect("::1".parse().unwrap()));
+    let request = ochrewalk_ajp::request::Request { method: b"POST", uri: b"/a", ..Default::default() };
+    assert!(front.rules.judge(&request).is_err(), "no memory stated and none usual");
+    let mut rules = front.rules;
+    rules.usual_kb = Some(1.0);
+    assert!(matches!(rules.judge(&request), Ok((Asks::Method(_), _))));
+}
+
+#[test]
+fn each_fault_has_one_clear_message() {
+    let front = "ajp listen 127.0.0.1:8009\najp allow 127.0.0.0/8\najp route POST /a sale-record\n";
+    for (text, said) in [
+        ("apj listen 127.0.0.1:8009", "1: apj is no directive; did you mean ajp?"),
+        ("listen 127.0.0.1:8009", "1: listen is no directive; a line begins with host, ajp or below"),
+        ("ajp lisen 127.0.0.1:8009", "1: ajp lisen is no directive; did you mean ajp listen?"),
+        ("ajp", "1: ajp is no directive; after ajp comes one of listen, allow, deny, secret, secret-file, packet, connections, idle, memory, health, header, route"),
+        ("ajp idle 30s 40s", "1: 1 word after ajp idle needed, 2 found; write ajp idle TIME"),
+        ("ajp route POST /a", "1: 3 words after ajp route needed, 2 found; write ajp route HTTP-METHOD PATH METHOD"),
+        ("host a", "1: 2 words after host needed, 1 found; write host NAME ADDRESS"),
+        ("host a 1.2.3", "1: 1.2.3 is no IP address; write one such as 127.0.0.21"),
+        ("host a 1.2.3.4\nhost a 1.2.3.5", "2: host a has two addresses; keep one of the two"),
+        ("ajp idle 30", "1: 30 has no unit; write 30ms or 30s, from 100ms to 60m"),
+        ("ajp idle 30sec", "1: 30sec is no time; write a number and us, ms, s, m or h, such as 500ms"),
+        ("ajp idle 1ms", "1: 1ms is out of range; write a time from 100ms to 60m"),
+        ("ajp idle 1s\najp idle 2s", "2: ajp idle was set on line 1 already; keep one of the two"),
+        ("ajp packet 4k", "1: 4k is no packet size; write one from 8k to 64k"),
+        ("ajp packet 9000", "1: 9000 is no packet size; write one from 8k to 64k"),
+        ("ajp connections 500", "1: 500 is out of range; write a whole number from 4 to 128"),
+        ("ajp memory 0", "1: 0 is no size in KB; write a number above 0 and under 2000 without a unit"),
+        ("ajp health up", "1: up is no path; write one that begins with '/' and has no '?'"),
+        ("ajp header tokn X", "1: no header for tokn; write id, token, left or memory"),
+        ("ajp header id X:Y", "1: X:Y is no name of a header; write letters, digits and '-'"),
+        ("ajp allow 10.0.0.0/33", "1: 10.0.0.0/33 is no network; write one such as 10.1.0.0/16 or fd00::/8"),
+        ("ajp allow 10.0.0.0/8\najp deny 10.1.1.1/8", "2: 10.1.1.1/8 is both let in and kept out; keep one of the two"),
+        ("ajp route post /a sale-record", "1: post is no HTTP method; write one in capitals, such as POST"),
+        ("ajp route POST /a sale-recrd", "1: sale-recrd is no method here; did you mean sale-record?"),
+        ("ajp route POST /a x", "1: x is no method here; write one of item-lookup, stock-upload, sale-record"),
+        ("ajp route GET /a sale-record", "1: sale-record may not happen twice, and GET may be sent again by anybody between; route it for POST"),
+        ("ajp route POST a sale-record", "1: a path begins with '/'; write a path such as /items/{}/price or /stock/*"),
+        ("ajp listen 127.0.0.1", "1: 127.0.0.1 has no port; write ADDRESS:PORT, with an IP address or the name of a host line"),
+        ("ajp listen 127.0.0.1:0x", "1: 0x is no port; write a port from 1 to 65535"),
+        ("below ajp ledger:80", "1: ledger is no address and no host; add a line such as: host ledger 127.0.0.21"),
+        ("below ajp 1.1.1.1:80\nbelow ajp 1.1.1.1:80", "2: 1.1.1.1:80 stands here already; name each place once"),
+        ("below repeats 2", "1: 2 is no share; write one from 0 to 1, such as 0.1"),
+        ("below pause 2s 1s", "1: the longest pause is shorter than the first; write the shorter one first"),
+        ("below uri \"/a b\"", "1: /a b is no path; write one that begins with '/' and has no '?'"),
+        ("ajp secret \"a", "1: a quotation mark is not closed; write \"a b\" for a word with a blank"),
+        ("ajp secret a\"b", "1: a quotation mark stands inside a word; write \"a b\" for a word with a blank"),
+        ("ajp secret \"a\"b", "1: a blank has to follow a closing quotation mark; write \"a b\" for a word with a blank"),
+        // Together.
+        ("ajp idle 30s", "1: nothing listens for AJP; add a line such as: ajp listen 127.0.0.1:8009"),
+        ("ajp listen 1.1.1.1:80", "1: no request can come in without a route; add a line such as: ajp route POST /sales METHOD"),
+        ("ajp route POST /a sale-record\najp listen 1.1.1.1:80\najp deny 1.1.1.1", "2: nobody may connect; add a line such as: ajp allow 127.0.0.0/8"),
+        ("below uri /a", "1: no place below is named; add a line such as: below ajp ledger.example.org:8009"),
+        ("below ajp 1.1.1.1:80\nbelow secret a\nbelow secret-file /b", "3: the secret is set twice; keep the word or the file"),
+    ] {
+        assert_eq!(get(text).map(|_| ()), Err(vec![format!("my.conf:{said}")]), "{text}");
+        // A good file around it changes nothing but the line.
+        if !said.contains("already") && text.starts_with("below p") {
+            let line: usize = said.split(':').next().unwrap().parse().unwrap();
+            let moved = get(&format!("{front}{text}")).map(|_| ()).unwrap_err();
+            assert!(moved[0].starts_with(&format!("my.conf:{}:", line + 3)), "{moved:?}");
+        }
+    }
+    // All faults at once, by line.
+    let all = get("ajp idle 3\nbelow pong x\nhost a b\n").map(|_| ()).unwrap_err();
+    assert_eq!(
+        all.iter().map(|f| f[..10].to_string()).collect::<Vec<_>>(),
+        ["my.conf:1:", "my.conf:2:", "my.conf:3:"]
+    );
+    let node = Node { methods: &methods(), descriptors: 512, calls: false };
+    let faults = read("below ajp 1.1.1.1:80", "my.conf", &node).unwrap_err();
+    assert!(faults[0].to_string().contains("nothing is called"), "{}", faults[0]);
+}
