Places below are chosen, left out and tried again without sockets

Need: calls below go to one or several places by AJP; where one goes, on which connection, after which proof and whether it may go again must be decided in one place that can be tested closely.

Change: crates/ochrewalk-places. Least work by its own pace among the places that take calls; left out after failures in a row, pauses that double with jitter from the seed, one trial at a time; kept connections proven by a ping before a call that may not happen twice; a second writing only of harmless calls, from a budget that is a share of first ones; calls wait for a connection and end unsent when their time is over.

Result: cargo test -p ochrewalk-places, tables and 400 random runs of 300 events: each call ends once, none that may not is written twice, connections stay within their bound. Nothing uses it yet.

--- /dev/null
+++ b/crates/ochrewalk-places/tests/places.rs
@@ -0,0 +1,319 @@
+//! Where calls go, by table and by long runs of random events under the rules that must always hold.
+
+use ochrewalk_places::{Bounds, Ended, Health, Leaving, Places, Said, Settled, Wire};
+use std::collections::{BTreeMap, BTreeSet};
+
+const BOUNDS: Bounds = Bounds { most_links: 3, trust_us: 50, keep_us: 1_000 };
+const LEAVING: Leaving = Leaving { after: 2, first_us: 1_000, most_us: 4_000 };
+
+#[derive(Default)]
+struct Told(Vec<String>);
+
+impl Told {
+    fn take(&mut self) -> String {
+        std::mem::take(&mut self.0).join(", ")
+    }
+}
+
+impl Wire for Told {
+    fn connect(&mut self, link: u64, place: usize) {
+        self.0.push(format!("connect {link} to {place}"));
+    }
+    fn write(&mut self, link: u64, call: u64, prove: bool) {
+        self.0.push(format!("{} {call} on {link}", if prove { "prove" } else { "write" }));
+    }
+    fn settle(&mut self, call: u64, end: Settled) {
+        self.0.push(format!("{call} {end:?}"));
+    }
+    fn close(&mut self, link: u64) {
+        self.0.push(format!("close {link}"));
+    }
+}
+
+fn places(count: usize) -> (Places, Told) {
+    (Places::new(count, BOUNDS, LEAVING, 0.5, 7), Told::default())
+}
+
+#[test]
+fn a_kept_connection_is_proven_where_a_call_may_not_happen_twice_or_it_stood_long() {
+    for (again, idle_us, wanted) in
+        [(true, 10, "write 2 on 1"), (true, 50, "prove 2 on 1"), (false, 0, "prove 2 on 1")]
+    {
+        let (mut places, mut told) = places(1);
+        places.call(0, 1, again, 9_999, &mut told);
+        assert_eq!(told.take(), "connect 1 to 0");
+        places.made(5, 1, &mut told);
+        assert_eq!(told.take(), "write 1 on 1", "just made is proof enough");
+        places.replied(10, 1, Said::Well, true, &mut told);
+        assert_eq!(told.take(), "1 Replied");
+        places.call(10 + idle_us, 2, again, 9_999, &mut told);
+        assert_eq!(told.take(), wanted);
+        // One that was forgotten at the other side: no byte was written, so that any call goes on a new one.
+        places.ended(10 + idle_us, 1, Ended::Unwritten, &mut told);
+        assert_eq!(told.take(), "connect 2 to 0");
+        places.made(70, 2, &mut told);
+        places.replied(80, 2, Said::Well, false, &mut told);
+        assert_eq!(told.take(), "write 2 on 2, close 2, 2 Replied");
+        assert_eq!((places.links(), places.open_calls()), (0, 0));
+    }
+}
+
+#[test]
+fn what_was_written_goes_again_only_where_that_is_harmless_and_within_the_budget() {
+    let (mut all, mut told) = places(2);
+    all.call(0, 1, false, 9_999, &mut told);
+    all.made(0, 1, &mut told);
+    all.ended(1, 1, Ended::Written, &mut told);
+    assert_eq!(told.take(), "connect 1 to 0, write 1 on 1, 1 Broken");
+    all.call(2, 2, true, 9_999, &mut told);
+    told.take();
+    all.made(2, 2, &mut told);
+    all.ended(3, 2, Ended::Written, &mut told);
+    assert_eq!(told.take(), "write 2 on 2, connect 3 to 1", "elsewhere");
+    // Past its time it does not go again.
+    all.made(4, 3, &mut told);
+    all.ended(10_000, 3, Ended::Written, &mut told);
+    assert_eq!(told.take(), "write 2 on 3, 2 Broken");
+    // Nothing saved: nothing repeated.
+    let mut poor = Places::new(2, BOUNDS, LEAVING, 0.0, 7);
+    poor.call(0, 1, true, 9_999, &mut told);
+    poor.made(0, 1, &mut told);
+    poor.ended(1, 1, Ended::Written, &mut told);
+    assert_eq!(told.take(), "connect 1 to 0, write 1 on 1, 1 Broken");
+    // What was never written moves without any of that, but not for ever.
+    poor.call(2, 2, false, 9_999, &mut told);
+    assert_eq!(told.take(), "connect 2 to 0");
+    for (link, next) in [(2, "connect 3 to 1"), (3, "connect 4 to 1"), (4, "2 Unsent")] {
+        poor.ended(3, link, Ended::NotMade, &mut told);
+        assert_eq!(told.take(), next);
+    }
+}
+
+#[test]
+fn a_place_is_left_out_and_tried_by_one_call_at_a_time() {
+    let (mut all, mut told) = places(2);
+    // The first place cannot be reached, twice in a row; the second one answers.
+    all.call(0, 100, false, 500, &mut told);
+    all.ended(0, 1, Ended::NotMade, &mut told);
+    assert_eq!(told.take(), "connect 1 to 0, connect 2 to 1");
+    all.made(0, 2, &mut told);
+    all.replied(1, 2, Said::Well, true, &mut told);
+    told.take();
+    all.call(2, 101, false, 500, &mut told);
+    assert_eq!(told.take(), "prove 101 on 2", "the faster one");
+    all.call(2, 102, false, 500, &mut told);
+    assert_eq!(told.take(), "connect 3 to 0", "the one with less in hand");
+    all.ended(2, 3, Ended::NotMade, &mut told);
+    assert_eq!(told.take(), "connect 4 to 1");
+    let out: Vec<bool> = all.standing().map(|(health, _)| health.takes()).collect();
+    assert_eq!(out, [false, true]);
+    let until = all.standing().find_map(|(h, _)| h.out_until_us()).unwrap();
+    assert!((752..=1_252).contains(&until), "a quarter either way: {until}");
+    // While it is left out nothing goes there, however busy the other is.
+    all.call(3, 103, true, 500, &mut told);
+    assert_eq!(told.take(), "connect 5 to 1");
+    all.made(3, 4, &mut told);
+    all.made(3, 5, &mut told);
+    [2, 4, 5].iter().for_each(|link| all.replied(4, *link, Said::Well, true, &mut told));
+    told.take();
+    // Due: the first harmless call tells, and only that one.
+    all.call(1_300, 104, false, 9_999, &mut told);
+    assert!(told.take().starts_with("prove 104"), "not one that may not happen twice, while others take it");
+    all.call(1_300, 105, true, 9_999, &mut told);
+    assert_eq!(told.take(), "close 2, connect 6 to 0", "in the place of what carries nothing");
+    all.call(1_300, 106, true, 9_999, &mut told);
+    assert!(told.take().starts_with("prove 106"), "one trial at a time");
+    all.made(1_301, 6, &mut told);
+    all.replied(1_302, 6, Said::Well, true, &mut told);
+    assert!(all.standing().all(|(health, _)| health.takes()));
+}
+
+#[test]
+fn pauses_double_up_to_the_most_and_an_answer_ends_them() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut health = Health::new(LEAVING);
+    health.failed(0, &mut rng);
+    assert!(health.takes());
+    health.failed(0, &mut rng);
+    let mut now = 0;
+    for pause in [1_000.0, 2_000.0, 4_000.0, 4_000.0] {
+        let until = health.out_until_us().unwrap();
+        let took = (until - now) as f64;
+        assert!((0.74..=1.26).contains(&(took / pause)), "{took} of {pause}");
+        health.failed(until - 1, &mut rng);
+        assert_eq!(health.out_until_us(), Some(until), "what ends late tells nothing");
+        assert!(!health.is_due(until - 1) && health.is_due(until));
+        health.given(9, until);
+        assert!(!health.is_due(until) && !health.takes());
+        now = until;
+        health.failed(now, &mut rng);
+    }
+    health.given(9, now + 9_000);
+    // A trial that ended without a word leaves room for another at once.
+    health.trial_is_over(8, now + 9_000);
+    assert_eq!(health.out_until_us(), None);
+    health.trial_is_over(9, now + 9_000);
+    assert!(health.is_due(now + 9_000));
+    health.did_well();
+    assert!(health.takes());
+}
+
+#[test]
+fn calls_wait_for_room_and_end_unsent_when_their_time_is_over() {
+    let (mut all, mut told) = places(1);
+    for call in 1..=3 {
+        all.call(0, call, true, 100, &mut told);
+    }
+    all.call(0, 4, true, 100, &mut told);
+    all.call(0, 5, true, 90, &mut told);
+    assert_eq!(told.take(), "connect 1 to 0, connect 2 to 0, connect 3 to 0");
+    (1..=3).for_each(|link| all.made(1, link, &mut told));
+    told.take();
+    all.replied(2, 2, Said::Well, true, &mut told);
+    assert_eq!(told.take(), "2 Replied, write 4 on 2", "oldest first");
+    all.tick(90, &mut told);
+    assert_eq!(told.take(), "5 Unsent");
+    // One that is given up makes room; its connection goes, as its answer may still come.
+    all.call(91, 6, true, 200, &mut told);
+    all.give_up(92, 1, &mut told);
+    assert_eq!(told.take(), "close 1, connect 4 to 0");
+    // What carries nothing for long goes.
+    all.replied(95, 3, Said::Well, true, &mut told);
+    told.take();
+    all.tick(1_094, &mut told);
+    assert_eq!(told.take(), "");
+    all.tick(1_095, &mut told);
+    assert_eq!(told.take(), "close 3");
+}
+
+/// What a random run keeps book of.
+#[derive(Default)]
+struct Book {
+    /// Connections that are being made or carry nothing, and those with a call.
+    idle: BTreeSet<u64>,
+    making: BTreeSet<u64>,
+    busy: BTreeMap<u64, u64>,
+    again: BTreeMap<u64, bool>,
+    written: BTreeMap<u64, u32>,
+    settled: BTreeSet<u64>,
+    given_up: BTreeSet<u64>,
+    wrong: Vec<String>,
+}
+
+impl Wire for Book {
+    fn connect(&mut self, link: u64, _place: usize) {
+        self.making.insert(link);
+    }
+    fn write(&mut self, link: u64, call: u64, prove: bool) {
+        if !self.idle.remove(&link) || self.busy.insert(link, call).is_some() {
+            self.wrong.push(format!("{call} put on {link}, which is not free"));
+        }
+        if !prove {
+            self.note_written(call);
+        }
+    }
+    fn settle(&mut self, call: u64, _end: Settled) {
+        if !self.settled.insert(call) || self.given_up.contains(&call) {
+            self.wrong.push(format!("{call} settled again"));
+        }
+    }
+    fn close(&mut self, link: u64) {
+        self.idle.remove(&link);
+        self.busy.remove(&link);
+    }
+}
+
+impl Book {
+    fn note_written(&mut self, call: u64) {
+        let times = self.written.entry(call).or_default();
+        *times += 1;
+        if *times > 1 && !self.again[&call] {
+            self.wrong.push(format!("{call} written twice"));
+        }
+    }
+}
+
+#[test]
+fn in_any_run_of_events_each_call_ends_once_and_none_that_may_not_is_written_twice() {
+    for seed in 0..400 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut book = Book::default();
+        let mut places = Places::new(1 + seed as usize % 3, BOUNDS, LEAVING, 0.2, seed);
+        let (mut now, mut calls) = (0, 0);
+        for _ in 0..300 {
+            now += rng.u64(0..60);
+            let any = |rng: &mut fastrand::Rng, of: Vec<u64>| of.get(rng.usize(0..of.len().max(1))).copied();
+            let busy: Vec<u64> = book.busy.keys().copied().collect();
+            match rng.u32(0..10) {
+                0..=3 => {
+                    calls += 1;
+                    let again = rng.bool();
+                    book.again.insert(calls, again);
+                    places.call(now, calls, again, now + rng.u64(1..400), &mut book);
+                }
+                4 => {
+                    if let Some(link) = any(&mut rng, book.making.iter().copied().collect()) {
+                        book.making.remove(&link);
+                        if rng.bool() {
+                            book.idle.insert(link);
+                            places.made(now, link, &mut book);
+                        } else {
+                            places.ended(now, link, Ended::NotMade, &mut book);
+                        }
+                    }
+                }
+                5 | 6 => {
+                    if let Some(link) = any(&mut rng, busy) {
+                        let reuse = rng.bool();
+                        let call = book.busy.remove(&link).unwrap();
+                        // It was to be proven: the pong came, and it was written.
+                        if !book.written.contains_key(&call) {
+                            book.note_written(call);
+                        }
+                        if reuse {
+                            book.idle.insert(link);
+                        }
+                        let said = if rng.u32(0..5) == 0 { Said::Late } else { Said::Well };
+                        places.replied(now, link, said, reuse, &mut book);
+                    }
+                }
+                7 => {
+                    if let Some(link) = any(&mut rng, busy) {
+                        let call = book.busy.remove(&link).unwrap();
+                        // A call that was only to be proven has not been written.
+                        let how =
+                            if book.written.contains_key(&call) { Ended::Written } else { Ended::Silent };
+                        places.ended(now, link, how, &mut book);
+                    }
+                }
+                8 => {
+                    let open: Vec<u64> = (1..=calls).filter(|c| !book.settled.contains(c)).collect();
+                    if let Some(call) = any(&mut rng, open) {
+                        if book.given_up.insert(call) {
+                            places.give_up(now, call, &mut book);
+                        }
+                    }
+                }
+                _ => places.tick(now, &mut book),
+            }
+            if places.links() > BOUNDS.most_links {
+                book.wrong.push(format!("{} connections", places.links()));
+            }
+            assert!(book.wrong.is_empty(), "seed {seed}: {:?}", book.wrong);
+        }
+        // In the end all are settled, once every connection has ended and time has passed.
+        for _ in 0..40 {
+            now += 500;
+            for link in std::mem::take(&mut book.making) {
+                places.ended(now, link, Ended::NotMade, &mut book);
+            }
+            for link in std::mem::take(&mut book.busy).into_keys() {
+                places.ended(now, link, Ended::Written, &mut book);
+            }
+            places.tick(now, &mut book);
+        }
+        assert_eq!(places.open_calls(), 0, "seed {seed}");
+        assert!(places.standing().all(|(_, in_hand)| in_hand == 0), "seed {seed}");
+        assert_eq!(book.settled.len() + book.given_up.len(), calls as usize, "seed {seed}: {:?}", book.wrong);
+    }
+}
