--- a/crates/ochrewalk-ajp/src/answerer.rs
+++ b/crates/ochrewalk-ajp/src/answerer.rs
@@ -285,18 +285,27 @@
     /// The connection was found empty at that time, all that had come being read. Only this tells silence: a server
     /// that is slow to read does not take its own slowness for its peer's.
     pub fn empty(&mut self, now_us: u64, acts: &mut impl Acts) {
+        if self.due_us().is_none_or(|due_us| now_us < due_us) {
+            return;
+        }
+        match self.state {
+            State::Idle { .. } if self.spoke => self.over(End::Idle, acts),
+            State::Body { .. } => self.refuse(now_us, BODY_LATE, false, acts),
+            State::Closing { .. } => self.over(End::Unclosed, acts),
+            _ => self.over(End::Silent, acts),
+        }
+    }
+
+    /// From when on silence would mean something; only [`Life::empty`] says what.
+    pub fn due_us(&self) -> Option<u64> {
         let b = self.bounds;
         match self.state {
-            State::Idle { since_us } if !self.spoke && now_us >= since_us + b.first_us => {
-                self.over(End::Silent, acts);
-            }
-            State::Idle { since_us } if now_us >= since_us + b.idle_us => self.over(End::Idle, acts),
-            State::Head { since_us } if now_us >= since_us + b.packet_us => self.over(End::Silent, acts),
-            State::Body { since_us, .. } if now_us >= since_us + b.body_us => {
-                self.refuse(now_us, BODY_LATE, false, acts);
-            }
-            State::Closing { since_us } if now_us >= since_us + b.close_us => self.over(End::Unclosed, acts),
-            _ => {}
+            State::Idle { since_us } if !self.spoke => Some(since_us + b.first_us),
+            State::Idle { since_us } => Some(since_us + b.idle_us),
+            State::Head { since_us } => Some(since_us + b.packet_us),
+            State::Body { since_us, .. } => Some(since_us + b.body_us),
+            State::Closing { since_us } => Some(since_us + b.close_us),
+            State::InHand { .. } | State::Answering { .. } | State::Over => None,
         }
     }
 
--- a/crates/ochrewalk-ajp/src/asker.rs
+++ b/crates/ochrewalk-ajp/src/asker.rs
@@ -212,16 +212,20 @@
 
     /// It was found empty at that time, all that had come being read.
     pub fn empty(&mut self, now_us: u64, acts: &mut impl Acts) {
-        let since_us = match self.state {
-            State::Proving { since_us, .. } => since_us + self.bounds.pong_us,
-            State::Reading { since_us } => since_us + self.bounds.reply_us,
-            _ => return,
-        };
-        if now_us >= since_us {
+        if self.due_us().is_some_and(|due_us| now_us >= due_us) {
             self.over(End::Silent, acts);
         }
     }
 
+    /// From when on silence would mean something; only [`Life::empty`] says what.
+    pub fn due_us(&self) -> Option<u64> {
+        match self.state {
+            State::Proving { since_us, .. } => Some(since_us + self.bounds.pong_us),
+            State::Reading { since_us } => Some(since_us + self.bounds.reply_us),
+            State::Idle { .. } | State::Waiting | State::Over => None,
+        }
+    }
+
     /// Whether a byte of a call may have been written whose answer is not whole.
     pub fn wrote(&self) -> bool {
         matches!(self.state, State::Waiting | State::Reading { .. })
--- /dev/null
+++ b/crates/ochrewalk-lab/src/executor.rs
@@ -0,0 +1,214 @@
+//! A stand-in for the executor: cores that all runs share evenly, each run with its work, half of it before its call
+//! and half after. It counts the runs of each body, so that a second run of one shows.
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What a method's runs take.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    pub core_us: u64,
+    pub calls: bool,
+}
+
+pub struct Executor {
+    pub at: SocketAddr,
+    counts: Arc<Mutex<BTreeMap<Vec<u8>, u32>>>,
+}
+
+struct Run {
+    lane: Work,
+    body: Vec<u8>,
+    left_us: f64,
+    /// It was at its call, or needs none.
+    called: bool,
+    waits: bool,
+}
+
+struct State {
+    works: HashMap<String, Work>,
+    cores: f64,
+    runs: BTreeMap<String, Run>,
+    ended: HashSet<String>,
+    pos: u64,
+    notices: Vec<String>,
+    link: Option<TcpStream>,
+    busy: f64,
+    counts: Arc<Mutex<BTreeMap<Vec<u8>, u32>>>,
+}
+
+enum Heard {
+    Link(TcpStream),
+    Line(Value),
+}
+
+impl Executor {
+    pub fn start(cores: f64, works: HashMap<String, Work>) -> std::io::Result<Executor> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let at = listener.local_addr()?;
+        let counts: Arc<Mutex<BTreeMap<Vec<u8>, u32>>> = Arc::default();
+        let (say, heard) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let say = say.clone();
+                let _ = stream.set_nodelay(true);
+                std::thread::spawn(move || hear(&stream, &say));
+            }
+        });
+        let state = State {
+            works,
+            cores,
+            runs: BTreeMap::new(),
+            ended: HashSet::new(),
+            pos: 0,
+            notices: Vec::new(),
+            link: None,
+            busy: 0.0,
+            counts: counts.clone(),
+        };
+        std::thread::spawn(move || state.go(&heard));
+        Ok(Executor { at, counts })
+    }
+
+    /// How often each body was run.
+    pub fn counts(&self) -> BTreeMap<Vec<u8>, u32> {
+        self.counts.lock().expect("no panic under it").clone()
+    }
+}
+
+fn hear(stream: &TcpStream, say: &Sender<Heard>) {
+    let Ok(clone) = stream.try_clone() else { return };
+    if say.send(Heard::Link(clone)).is_err() {
+        return;
+    }
+    for line in BufReader::new(stream).lines().map_while(Result::ok) {
+        let Ok(value) = serde_json::from_str(&line) else { return };
+        if say.send(Heard::Line(value)).is_err() {
+            return;
+        }
+    }
+}
+
+/// What a run of this body gives.
+pub fn result_of(body: &[u8]) -> Vec<u8> {
+    [b"done:", body].concat()
+}
+
+impl State {
+    fn go(mut self, heard: &Receiver<Heard>) {
+        let mut before = Instant::now();
+        loop {
+            let active = self.runs.values().filter(|r| !r.waits).count();
+            let rate = if active == 0 { 1.0 } else { (self.cores / active as f64).min(1.0) };
+            let next = self.runs.values().filter(|r| !r.waits).map(Run::until_us).fold(f64::MAX, f64::min);
+            let wait = Duration::from_micros((next / rate).clamp(50.0, 50_000.0) as u64);
+            let came = heard.recv_timeout(wait);
+            let passed_us = before.elapsed().as_micros() as f64;
+            before = Instant::now();
+            self.busy +=
+                ((active as f64 / self.cores).min(1.0) - self.busy) * (passed_us / 500_000.0).min(1.0);
+            for run in self.runs.values_mut().filter(|r| !r.waits) {
+                run.left_us -= passed_us * rate;
+            }
+            self.settle();
+            match came {
+                Ok(Heard::Link(link)) => self.link = Some(link),
+                Ok(Heard::Line(line)) => self.command(&line),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    /// Runs that have come to their call or their end.
+    fn settle(&mut self) {
+        let due: Vec<String> = self
+            .runs
+            .iter()
+            .filter(|(_, r)| !r.waits && r.until_us() <= 0.0)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for uid in due {
+            let run = self.runs.get_mut(&uid).expect("just seen");
+            if run.called {
+                let content = BASE64_STANDARD.encode(result_of(&run.body));
+                self.ended(&uid, json!({"code": "complete", "wall_ms": 1, "content": content}));
+            } else {
+                (run.called, run.waits) = (true, true);
+                let content = BASE64_STANDARD.encode(&run.body);
+                self.notice(json!({"action": "CALLOUT", "uid": uid, "content": content}));
+            }
+        }
+    }
+
+    fn ended(&mut self, uid: &str, mut what: Value) {
+        self.runs.remove(uid);
+        self.ended.insert(uid.to_string());
+        what["action"] = "EXIT".into();
+        what["uid"] = uid.into();
+        self.notice(what);
+    }
+
+    fn notice(&mut self, mut what: Value) {
+        self.pos += 1;
+        what["pos"] = self.pos.into();
+        let line = format!("{what}\n");
+        self.say(&line);
+        self.notices.push(line);
+    }
+
+    fn say(&mut self, line: &str) {
+        if let Some(link) = &mut self.link {
+            let _ = link.write_all(line.as_bytes());
+        }
+    }
+
+    fn command(&mut self, line: &Value) {
+        let text = |field: &str| line[field].as_str().unwrap_or_default().to_string();
+        let uid = text("uid");
+        match line["action"].as_str().unwrap_or_default() {
+            "JOIN" => {
+                self.say("{\"action\":\"WELCOME\",\"code\":\"hot\",\"wall_ms\":5000}\n");
+                let from = line["pos"].as_u64().unwrap_or(0) as usize;
+                for line in self.notices[from.min(self.notices.len())..].to_vec() {
+                    self.say(&line);
+                }
+            }
+            "EXEC" if !self.runs.contains_key(&uid) && !self.ended.contains(&uid) => {
+                let body = BASE64_STANDARD.decode(text("content")).unwrap_or_default();
+                *self.counts.lock().expect("no panic under it").entry(body.clone()).or_default() += 1;
+                let lane = self.works[&text("lane")];
+                let left_us = lane.core_us as f64;
+                self.runs.insert(uid, Run { lane, body, left_us, called: !lane.calls, waits: false });
+            }
+            "KILL" if self.runs.contains_key(&uid) => {
+                self.ended(&uid, json!({"code": "cancelled", "wall_ms": 1}))
+            }
+            "RETURN" | "BYPASS" => {
+                if let Some(run) = self.runs.get_mut(&uid) {
+                    run.waits = false;
+                }
+            }
+            "METER" => {
+                let runnable = self.runs.values().filter(|r| !r.waits).count();
+                let row = json!({"action": "METERS", "echo": line["echo"], "meters": [self.busy, runnable]});
+                self.say(&format!("{row}\n"));
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Run {
+    /// Core time to its call, or to its end.
+    fn until_us(&self) -> f64 {
+        let half = if self.called { 0.0 } else { self.lane.core_us as f64 / 2.0 };
+        self.left_us - half
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-lab/src/load.rs
@@ -0,0 +1,427 @@
+//! Load by both protocols: calls arrive by chance at a set rate, whatever becomes of those before them, and each is
+//! entered in the book.
+
+use crate::ajp::{Call, Peer};
+use crate::book::{Book, End, Entry};
+use crate::executor::{Executor, Work};
+use crate::json::Caller;
+use crate::ledger::{Act, Ledger};
+use crate::node::{self, Node};
+use crate::unix_ms;
+use base64::prelude::{Engine, BASE64_STANDARD};
+use hdrhistogram::Histogram;
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// A method as the lab has it.
+pub struct Method {
+    pub name: &'static str,
+    /// Its share of the calls, what an answer in time is worth, and its times.
+    pub share: f64,
+    pub worth: f64,
+    pub on_time: Duration,
+    pub deadline: Duration,
+    pub tokened: bool,
+    pub work: Work,
+}
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub const METHODS: [Method; 3] = [
+    Method {
+        name: "item-lookup",
+        share: 0.55,
+        worth: 1.0,
+        on_time: ms(150),
+        deadline: ms(500),
+        tokened: false,
+        work: Work { core_us: 2_000, calls: false },
+    },
+    Method {
+        name: "stock-upload",
+        share: 0.2,
+        worth: 1.0,
+        on_time: ms(400),
+        deadline: ms(1_000),
+        tokened: false,
+        work: Work { core_us: 8_000, calls: true },
+    },
+    Method {
+        name: "sale-record",
+        share: 0.25,
+        worth: 4.0,
+        on_time: ms(300),
+        deadline: ms(1_000),
+        tokened: true,
+        work: Work { core_us: 4_000, calls: true },
+    },
+];
+
+/// Cores of the stand-in executor.
+const CORES: f64 = 2.0;
+/// One sale in so many is sent a second time, by the other protocol.
+const REPEATED: f64 = 0.15;
+/// Callers of each protocol that wait for an answer at a time, and connections of the one that shares them.
+const CALLERS: usize = 96;
+const JSON_CONNECTIONS: usize = 4;
+/// How long after its deadline an answer is still waited for.
+const GRACE: Duration = ms(400);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocols {
+    Both,
+    JsonOnly,
+    AjpOnly,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub seconds: u64,
+    pub seed: u64,
+    /// Calls' work over what the executor's cores can do.
+    pub load: f64,
+    pub protocols: Protocols,
+    /// The share of ledger calls whose connection closes at a random byte of the answer.
+    pub cut: f64,
+    /// A line each second.
+    pub progress: bool,
+}
+
+pub struct Outcome {
+    pub book: Book,
+    pub broken: Vec<String>,
+    pub cpu_us: u64,
+    /// Calls below that ran and whose answer was cut.
+    pub cut: usize,
+    pub ran_below: usize,
+}
+
+struct Job {
+    at: Instant,
+    method: usize,
+    by_ajp: bool,
+    body: Vec<u8>,
+    number: u64,
+}
+
+/// The settings of a node with the lab's methods.
+pub fn settings() -> Value {
+    let category = |m: &Method| {
+        json!({"name": m.name, "idempotency": if m.tokened { "guarded" } else { "free" }, "worth": m.worth,
+               "on-time-ns": m.on_time.as_nanos() as u64, "deadline-ns": m.deadline.as_nanos() as u64,
+               "window-ns": 20_000_000_000u64})
+    };
+    let calls: Vec<bool> = METHODS.iter().map(|m| m.work.calls).collect();
+    json!({
+        "categories": METHODS.iter().map(category).collect::<Vec<_>>(),
+        "extra": {"below": "tier", "cores": CORES as u64, "memory-kb": 90_000.0, "run-mem-factor": 4.0,
+                  "key-kb": 0.1, "signal": "weight", "stop-mode": "drop", "gauges": ["cpu_busy", "runnable"],
+                  "calls-by-class": calls, "callers": 8, "keepalive-max-ns": 30_000_000_000u64},
+        "policy-limits": {"retry-after": true, "max-retry-after-ns": 1_000_000_000}, "servers": 1,
+        "rules": {"cold-from": 0.3, "drain-grace-ns": 300_000_000, "fall-multiple": 8.0,
+                  "warm-within-ns": 60_000_000_000u64}
+    })
+}
+
+/// The operators' file of a lab node.
+pub fn operators(listen: SocketAddr, ledger: SocketAddr) -> String {
+    format!(
+        "host ledger.example.org {}\n\
+         ajp listen {listen}\najp allow 127.0.0.0/8\najp connections 200\najp memory 20.5\najp health /health\n\
+         ajp route GET /items/{{}} item-lookup\najp route POST /stock stock-upload\n\
+         ajp route POST /sales sale-record\n\
+         below ajp ledger.example.org:{}\nbelow uri /ledger\nbelow connections 100\n",
+        ledger.ip(),
+        ledger.port()
+    )
+}
+
+/// Plays a plan against a node of its own.
+pub fn play(program: &Path, plan: &Plan) -> Result<Outcome, String> {
+    let io = |err: std::io::Error| err.to_string();
+    let works = METHODS.iter().map(|m| (m.name.to_string(), m.work)).collect::<HashMap<_, _>>();
+    let executor = Executor::start(CORES, works).map_err(io)?;
+    let (cut, seed) = (plan.cut, plan.seed);
+    let cuts = Arc::new(Mutex::new((0, fastrand::Rng::with_seed(seed ^ 5))));
+    let of_cuts = cuts.clone();
+    let any = "127.0.0.21:0".parse().expect("an address");
+    let ledger = Ledger::start(any, Duration::from_secs(5), move |came| {
+        let mut cuts = of_cuts.lock().expect("no panic under it");
+        if cuts.1.f64() < cut {
+            cuts.0 += 1;
+            return Act::Cut(cuts.1.usize(0..60));
+        }
+        let _ = came;
+        Act::Answer { status: 200, never_ran: false, body: b"kept".to_vec(), after: ms(1) }
+    })
+    .map_err(io)?;
+    let listen = node::free("127.0.0.1").map_err(io)?;
+    let ajp = node::free("127.0.0.1").map_err(io)?;
+    let config = node::config(listen, executor.at, node::directory().map_err(io)?, settings());
+    let mut node = Node::start(program, &config, &operators(ajp, ledger.at), "error")?;
+    wait_healthy(listen)?;
+    let from = node.cpu_us();
+    let book = load(plan, listen, ajp)?;
+    let cpu_us = node.cpu_us() - from;
+    let mut broken = book.broken(&executor.counts());
+    if !node.is_running() {
+        broken.push("the node has ended".into());
+    }
+    let cut = cuts.lock().expect("no panic under it").0;
+    Ok(Outcome { book, broken, cpu_us, cut, ran_below: ledger.ran().len() })
+}
+
+fn wait_healthy(listen: SocketAddr) -> Result<(), String> {
+    let caller = Caller::connect(listen).map_err(|err| err.to_string())?;
+    for number in 1..500 {
+        let answer = caller.call(number, "heartbeat", "").recv_timeout(ms(500));
+        if answer.is_ok_and(|a| a["result"]["pass"] == true) {
+            return Ok(());
+        }
+        std::thread::sleep(ms(10));
+    }
+    Err("the node does not get healthy".into())
+}
+
+/// One entry, and where late answers to it would show.
+type Done = (Entry, Option<Receiver<Value>>);
+
+fn load(plan: &Plan, json_at: SocketAddr, ajp_at: SocketAddr) -> Result<Book, String> {
+    let (done, entries) = channel::<Done>();
+    let connections: Result<Vec<_>, _> = (0..JSON_CONNECTIONS).map(|_| Caller::connect(json_at)).collect();
+    let connections = Arc::new(connections.map_err(|err| err.to_string())?);
+    let start = |by_ajp: bool| -> Sender<Job> {
+        let (to, jobs) = channel::<Job>();
+        let jobs = Arc::new(Mutex::new(jobs));
+        for worker in 0..CALLERS {
+            let (jobs, done, connections) = (jobs.clone(), done.clone(), connections.clone());
+            std::thread::spawn(move || {
+                let mut kept = None;
+                loop {
+                    let job = jobs.lock().expect("no panic under it").recv();
+                    let Ok(job) = job else { return };
+                    let came = if by_ajp {
+                        (by_ajp_call(&job, ajp_at, &mut kept), None)
+                    } else {
+                        json_call(&job, &connections[worker % JSON_CONNECTIONS])
+                    };
+                    let _ = done.send(came);
+                }
+            });
+        }
+        to
+    };
+    let (to_json, to_ajp) = (start(false), start(true));
+    drop(done);
+    arrive(plan, &to_json, &to_ajp);
+    drop((to_json, to_ajp));
+    let mut book = Book::default();
+    let mut late = Vec::new();
+    for (entry, answers) in entries {
+        late.extend(answers.map(|answers| (book.entries.len(), answers)));
+        book.entries.push(entry);
+    }
+    for (at, answers) in late {
+        let entry = &mut book.entries[at];
+        entry.answers.extend(answers.try_iter().map(|answer| json_end(&answer).0));
+    }
+    Ok(book)
+}
+
+/// Calls come by chance at the plan's rate, half of them by each protocol where both are asked for.
+fn arrive(plan: &Plan, to_json: &Sender<Job>, to_ajp: &Sender<Job>) {
+    let mut rng = fastrand::Rng::with_seed(plan.seed);
+    let mean_us: f64 = METHODS.iter().map(|m| m.share * m.work.core_us as f64).sum();
+    let per_us = plan.load * CORES / mean_us;
+    let from = Instant::now();
+    let (mut due_us, mut number, mut told) = (0.0, 0, 0);
+    // Sales that are sent again, and when.
+    let mut again: Vec<(f64, Job)> = Vec::new();
+    let send = |job: Job| drop(if job.by_ajp { to_ajp.send(job) } else { to_json.send(job) });
+    while due_us < plan.seconds as f64 * 1e6 {
+        due_us += -(1.0 - rng.f64()).ln() / per_us;
+        let due = from + Duration::from_micros(due_us as u64);
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        number += 1;
+        let mut at = rng.f64();
+        let method = METHODS.iter().position(|m| {
+            at -= m.share;
+            at < 0.0
+        });
+        let method = method.unwrap_or(0);
+        let by_ajp = match plan.protocols {
+            Protocols::Both => rng.bool(),
+            Protocols::JsonOnly => false,
+            Protocols::AjpOnly => true,
+        };
+        let body = format!("{}{number:08}", if METHODS[method].tokened { "t" } else { "c" }).into_bytes();
+        if METHODS[method].tokened && plan.protocols == Protocols::Both && rng.f64() < REPEATED {
+            let job =
+                Job { at: due, method, by_ajp: !by_ajp, body: body.clone(), number: number + (1 << 40) };
+            again.push((due_us + rng.f64() * 300_000.0, job));
+        }
+        send(Job { at: due, method, by_ajp, body, number });
+        let (now, later): (Vec<_>, Vec<_>) = again.drain(..).partition(|(at, _)| *at <= due_us);
+        again = later;
+        for (at, mut job) in now {
+            job.at = from + Duration::from_micros(at as u64);
+            send(job);
+        }
+        let second = (due_us / 1e6) as u64;
+        if plan.progress && second > told {
+            told = second;
+            eprint!("\r{second} of {} s, {number} calls sent ", plan.seconds);
+        }
+    }
+    if plan.progress {
+        eprintln!();
+    }
+}
+
+fn entry(job: &Job) -> Entry {
+    Entry {
+        method: job.method,
+        by_ajp: job.by_ajp,
+        body: job.body.clone(),
+        tokened: METHODS[job.method].tokened,
+        answers: Vec::new(),
+        result: None,
+        took_us: 0,
+        gone: false,
+    }
+}
+
+fn json_call(job: &Job, connection: &Caller) -> Done {
+    let method = &METHODS[job.method];
+    let mut entry = entry(job);
+    let came_ms = unix_ms().saturating_sub(job.at.elapsed().as_millis() as u64);
+    let token = if method.tokened {
+        format!(",\"opkey\":\"{}\"", String::from_utf8_lossy(&job.body))
+    } else {
+        String::new()
+    };
+    let params = format!(
+        "\"req\":\"{:016x}\",\"ts\":{came_ms},\"via\":1,\"need\":20.5,\"level\":0.5{token},\"body\":\"{}\"",
+        job.number,
+        BASE64_STANDARD.encode(&job.body)
+    );
+    let answers = connection.call(job.number, method.name, &params);
+    let left = (job.at + method.deadline + GRACE).saturating_duration_since(Instant::now());
+    match answers.recv_timeout(left) {
+        Ok(answer) => {
+            let (end, result) = json_end(&answer);
+            entry.answers.push(end);
+            entry.result = result;
+        }
+        Err(_) => entry.answers.push(End::Nothing),
+    }
+    entry.took_us = job.at.elapsed().as_micros() as u64;
+    (entry, Some(answers))
+}
+
+fn json_end(answer: &Value) -> (End, Option<Vec<u8>>) {
+    if let Some(body) = answer["result"]["body"].as_str() {
+        return (End::Served, BASE64_STANDARD.decode(body).ok());
+    }
+    match answer["error"]["code"].as_i64() {
+        Some(-32011) => (End::PushedBack, None),
+        Some(-32000) => (End::Aborted, None),
+        _ => (End::Fault, None),
+    }
+}
+
+fn by_ajp_call(job: &Job, at: SocketAddr, kept: &mut Option<Peer>) -> Entry {
+    let method = &METHODS[job.method];
+    let mut entry = entry(job);
+    let uri = match job.method {
+        0 => "/items/7",
+        1 => "/stock",
+        _ => "/sales",
+    };
+    let left = (job.at + method.deadline).saturating_duration_since(Instant::now());
+    let mut headers = vec![
+        ("x-request-id", format!("{:016x}", job.number)),
+        ("x-time-left-ms", left.as_millis().to_string()),
+    ];
+    if method.tokened {
+        headers.push(("x-token", String::from_utf8_lossy(&job.body).into_owned()));
+    }
+    let http = if job.method == 0 { "GET" } else { "POST" };
+    let call = Call { method: http, uri, headers, secret: None, body: &job.body };
+    let mut peer = match kept.take().map_or_else(|| Peer::connect(at, ms(500)), Ok) {
+        Ok(peer) => peer,
+        Err(_) => {
+            // Never written: nothing is owed.
+            (entry.gone, entry.took_us) = (true, job.at.elapsed().as_micros() as u64);
+            return entry;
+        }
+    };
+    let _ = peer.stream.set_read_timeout(Some((left + GRACE).max(ms(1))));
+    match peer.call(&call) {
+        Ok(answer) => {
+            entry.answers.push(match answer.status {
+                200 => End::Served,
+                503 if answer.header("x-ochrewalk-never-ran") == Some("1") => End::PushedBack,
+                500 => End::Aborted,
+                _ => End::Fault,
+            });
+            if answer.status == 200 {
+                entry.result = Some(answer.body.clone());
+            }
+            *kept = Some(peer).filter(|_| answer.reuse);
+        }
+        Err(_) => entry.answers.push(End::Nothing),
+    }
+    entry.took_us = job.at.elapsed().as_micros() as u64;
+    entry
+}
+
+impl Outcome {
+    /// Worth answered in time over worth asked for.
+    pub fn served_share(&self, by_ajp: bool) -> f64 {
+        let of = |e: &&Entry| e.by_ajp == by_ajp;
+        let asked: f64 = self.book.entries.iter().filter(of).map(|e| METHODS[e.method].worth).sum();
+        let in_time = |e: &&Entry| {
+            let on_time = METHODS[e.method].on_time.as_micros() as u64;
+            e.answers.first() == Some(&End::Served) && e.took_us <= on_time
+        };
+        let got: f64 =
+            self.book.entries.iter().filter(of).filter(in_time).map(|e| METHODS[e.method].worth).sum();
+        got / asked.max(1.0)
+    }
+
+    /// What became of each method's calls.
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{:<14}{:>8}{:>9}{:>12}{:>9}{:>10}{:>10}\n",
+            "method", "calls", "served", "pushed back", "aborted", "median ms", "99% ms"
+        );
+        for (at, method) in METHODS.iter().enumerate() {
+            let count = |end| self.book.count(at, end);
+            let all = self.book.entries.iter().filter(|e| e.method == at);
+            let mut times = Histogram::<u64>::new(3).expect("three digits");
+            for entry in all.clone().filter(|e| e.answers.first() == Some(&End::Served)) {
+                let _ = times.record(entry.took_us);
+            }
+            let at_ms = |quantile| times.value_at_quantile(quantile) as f64 / 1_000.0;
+            text += &format!(
+                "{:<14}{:>8}{:>9}{:>12}{:>9}{:>10.1}{:>10.1}\n",
+                method.name,
+                all.count(),
+                count(End::Served),
+                count(End::PushedBack),
+                count(End::Aborted),
+                at_ms(0.5),
+                at_ms(0.99)
+            );
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-lab/src/main.rs
@@ -0,0 +1,104 @@
+//! The laboratory's command line.
+
+use clap::{Parser, Subcommand};
+use ochrewalk_lab::book::End;
+use ochrewalk_lab::load::{play, Outcome, Plan, Protocols, METHODS};
+use ochrewalk_lab::node::program;
+use serde_json::json;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(
+    name = "ochrewalk-lab",
+    version,
+    about = "A node on loopback among stand-ins, under load, its rules checked"
+)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+    /// The node's program, if not the one beside this
+    #[arg(long, global = true, value_name = "FILE")]
+    node: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Ten seconds of calls by both protocols, and what became of them
+    Demo,
+    /// Load by JSON-RPC and AJP at once, and the CPU that each takes alone; the last line is JSON
+    Ajp {
+        #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u64).range(2..=600))]
+        seconds: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Work asked for over what the cores can do
+        #[arg(long, default_value_t = 1.2)]
+        load: f64,
+        /// The share of ledger calls whose connection closes at a random byte of the answer
+        #[arg(long, default_value_t = 0.0)]
+        cut: f64,
+    },
+}
+
+fn main() -> ExitCode {
+    let line = Line::parse();
+    match run(&line) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(line: &Line) -> Result<bool, String> {
+    let program = line.node.clone().map_or_else(program, Ok)?;
+    match line.command {
+        Command::Demo => {
+            let plan = Plan {
+                seconds: 10,
+                seed: 1,
+                load: 0.9,
+                protocols: Protocols::Both,
+                cut: 0.0,
+                progress: true,
+            };
+            let outcome = play(&program, &plan)?;
+            print!("{}", outcome.table());
+            println!("rules broken: {}", say(&outcome));
+            Ok(outcome.broken.is_empty())
+        }
+        Command::Ajp { seconds, seed, load, cut } => {
+            let plan = Plan { seconds, seed, load, protocols: Protocols::Both, cut, progress: true };
+            let both = play(&program, &plan)?;
+            print!("{}", both.table());
+            say(&both);
+            let alone = |protocols| {
+                let plan = Plan { seconds: (seconds / 4).max(2), load: 0.8, protocols, cut: 0.0, ..plan };
+                play(&program, &plan)
+            };
+            let (json_alone, ajp_alone) = (alone(Protocols::JsonOnly)?, alone(Protocols::AjpOnly)?);
+            let broken = both.broken.len() + say(&json_alone) + say(&ajp_alone);
+            let cpu = |outcome: &Outcome| outcome.cpu_us as f64 / outcome.book.entries.len().max(1) as f64;
+            let round = |x: f64| (x * 1_000.0).round() / 1_000.0;
+            let aborted: usize = (0..METHODS.len()).map(|m| both.book.count(m, End::Aborted)).sum();
+            let last = json!({
+                "broken": broken, "calls": both.book.entries.len(),
+                "served_share_json": round(both.served_share(false)),
+                "served_share_ajp": round(both.served_share(true)),
+                "cpu_us_json": round(cpu(&json_alone)), "cpu_us_ajp": round(cpu(&ajp_alone)),
+                "aborted": aborted, "replies_cut": both.cut, "ran_below": both.ran_below
+            });
+            println!("{last}");
+            Ok(broken == 0)
+        }
+    }
+}
+
+/// Names the first broken rules, and gives their number.
+fn say(outcome: &Outcome) -> usize {
+    outcome.broken.iter().take(10).for_each(|broken| eprintln!("broken: {broken}"));
+    outcome.broken.len()
+}
--- a/crates/ochrewalk-node/src/core.rs
+++ b/crates/ochrewalk-node/src/core.rs
@@ -39,6 +39,8 @@
     pub method: usize,
     pub kb: f64,
     pub ts_ms: u64,
+    /// How long its caller still waits, where that is conveyed.
+    pub left_us: Option<u64>,
     pub token: Option<&'a str>,
     /// A JSON string of base64.
     pub body: &'a str,
@@ -83,7 +85,8 @@
             return Err("no token");
         }
         let id: RpcId = asked.id.into();
-        Ok(Incoming { id, method: asked.method, kb: asked.kb, ts_ms: asked.ts_ms, token })
+        let Asked { method, kb, ts_ms, left_us, .. } = *asked;
+        Ok(Incoming { id, method, kb, ts_ms, left_us, token })
     }
 
     /// Starts the life of an RPC that its front has entered as owed an answer.
--- a/crates/ochrewalk-node/src/ending.rs
+++ b/crates/ochrewalk-node/src/ending.rs
@@ -88,6 +88,17 @@
 }
 
 impl CallEnd {
+    /// What a whole answer by AJP means. Only a header of our own kind says that a call never ran; a bare 503 may
+    /// come from whoever stands between.
+    pub fn of_status(status: u16, never_ran: bool, body: Vec<u8>) -> CallEnd {
+        match status {
+            200..=299 => CallEnd::Good(body),
+            503 if never_ran => CallEnd::PushedBack,
+            408 | 504 => CallEnd::OutOfTime,
+            _ => CallEnd::Failed,
+        }
+    }
+
     /// What it means to the module.
     pub fn outcome(&self) -> Outcome {
         match self {
--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -24,6 +24,8 @@
     pub kb: f64,
     /// When it came to the machine, in Unix time.
     pub ts_ms: u64,
+    /// How long its caller still waits, where that is conveyed.
+    pub left_us: Option<u64>,
     pub token: Option<Token>,
 }
 
@@ -234,7 +236,8 @@
                 method: new.method,
                 kb: new.kb,
                 queued_us,
-                left_us: None,
+                // No longer than the deployment says: guards against a caller that holds its place for ever.
+                left_us: new.left_us.map(|left_us| left_us.min(method.deadline_us)),
                 effort_us: None,
                 repeats,
                 further_try: false,
--- a/crates/ochrewalk-node/src/main.rs
+++ b/crates/ochrewalk-node/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use log::LevelFilter;
-use ochrewalk::deployment::Placement;
+use ochrewalk_node::node::Files;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -20,15 +20,21 @@
         /// The node's file, JSON
         #[arg(long, env = "PROXY_CONFIG", value_name = "FILE")]
         config: PathBuf,
+        /// The operators' own file: AJP in front and below
+        #[arg(long, env = "OCHREWALK_OPERATORS", value_name = "FILE")]
+        operators: Option<PathBuf>,
         /// The least serious lines that are logged: error, warn, info, debug
         #[arg(long, env = "OCHREWALK_LOG", default_value = "info", value_name = "LEVEL")]
         log: LevelFilter,
     },
-    /// Check a node's file and say which key is at fault
+    /// Check a node's file and the operators' own, and say which key or line is at fault
     Check {
         /// The node's file, JSON
         #[arg(env = "PROXY_CONFIG", value_name = "FILE")]
         config: PathBuf,
+        /// The operators' own file
+        #[arg(long, env = "OCHREWALK_OPERATORS", value_name = "FILE")]
+        operators: Option<PathBuf>,
     },
     /// Say which version this is
     Version,
@@ -40,11 +46,22 @@
             println!("ochrewalk {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::Check { config } => Placement::read_file(&config).map(|placement| {
-            let (name, listen) = (&placement.name, placement.listen);
-            println!("{}: good: node {name} would listen on {listen}", config.display());
-        }),
-        Command::Serve { config, log } => ochrewalk_node::node::serve(&config, log),
+        Command::Check { config, operators } => {
+            let files = Files { node: config, operators };
+            files.read().map(|(placement, operators)| {
+                let (name, listen) = (&placement.name, placement.listen);
+                println!("{}: good: node {name} would listen on {listen}", files.node.display());
+                if let Some(file) = &files.operators {
+                    let front =
+                        operators.ajp.map_or("no AJP in front".into(), |f| format!("AJP on {}", f.listen));
+                    let places = operators.below.map_or(0, |below| below.places.len());
+                    println!("{}: good: {front}, {places} places below by AJP", file.display());
+                }
+            })
+        }
+        Command::Serve { config, operators, log } => {
+            ochrewalk_node::node::serve(&Files { node: config, operators }, log)
+        }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/ochrewalk-node/src/net/ajp_below.rs
@@ -0,0 +1,426 @@
+//! Calls below by AJP: connections made, written and read as `ochrewalk-places` decides, each with the life of an
+//! asker's connection. One lock guards both; nothing is read or written while it is held.
+
+use super::link::{carry, connect, Finish, Outbox, Reader};
+use crate::clock::Clock;
+use crate::ending::{CallEnd, Ending};
+use crate::gate::Next;
+use crate::seam::Beneath;
+use may::sync::mpsc::Sender;
+use ochrewalk::host::RpcId;
+use ochrewalk_ajp::asker::{Acts, Bounds, End, Life, Reply};
+use ochrewalk_ajp::reply;
+use ochrewalk_ajp::request::{self, Attribute, Message, Request, Which};
+use ochrewalk_fronts::judge::Headers;
+use ochrewalk_operators::AjpBelow as Told;
+use ochrewalk_places::{CallId, Ended, Leaving, LinkId, Places, Said, Settled, Wire};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// How often calls that wait, connections that stand idle and silent ones are looked at.
+const SWEEP: Duration = Duration::from_millis(20);
+/// The longest answer that is read, as by the other protocol below.
+const MOST_REPLY: usize = 64 * 1024;
+
+#[derive(Clone)]
+pub struct AjpBelow(Arc<Inner>);
+
+struct Inner {
+    clock: Clock,
+    told: Told,
+    headers: Headers,
+    state: Mutex<State>,
+}
+
+struct State {
+    places: Places,
+    hands: Hands,
+}
+
+/// What the connections carry, and what is asked of them.
+struct Hands {
+    inner: std::sync::Weak<Inner>,
+    links: HashMap<LinkId, Link>,
+    calls: HashMap<CallId, Call>,
+    ids: HashMap<RpcId, CallId>,
+    next_call: CallId,
+    /// What the module's present word is about: a whole answer, or a connection's end.
+    reply: Option<Reply>,
+    why: Option<Ending>,
+    now_us: u64,
+}
+
+struct Link {
+    outbox: Arc<Outbox>,
+    life: Life,
+    call: Option<CallId>,
+    /// How much of the call's body went already.
+    sent: usize,
+}
+
+struct Call {
+    id: RpcId,
+    body: Vec<u8>,
+    until_us: u64,
+    post: Sender<Next>,
+}
+
+impl AjpBelow {
+    pub fn new(told: Told, clock: Clock, seed: u64) -> AjpBelow {
+        let bounds = ochrewalk_places::Bounds {
+            most_links: told.connections,
+            trust_us: told.trust_us,
+            keep_us: told.keep_us,
+        };
+        let leaving =
+            Leaving { after: told.leave_out_after, first_us: told.pause_us, most_us: told.most_pause_us };
+        let places = Places::new(told.places.len(), bounds, leaving, told.repeats, seed);
+        AjpBelow(Arc::new_cyclic(|inner| {
+            let hands = Hands {
+                inner: inner.clone(),
+                links: HashMap::new(),
+                calls: HashMap::new(),
+                ids: HashMap::new(),
+                next_call: 0,
+                reply: None,
+                why: None,
+                now_us: 0,
+            };
+            Inner { clock, told, headers: Headers::default(), state: Mutex::new(State { places, hands }) }
+        }))
+    }
+
+    /// Looks after time, for ever.
+    pub fn watch(&self) {
+        let mut out: Vec<bool> = vec![false; self.0.told.places.len()];
+        loop {
+            may::coroutine::sleep(SWEEP);
+            let now_us = self.0.clock.now_us();
+            self.0.with(|places, hands| {
+                places.tick(now_us, hands);
+                for link in hands.links.values() {
+                    if link.life.due_us().is_some_and(|due_us| now_us >= due_us) {
+                        link.outbox.nudge();
+                    }
+                }
+                for (at, (health, in_hand)) in places.standing().enumerate() {
+                    let is_out = !health.takes();
+                    if is_out != out[at] {
+                        out[at] = is_out;
+                        let word = if is_out { "left out" } else { "taken in again" };
+                        log::warn!("below {}: {word}; {in_hand} calls there", self.0.told.places[at]);
+                    }
+                }
+            });
+        }
+    }
+}
+
+impl Beneath for AjpBelow {
+    fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Sender<Next>) {
+        // A second call of an RPC stands in the place of the first.
+        self.give_up(id);
+        let now_us = self.0.clock.now_us();
+        let until_us = now_us + wait_ms * 1_000;
+        self.0.with(|places, hands| {
+            hands.next_call += 1;
+            let call = hands.next_call;
+            hands.ids.insert(id.clone(), call);
+            hands.calls.insert(call, Call { id: id.clone(), body: body.to_vec(), until_us, post });
+            places.call(now_us, call, again, until_us, hands);
+        });
+    }
+
+    fn give_up(&self, id: &str) {
+        self.0.with(|places, hands| {
+            let Some(call) = hands.ids.remove(id) else { return };
+            hands.calls.remove(&call);
+            places.give_up(self.0.clock.now_us(), call, hands);
+        });
+    }
+}
+
+impl Inner {
+    fn with<T>(&self, what: impl FnOnce(&mut Places, &mut Hands) -> T) -> T {
+        let mut state = self.lock();
+        let State { places, hands } = &mut *state;
+        hands.now_us = self.clock.now_us();
+        what(places, hands)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// Carries one connection from its making to its end.
+    fn keep(&self, link: LinkId, place: usize, outbox: &Outbox) {
+        let at = self.told.places[place];
+        let ending = match connect(&at, Duration::from_micros(self.told.connect_us)) {
+            Ok(stream) => {
+                let now_us = self.clock.now_us();
+                self.with(|places, hands| {
+                    if let Some(of) = hands.links.get_mut(&link) {
+                        // Its bounds count from here.
+                        of.life = self.life(now_us);
+                    }
+                    places.made(now_us, link, hands);
+                });
+                let ending = carry(
+                    &stream,
+                    outbox,
+                    None,
+                    self.told.packet,
+                    &mut Replies { inner: self, outbox, link },
+                );
+                self.end(link, &ending);
+                ending
+            }
+            Err(ending) => {
+                self.with(|places, hands| {
+                    hands.links.remove(&link);
+                    hands.why = Some(ending.clone());
+                    places.ended(self.clock.now_us(), link, Ended::NotMade, hands);
+                });
+                ending
+            }
+        };
+        match ending {
+            Ending::Idle => log::debug!("below {at}: {ending}"),
+            _ => log::warn!("below {at}: {ending}"),
+        }
+    }
+
+    /// A connection ended that was not let go by us.
+    fn end(&self, link: LinkId, ending: &Ending) {
+        self.with(|places, hands| {
+            let Some(of) = hands.links.remove(&link) else { return };
+            let how = match (of.life.wrote(), ending) {
+                (true, _) => Ended::Written,
+                (false, Ending::Silent) => Ended::Silent,
+                (false, _) => Ended::Unwritten,
+            };
+            hands.why = Some(ending.clone());
+            places.ended(self.clock.now_us(), link, how, hands);
+        });
+    }
+
+    fn life(&self, now_us: u64) -> Life {
+        let bounds =
+            Bounds { pong_us: self.told.pong_us, reply_us: self.told.reply_us, most_reply: MOST_REPLY };
+        Life::new(now_us, bounds, super::ajp_front::NEVER_RAN)
+    }
+
+    /// The call's packets: its head and the first piece of its body, and how much of the body that is.
+    fn packets(&self, call: &Call, now_us: u64) -> Option<(Vec<u8>, usize)> {
+        let length = call.body.len().to_string();
+        let left = call.until_us.saturating_sub(now_us).div_ceil(1_000).max(1).to_string();
+        let mut headers: Vec<(&[u8], &[u8])> = vec![
+            (b"content-type", b"application/octet-stream"),
+            (b"content-length", length.as_bytes()),
+            (b"host", self.told.server_name.as_bytes()),
+        ];
+        headers.push((self.headers.id.as_bytes(), call.id.as_bytes()));
+        headers.push((self.headers.left.as_bytes(), left.as_bytes()));
+        let secret = self.told.secret.as_ref().map(|secret| Attribute::Text(Which::Secret, secret));
+        let request = Request {
+            method: b"POST",
+            protocol: b"HTTP/1.1",
+            uri: self.told.uri.as_bytes(),
+            remote_addr: Some(b"127.0.0.1"),
+            remote_host: None,
+            server_name: Some(self.told.server_name.as_bytes()),
+            server_port: 80,
+            ssl: false,
+            headers,
+            attributes: secret.into_iter().collect(),
+        };
+        let mut out = Vec::with_capacity(256 + call.body.len());
+        request.write(&mut out, self.told.packet).ok()?;
+        let first = call.body.len().min(request::longest_piece(self.told.packet));
+        if first > 0 {
+            request::write_piece(&mut out, self.told.packet, &call.body[..first]).ok()?;
+        }
+        Some((out, first))
+    }
+}
+
+impl Wire for Hands {
+    fn connect(&mut self, link: LinkId, place: usize) {
+        let Some(inner) = self.inner.upgrade() else { return };
+        let outbox = Arc::new(Outbox::default());
+        let life = inner.life(self.now_us);
+        self.links.insert(link, Link { outbox: outbox.clone(), life, call: None, sent: 0 });
+        may::go!(move || inner.keep(link, place, &outbox));
+    }
+
+    fn write(&mut self, link: LinkId, call: CallId, prove: bool) {
+        let (Some(inner), Some(of)) = (self.inner.upgrade(), self.links.get_mut(&link)) else { return };
+        (of.call, of.sent) = (Some(call), 0);
+        let mut wanted = Wanted::default();
+        of.life.call(self.now_us, prove, &mut wanted);
+        self.put(&inner, link, &wanted);
+    }
+
+    fn settle(&mut self, call: CallId, end: Settled) {
+        let Some(Call { id, post, .. }) = self.calls.remove(&call) else { return };
+        self.ids.remove(&id);
+        let end = match end {
+            Settled::Unsent => CallEnd::Unsent,
+            Settled::Broken => CallEnd::Link(self.why.clone().unwrap_or(Ending::Closed)),
+            Settled::Replied => match self.reply.take() {
+                Some(reply) => CallEnd::of_status(reply.status, reply.never_ran, reply.body),
+                None => CallEnd::Failed,
+            },
+        };
+        let _ = post.send(Next::CallEnded(end));
+    }
+
+    fn close(&mut self, link: LinkId) {
+        if let Some(of) = self.links.remove(&link) {
+            of.outbox.finish(Finish::Faulty);
+        }
+    }
+}
+
+impl Hands {
+    /// Writes what a life asked for.
+    fn put(&mut self, inner: &Inner, link: LinkId, wanted: &Wanted) {
+        let Some(of) = self.links.get_mut(&link) else { return };
+        let call = of.call.and_then(|call| self.calls.get(&call));
+        let mut out = Vec::new();
+        if wanted.ping {
+            request::write_plain(&mut out, &Message::CPing, inner.told.packet).expect("fits");
+        }
+        if let (true, Some(call)) = (wanted.call, call) {
+            match inner.packets(call, self.now_us) {
+                Some((packets, sent)) => {
+                    out.extend(packets);
+                    of.sent = sent;
+                }
+                // Nothing of it is written: the other side ends what it waits for in vain.
+                None => of.outbox.finish(Finish::Faulty),
+            }
+        }
+        if let (Some(most), Some(call)) = (wanted.piece, call) {
+            let most = usize::from(most).min(request::longest_piece(inner.told.packet));
+            let piece = &call.body[of.sent..(of.sent + most).min(call.body.len())];
+            of.sent += piece.len();
+            request::write_piece(&mut out, inner.told.packet, piece).expect("fits");
+        }
+        if !out.is_empty() {
+            of.outbox.push(out);
+        }
+    }
+}
+
+/// What a life asked for.
+#[derive(Default)]
+struct Wanted {
+    ping: bool,
+    call: bool,
+    piece: Option<u16>,
+    reply: Option<Reply>,
+    end: Option<(End, bool)>,
+}
+
+impl Acts for Wanted {
+    fn ping(&mut self) {
+        self.ping = true;
+    }
+    fn write_call(&mut self) {
+        self.call = true;
+    }
+    fn write_piece(&mut self, most: u16) {
+        self.piece = Some(most);
+    }
+    fn ready(&mut self) {}
+    fn replied(&mut self, reply: Reply) {
+        self.reply = Some(reply);
+    }
+    fn end(&mut self, why: End, wrote: bool) {
+        self.end = Some((why, wrote));
+    }
+}
+
+fn ending(why: End) -> Ending {
+    match why {
+        End::Closed | End::Spent => Ending::Closed,
+        End::Failed => Ending::Broken(std::io::ErrorKind::Other),
+        End::Broken(why) => Ending::Malformed(why.to_string()),
+        End::TooLong => Ending::TooLong,
+        End::TooShort => Ending::Malformed("an answer shorter than it said".into()),
+        End::Silent => Ending::Silent,
+        End::Idle | End::GivenUp => Ending::Idle,
+    }
+}
+
+struct Replies<'a> {
+    inner: &'a Inner,
+    outbox: &'a Outbox,
+    link: LinkId,
+}
+
+impl Replies<'_> {
+    /// Lets the life act, and tells the module what came of it. An ending is the stream's.
+    fn life(&self, what: impl FnOnce(&mut Life, u64, &mut Wanted)) -> Result<(), Ending> {
+        let (inner, link) = (self.inner, self.link);
+        inner.with(|places, hands| {
+            let now_us = hands.now_us;
+            // It was let go: nothing that still comes is anybody's.
+            let Some(of) = hands.links.get_mut(&link) else { return Err(Ending::Idle) };
+            let mut wanted = Wanted::default();
+            what(&mut of.life, now_us, &mut wanted);
+            hands.put(inner, link, &wanted);
+            let spent = matches!(wanted.end, Some((End::Spent, _)));
+            if let Some(reply) = wanted.reply.take() {
+                if let Some(of) = hands.links.get_mut(&link) {
+                    of.call = None;
+                }
+                let late = matches!(CallEnd::of_status(reply.status, false, Vec::new()), CallEnd::OutOfTime);
+                hands.reply = Some(reply);
+                let said = if late { Said::Late } else { Said::Well };
+                places.replied(now_us, link, said, !spent, hands);
+                hands.reply = None;
+            }
+            let Some((why, wrote)) = wanted.end else { return Ok(()) };
+            let why = ending(why);
+            if hands.links.remove(&link).is_some() {
+                let how = match (wrote, &why) {
+                    (true, _) => Ended::Written,
+                    (false, Ending::Silent) => Ended::Silent,
+                    (false, _) => Ended::Unwritten,
+                };
+                hands.why = Some(why.clone());
+                places.ended(now_us, link, how, hands);
+            }
+            Err(why)
+        })
+    }
+}
+
+impl Reader for Replies<'_> {
+    fn take(&mut self, input: &[u8]) -> Result<usize, Ending> {
+        match reply::read(input, self.inner.told.packet) {
+            Ok(Some((message, taken))) => {
+                self.life(|life, now_us, wanted| life.message(now_us, &message, wanted))?;
+                Ok(taken)
+            }
+            Ok(None) => {
+                self.life(|life, now_us, _| life.partial(now_us))?;
+                Ok(0)
+            }
+            Err(why) => {
+                self.life(|life, _, wanted| life.broken(why, wanted))?;
+                Err(Ending::Malformed(why.to_string()))
+            }
+        }
+    }
+
+    fn drained(&mut self, _written: bool) {
+        if self.life(|life, now_us, wanted| life.empty(now_us, wanted)).is_err() {
+            // It has ended for the module; the stream follows.
+            self.outbox.finish_once(Finish::Faulty);
+        }
+    }
+}
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -9,6 +9,7 @@
 use crate::wire::jsonrpc::{self, Message, Which};
 use may::net::{TcpListener, TcpStream};
 use ochrewalk::host::RpcId;
+use ochrewalk_fronts::room::{self, Standing, Verdict, Worth};
 use socket2::SockRef;
 use std::collections::HashMap;
 use std::net::Shutdown;
@@ -144,29 +145,32 @@
         (number, connection)
     }
 
-    /// Whether one more may be served, beside a few that are about to end. At need the least worthy
-    /// is asked to go that is owed no answer: guards against a table full of those that say nothing, or asked
-    /// once and stay, which would keep callers out. One that turns out to have whole RPCs unread stays.
+    /// Whether one more may be served. Guards against a table full of those that say nothing, or asked once and
+    /// stay, which would keep callers out.
     fn make_room(&self) -> bool {
-        let (open, most) = (self.lock(), self.most);
-        let going = open.of.values().filter(|c| c.lock().going).count();
-        if open.of.len() - going < most && open.of.len() < most + ENDING {
+        let open = self.lock();
+        let standing = |(number, connection): (&u64, &Arc<Connection>)| {
+            let state = connection.lock();
+            let worth = Worth { good: state.good, used_us: state.used_us };
+            let worth = state.open.is_empty().then_some(worth);
+            Standing { number: *number, going: state.going, worth }
+        };
+        // Most of the time nobody has to be looked at.
+        if open.of.len() < self.most {
             return true;
         }
-        if going >= ENDING {
-            return false;
-        }
-        let worth = |connection: &Connection| {
-            let state = connection.lock();
-            (state.open.is_empty() && !state.going).then_some((state.good, state.used_us))
+        let all: Vec<Standing> = open.of.iter().map(standing).collect();
+        let (number, room) = match room::look(self.most, ENDING, &all) {
+            Verdict::Room => return true,
+            Verdict::Full => return false,
+            Verdict::RoomFor(number) => (number, true),
+            Verdict::Ask(number) => (number, false),
         };
-        let least = open.of.iter().filter_map(|(number, c)| Some((worth(c)?, *number))).min();
-        let Some(least) = least.map(|(_, number)| open.of[&number].clone()) else { return false };
-        let over = open.of.len() - going > most;
+        let goes = open.of[&number].clone();
         drop(open);
-        least.lock().going = true;
-        least.outbox.finish(Finish::Silent);
-        !over
+        goes.lock().going = true;
+        goes.outbox.finish(Finish::Silent);
+        room
     }
 
     /// Ends connections that say nothing, asks those to end that have carried nothing for as long as the module
@@ -426,6 +430,7 @@
                     method,
                     kb: rpc.kb,
                     ts_ms: rpc.ts_ms,
+                    left_us: None,
                     token: rpc.opkey.as_deref(),
                     body: rpc.body.get(),
                 };
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -74,8 +74,24 @@
     }
 
     pub fn finish(&self, how: Finish) {
-        // One that leaves does so whatever else is asked: what still comes on it is read.
-        self.change(|w| w.finish = w.finish.filter(|now| *now == Finish::Leaving).or(Some(how)));
+        // One that leaves does not go as idle: what still comes on it is read.
+        self.change(|w| {
+            let stays = w.finish == Some(Finish::Leaving) && how == Finish::Idle;
+            w.finish = if stays { w.finish } else { Some(how) };
+        });
+    }
+
+    /// As [`Outbox::finish`], but nothing where that was asked already.
+    pub fn finish_once(&self, how: Finish) {
+        let asked = self.lock().finish;
+        if asked != Some(how) {
+            self.finish(how);
+        }
+    }
+
+    /// Has the stream looked at again, as time has passed.
+    pub fn nudge(&self) {
+        self.change(|_| ());
     }
 
     /// The next stream is not asked to end yet.
@@ -131,6 +147,9 @@
         true
     }
 
+    /// All that had come was read, or no more of it is to be; `written` says whether all is written, too.
+    fn drained(&mut self, _written: bool) {}
+
     /// Whether the stream may still end so, now that all that had come was read (or no more of it is to be).
     fn may_end(&self, _how: Finish) -> bool {
         true
@@ -233,11 +252,11 @@
 }
 
 /// Ends the stream if it was asked to, all is written and the reader agrees; else forgets that it was asked.
-fn end_if_asked(outbox: &Outbox, writing: &Writing, reader: &impl Reader) -> Result<bool, Ending> {
-    let asked = {
-        let waiting = outbox.lock();
-        waiting.finish.filter(|_| writing.sent == writing.line.len() && waiting.lines.is_empty())
-    };
+fn end_if_asked(outbox: &Outbox, writing: &Writing, reader: &mut impl Reader) -> Result<bool, Ending> {
+    let written = |outbox: &Outbox| writing.sent == writing.line.len() && outbox.lock().lines.is_empty();
+    reader.drained(written(outbox));
+    // What the reader has just put into the outbox wakes this stream again.
+    let asked = if written(outbox) { outbox.lock().finish } else { None };
     let ending = match asked {
         Some(Finish::Idle) => Ending::Idle,
         Some(Finish::Faulty) => Ending::Malformed("too many faults".into()),
--- a/crates/ochrewalk-node/src/net/mod.rs
+++ b/crates/ochrewalk-node/src/net/mod.rs
@@ -1,5 +1,7 @@
 //! The sockets: who is connected to whom, and the bytes that pass.
 
+pub mod ajp_below;
+pub mod ajp_front;
 pub mod below;
 pub mod directory;
 pub mod dispatchers;
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -3,6 +3,8 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::gate::Gate;
+use crate::net::ajp_below::AjpBelow;
+use crate::net::ajp_front::{AjpFront, Open};
 use crate::net::below::Below;
 use crate::net::directory;
 use crate::net::dispatchers::Dispatchers;
@@ -12,10 +14,11 @@
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
 use ochrewalk::deployment::Placement;
-use ochrewalk::host::Stopping;
+use ochrewalk::host::{Below as Called, Effect, Stopping};
+use ochrewalk_operators::Operators;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -27,6 +30,8 @@
 /// Descriptors that are not dispatchers' connections, nor below: the listener, two links and their successors,
 /// the runtime's own, the standard streams.
 const OWN_DESCRIPTORS: usize = 24;
+/// Beside its connections: the AJP front's listener, twice, and those that are ending.
+const AJP_DESCRIPTORS: usize = 10;
 /// One in so many descriptors may be a connection below; dispatchers take half of them at most.
 const OF_BELOW: usize = 8;
 /// A file that cannot be used on SIGHUP may be only half written: it is read so many times, so far apart.
@@ -41,18 +46,78 @@
 struct Node {
     core: Arc<Core>,
     store: Option<Below>,
+    ajp: Option<Arc<AjpFront>>,
     /// Where the directory is.
     directory: Mutex<SocketAddr>,
     dispatchers: Arc<Dispatchers>,
 }
 
-/// Serves as the node of that file until SIGTERM or SIGINT, then ends the process. SIGHUP has the file read
-/// again. An error comes back before any socket is open.
-pub fn serve(file: &Path, level: LevelFilter) -> Result<(), String> {
+/// The files that a node goes by: the platform's, and the operators' own where there is one.
+#[derive(Clone, Debug)]
+pub struct Files {
+    pub node: PathBuf,
+    pub operators: Option<PathBuf>,
+}
+
+impl Files {
+    /// Reads and checks both. A message has a line for each fault.
+    pub fn read(&self) -> Result<(Placement, Operators), String> {
+        let placement = Placement::read_file(&self.node)?;
+        let operators = self.operators.as_deref().map(|file| read_operators(file, &placement)).transpose()?;
+        Ok((placement, operators.unwrap_or_default()))
+    }
+}
+
+fn read_operators(file: &Path, placement: &Placement) -> Result<Operators, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|err| format!("{name}: {err}"))?;
+    let deployment = &placement.deployment;
+    let effects = deployment.methods.iter().map(|m| m.effect == Effect::Idempotent);
+    let methods: Vec<_> = deployment.method_names.iter().cloned().zip(effects).collect();
+    let calls = deployment.below != Called::Nothing;
+    let node = ochrewalk_operators::Node { methods: &methods, descriptors: placement.descriptors, calls };
+    let mut operators = ochrewalk_operators::read(&text, &name, &node)
+        .map_err(|faults| faults.iter().map(|f| f.to_string()).collect::<Vec<_>>().join("\n"))?;
+    let secret = |at: &Path| {
+        let text =
+            std::fs::read_to_string(at).map_err(|err| format!("{name}: secret {}: {err}", at.display()))?;
+        let secret = text.trim_end_matches(['\r', '\n']).to_string().into_bytes();
+        if secret.is_empty() {
+            return Err(format!("{name}: secret {} is empty; write the secret there", at.display()));
+        }
+        Ok(secret)
+    };
+    if let Some(front) = &mut operators.ajp {
+        if let Some(at) = &front.secret_file {
+            front.rules.secret = Some(secret(at)?);
+        }
+    }
+    if let Some(below) = &mut operators.below {
+        if let Some(at) = &below.secret_file {
+            below.secret = Some(secret(at)?);
+        }
+    }
+    Ok(operators)
+}
+
+/// May lets processes share a port. Guards against two nodes on one address, each with half of the callers.
+fn listen(at: SocketAddr) -> Result<TcpListener, String> {
+    let alone = std::net::TcpListener::bind(at);
+    alone
+        .and_then(|alone| {
+            drop(alone);
+            TcpListener::bind(at)
+        })
+        .map_err(|err| format!("cannot listen on {at}: {err}"))
+}
+
+/// Serves as the node of those files until SIGTERM or SIGINT, then ends the process. SIGHUP has them read again. An
+/// error comes back before any RPC is taken.
+pub fn serve(files: &Files, level: LevelFilter) -> Result<(), String> {
     // Before anything else: guards against a SIGHUP that ends a process which has only begun.
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
         .map_err(|err| format!("cannot wait for signals: {err}"))?;
-    let mut placement = Placement::read_file(file)?;
+    let (mut placement, operators) = files.read()?;
     crate::logger::start(level);
     // One core is ours: one worker runs all coroutines, so that none of them ever waits for a lock for long.
     may::config()
@@ -60,15 +125,13 @@
         .set_stack_size(STACK_WORDS)
         .set_pool_capacity(POOLED_STACKS)
         .set_worker_pin(false);
-    // may lets processes share a port. Guards against two nodes on one address, each with half of the callers.
-    let listener = std::net::TcpListener::bind(placement.listen)
-        .and_then(|alone| {
-            drop(alone);
-            TcpListener::bind(placement.listen)
-        })
-        .map_err(|err| format!("cannot listen on {}: {err}", placement.listen))?;
+    let listener = listen(placement.listen)?;
+    let ajp_listener = operators.ajp.as_ref().map(|front| listen(front.listen)).transpose()?;
     log::info!("node {} listens on {}", placement.name, placement.listen);
-    let (node, report_now) = start(&placement, listener);
+    if let Some(front) = &operators.ajp {
+        log::info!("it takes AJP on {}", front.listen);
+    }
+    let (node, report_now) = start(&placement, operators, listener, ajp_listener);
     let mut readings = 0;
     let signal = loop {
         let came: Vec<i32> = if readings == 0 {
@@ -85,7 +148,7 @@
         }
         if readings > 0 {
             readings =
-                if reload(&node, &report_now, file, &mut placement, readings) { 0 } else { readings - 1 };
+                if reload(&node, &report_now, files, &mut placement, readings) { 0 } else { readings - 1 };
         }
     };
     let stop_ms = placement.stop_ms;
@@ -106,12 +169,12 @@
 fn reload(
     node: &Node,
     report_now: &Sender<()>,
-    file: &Path,
+    files: &Files,
     placement: &mut Placement,
     readings: u32,
 ) -> bool {
-    let left_alone = match Placement::read_file(file) {
-        Ok(newer) => placement.take_over(newer),
+    let (left_alone, operators) = match files.read() {
+        Ok((newer, operators)) => (placement.take_over(newer), operators),
         Err(why) => {
             if readings == READINGS || readings == 1 {
                 let then = if readings == 1 { "the old figures stay" } else { "it is read again" };
@@ -126,6 +189,10 @@
     for key in left_alone {
         log::warn!("SIGHUP: {key} has changed; it takes effect with the next start only");
     }
+    if let (Some(front), Some(newer)) = (&node.ajp, operators.ajp) {
+        // Who may connect and what requests stand for; the rest takes effect with the next start.
+        front.change(Open { guests: newer.guests, rules: newer.rules });
+    }
     node.core.executor.move_to(executor);
     if let (Some(links), Some(at)) = (&node.store, below) {
         links.move_to(at);
@@ -136,20 +203,46 @@
 }
 
 /// Starts every part. What is sent to the sender makes the directory hear of the present health at once.
-fn start(placement: &Placement, listener: TcpListener) -> (Arc<Node>, Sender<()>) {
+fn start(
+    placement: &Placement,
+    operators: Operators,
+    listener: TcpListener,
+    ajp_listener: Option<TcpListener>,
+) -> (Arc<Node>, Sender<()>) {
     let clock = Clock::start();
     let bytes = placement.memory_mb as usize * 1024 * 1024;
     let deployment = placement.deployment.clone();
     let (gate, stirred) = Gate::new(clock, deployment.clone(), placement.seed, bytes / 8);
-    let most_links = placement.descriptors / OF_BELOW;
+    let most_links = operators.below.as_ref().map_or(placement.descriptors / OF_BELOW, |b| b.connections);
     let executor = Executor::new(placement.executor, deployment.machine.stopping == Stopping::Pause);
-    let store = placement.below.map(|at| Below::new(at, clock, most_links));
-    let below = store.clone().map(|store| Arc::new(store) as Arc<dyn Beneath>);
+    let by_ajp = operators.below.map(|told| AjpBelow::new(told, clock, placement.seed));
+    let store = placement.below.filter(|_| by_ajp.is_none()).map(|at| Below::new(at, clock, most_links));
+    let below: Option<Arc<dyn Beneath>> = match (&by_ajp, &store) {
+        (Some(by_ajp), _) => Some(Arc::new(by_ajp.clone())),
+        (None, Some(store)) => Some(Arc::new(store.clone())),
+        (None, None) => None,
+    };
     let core = Arc::new(Core::new(clock, gate, deployment, executor, below, bytes));
-    let most = placement.descriptors - OWN_DESCRIPTORS - most_links;
+    // Each front has descriptors of its own, so that neither can take the other's: its connections, a few that
+    // are ending, its listener.
+    let of_ajp = operators.ajp.as_ref().map_or(0, |front| front.connections + AJP_DESCRIPTORS);
+    let most = placement.descriptors - OWN_DESCRIPTORS - most_links - of_ajp;
     let dispatchers = Arc::new(Dispatchers::new(core.clone(), most));
     let directory = Mutex::new(placement.directory);
-    let node = Arc::new(Node { core: core.clone(), store, directory, dispatchers });
+    let ajp = operators.ajp.map(|front| {
+        let open = Open { guests: front.guests, rules: front.rules };
+        let most = front.connections;
+        AjpFront::new(core.clone(), open, front.packet, most, front.idle_us, placement.seed)
+    });
+    let node = Arc::new(Node { core: core.clone(), store, ajp, directory, dispatchers });
+    if let (Some(front), Some(listener)) = (node.ajp.clone(), ajp_listener) {
+        let of = front.clone();
+        may::go!(move || of.sweep());
+        may::go!(move || front.accept(&listener));
+    }
+    if let Some(by_ajp) = by_ajp {
+        may::go!(move || by_ajp.watch());
+    }
     let (report_now, changed) = channel();
     let (of, report) = (core.clone(), report_now.clone());
     may::go!(move || of.executor.keep(&of.gate, &report));
@@ -193,14 +286,24 @@
     gate.leave(stop_ms.saturating_sub(FLUSH_MS) * 1_000);
     let _ = report_now.send(());
     node.dispatchers.leave();
+    if let Some(front) = &node.ajp {
+        front.leave();
+    }
     at(stop_ms.saturating_sub(FLUSH_MS));
     node.dispatchers.shut();
+    if let Some(front) = &node.ajp {
+        front.shut();
+    }
     // Who connected just before still writes, and gets an answer.
     at(stop_ms.saturating_sub(LAST_MS));
     node.dispatchers.finish();
+    if let Some(front) = &node.ajp {
+        front.finish();
+    }
+    let connections = || node.dispatchers.count() + node.ajp.as_ref().map_or(0, |front| front.count());
     // What is still on its way to us is read, so that no answer is reset.
-    while clock.now_us() < from_us + stop_ms.saturating_sub(END_MS) * 1_000 && node.dispatchers.count() > 0 {
+    while clock.now_us() < from_us + stop_ms.saturating_sub(END_MS) * 1_000 && connections() > 0 {
         may::coroutine::sleep(Duration::from_millis(5));
     }
-    log::info!("{} RPCs and {} connections left", gate.open_rpcs(), node.dispatchers.count());
+    log::info!("{} RPCs and {} connections left", gate.open_rpcs(), connections());
 }
