--- a/crates/ochrewalk-lab/src/executor.rs
+++ b/crates/ochrewalk-lab/src/executor.rs
@@ -15,6 +15,8 @@
 pub struct Work {
     pub core_us: u64,
     pub calls: bool,
+    /// A run that still waits for its call so long after its start is ended, as nobody waits for it any more.
+    pub over: Duration,
 }
 
 pub struct Executor {
@@ -29,6 +31,7 @@
     /// It was at its call, or needs none.
     called: bool,
     waits: bool,
+    started: Instant,
 }
 
 struct State {
@@ -134,6 +137,12 @@
             .filter(|(_, r)| !r.waits && r.until_us() <= 0.0)
             .map(|(id, _)| id.clone())
             .collect();
+        let over = |r: &Run| r.waits && r.started.elapsed() >= r.lane.over;
+        let forgotten: Vec<String> =
+            self.runs.iter().filter(|(_, r)| over(r)).map(|(id, _)| id.clone()).collect();
+        for uid in forgotten {
+            self.ended(&uid, json!({"code": "cancelled", "wall_ms": 1}));
+        }
         for uid in due {
             let run = self.runs.get_mut(&uid).expect("just seen");
             if run.called {
@@ -176,16 +185,18 @@
             "JOIN" => {
                 self.say("{\"action\":\"WELCOME\",\"code\":\"hot\",\"wall_ms\":5000}\n");
                 let from = line["pos"].as_u64().unwrap_or(0) as usize;
-                for line in self.notices[from.min(self.notices.len())..].to_vec() {
-                    self.say(&line);
-                }
+                let missed = self.notices[from.min(self.notices.len())..].concat();
+                self.say(&missed);
             }
             "EXEC" if !self.runs.contains_key(&uid) && !self.ended.contains(&uid) => {
                 let body = BASE64_STANDARD.decode(text("content")).unwrap_or_default();
                 *self.counts.lock().expect("no panic under it").entry(body.clone()).or_default() += 1;
                 let lane = self.works[&text("lane")];
                 let left_us = lane.core_us as f64;
-                self.runs.insert(uid, Run { lane, body, left_us, called: !lane.calls, waits: false });
+                self.runs.insert(
+                    uid,
+                    Run { lane, body, left_us, called: !lane.calls, waits: false, started: Instant::now() },
+                );
             }
             "KILL" if self.runs.contains_key(&uid) => {
                 self.ended(&uid, json!({"code": "cancelled", "wall_ms": 1}))
--- a/crates/ochrewalk-lab/src/load.rs
+++ b/crates/ochrewalk-lab/src/load.rs
@@ -42,7 +42,7 @@
         on_time: ms(150),
         deadline: ms(500),
         tokened: false,
-        work: Work { core_us: 2_000, calls: false },
+        work: Work { core_us: 2_000, calls: false, over: ms(1_000) },
     },
     Method {
         name: "stock-upload",
@@ -51,7 +51,7 @@
         on_time: ms(400),
         deadline: ms(1_000),
         tokened: false,
-        work: Work { core_us: 8_000, calls: true },
+        work: Work { core_us: 8_000, calls: true, over: ms(1_000) },
     },
     Method {
         name: "sale-record",
@@ -60,7 +60,7 @@
         on_time: ms(300),
         deadline: ms(1_000),
         tokened: true,
-        work: Work { core_us: 4_000, calls: true },
+        work: Work { core_us: 4_000, calls: true, over: ms(1_000) },
     },
 ];
 
@@ -90,6 +90,8 @@
     pub protocols: Protocols,
     /// The share of ledger calls whose connection closes at a random byte of the answer.
     pub cut: f64,
+    /// The least serious lines of the node that are shown.
+    pub log: &'static str,
     /// A line each second.
     pub progress: bool,
 }
@@ -165,7 +167,7 @@
     let listen = node::free("127.0.0.1").map_err(io)?;
     let ajp = node::free("127.0.0.1").map_err(io)?;
     let config = node::config(listen, executor.at, node::directory().map_err(io)?, settings());
-    let mut node = Node::start(program, &config, &operators(ajp, ledger.at), "error")?;
+    let mut node = Node::start(program, &config, &operators(ajp, ledger.at), plan.log)?;
     wait_healthy(listen)?;
     let from = node.cpu_us();
     let book = load(plan, listen, ajp)?;
--- a/crates/ochrewalk-lab/src/main.rs
+++ b/crates/ochrewalk-lab/src/main.rs
@@ -20,6 +20,19 @@
     /// The node's program, if not the one beside this
     #[arg(long, global = true, value_name = "FILE")]
     node: Option<PathBuf>,
+    /// Show the node's warnings too
+    #[arg(long, global = true)]
+    warnings: bool,
+}
+
+impl Line {
+    fn log_of_node(&self) -> &'static str {
+        if self.warnings {
+            "warn"
+        } else {
+            "error"
+        }
+    }
 }
 
 #[derive(Subcommand)]
@@ -64,6 +77,7 @@
                 protocols: Protocols::Both,
                 cut: 0.0,
                 progress: true,
+                log: line.log_of_node(),
             };
             let outcome = play(&program, &plan)?;
             print!("{}", outcome.table());
@@ -71,7 +85,8 @@
             Ok(outcome.broken.is_empty())
         }
         Command::Ajp { seconds, seed, load, cut } => {
-            let plan = Plan { seconds, seed, load, protocols: Protocols::Both, cut, progress: true };
+            let plan =
+                Plan { seconds, seed, load, protocols: Protocols::Both, cut, progress: true, log: "warn" };
             let both = play(&program, &plan)?;
             print!("{}", both.table());
             say(&both);
--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -379,7 +379,7 @@
     /// on, so that the process ends and is started anew.
     fn lock(&self) -> MutexGuard<'_, Inside> {
         self.state.lock().unwrap_or_else(|_| {
-            log::error!("the decisions failed; this process ends, to be started anew");
+            tracing::error!("the decisions failed; this process ends, to be started anew");
             crate::logger::flush();
             std::process::exit(70)
         })
--- a/crates/ochrewalk-node/src/logger.rs
+++ b/crates/ochrewalk-node/src/logger.rs
@@ -1,104 +1,119 @@
-//! The project's logger: lines go through a bounded queue to a thread that writes them to standard error.
-//! Whoever logs never waits: a full queue drops the line and counts it. A place in the code that repeats
-//! itself is cut to a few lines a second.
+//! Structured logs to standard error, plain or as JSON, through a bounded queue and a thread of its own. Whoever logs
+//! never waits: what the queue cannot hold is dropped and counted. A place in the code that repeats itself is cut to a
+//! few lines a second. No span is ever entered: a coroutine that waits would leave it to another.
 
-use log::{Level, LevelFilter, Log, Metadata, Record};
 use std::collections::HashMap;
-use std::io::Write;
+use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tracing::callsite::Identifier;
+use tracing::level_filters::LevelFilter;
+use tracing::{Event, Level, Metadata};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
+use tracing_subscriber::{fmt, Layer};
 
 const QUEUE: usize = 512;
 /// Lines that one place in the code may write in a second.
 const A_SECOND: u32 = 5;
+const SECOND: Duration = Duration::from_secs(1);
 
-struct Logger {
-    queue: SyncSender<Line>,
-    dropped: AtomicU64,
+/// How lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum Form {
+    /// Time, level, fields and words
+    #[default]
+    Plain,
+    /// An object a line
+    Json,
 }
 
-enum Line {
-    Said {
-        unix_ms: u64,
-        level: Level,
-        place: (&'static str, u32),
-        text: String,
-    },
-    /// Everything before this has been written.
-    Flush(SyncSender<()>),
+/// What is logged, and how.
+#[derive(Clone, Copy, Debug)]
+pub struct Logs {
+    pub level: LevelFilter,
+    pub form: Form,
 }
 
-static LOGGER: std::sync::OnceLock<Logger> = std::sync::OnceLock::new();
+/// Writes out what waits when it is dropped.
+static GUARD: Mutex<Option<WorkerGuard>> = Mutex::new(None);
 
 /// Starts the writing thread. Only the first call counts.
-pub fn start(level: LevelFilter) {
-    let (queue, lines) = sync_channel(QUEUE);
-    let logger = Logger { queue, dropped: AtomicU64::new(0) };
-    if LOGGER.set(logger).is_err() {
-        return;
-    }
-    let logger = LOGGER.get().expect("just set");
-    std::thread::spawn(move || write_all(&lines, &logger.dropped, &mut std::io::stderr()));
-    if log::set_logger(logger).is_ok() {
-        log::set_max_level(level);
+pub fn start(logs: Logs) {
+    let (to, guard) =
+        NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE).finish(io::stderr());
+    let (dropped, left_out) = (to.error_counter(), Arc::new(AtomicU64::new(0)));
+    let limit = Limit { level: logs.level, left_out: left_out.clone(), places: Mutex::default() };
+    let layer = fmt::layer().with_ansi(false).with_target(false).with_writer(to);
+    let set = match logs.form {
+        Form::Plain => {
+            let lines = tracing_subscriber::registry().with(layer.with_filter(limit));
+            tracing::subscriber::set_global_default(lines)
+        }
+        Form::Json => {
+            let objects = layer.json().flatten_event(true);
+            tracing::subscriber::set_global_default(
+                tracing_subscriber::registry().with(objects.with_filter(limit)),
+            )
+        }
+    };
+    if set.is_ok() {
+        *GUARD.lock().expect("never held over a panic") = Some(guard);
+        std::thread::spawn(move || tell_of_lost(&dropped, &left_out));
     }
 }
 
-/// Waits, for a short while at most, until what was logged so far is written.
+/// Waits, for a moment at most, until what was logged so far is written. Nothing is logged after it.
 pub fn flush() {
-    let (done, wait) = sync_channel(1);
-    if LOGGER.get().is_some_and(|l| l.queue.try_send(Line::Flush(done)).is_ok()) {
-        let _ = wait.recv_timeout(Duration::from_millis(50));
-    }
+    drop(GUARD.lock().expect("never held over a panic").take());
 }
 
-impl Log for Logger {
-    /// Libraries' own lines are left out.
-    fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.target().starts_with("ochrewalk")
-    }
-
-    fn log(&self, record: &Record) {
-        if !self.enabled(record.metadata()) {
-            return;
-        }
-        let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-        let place = (record.file_static().unwrap_or(""), record.line().unwrap_or(0));
-        let line = Line::Said { unix_ms, level: record.level(), place, text: record.args().to_string() };
-        if self.queue.try_send(line).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+/// Says each second what was not written.
+fn tell_of_lost(dropped: &ErrorCounter, left_out: &AtomicU64) {
+    let mut before = 0;
+    loop {
+        std::thread::sleep(SECOND);
+        let (lost, repeated) = (dropped.dropped_lines(), left_out.swap(0, Ordering::Relaxed));
+        if lost > before || repeated > 0 {
+            tracing::warn!(part = "log", dropped = lost - before, repeated, "lines not written");
         }
+        before = lost;
     }
+}
 
-    fn flush(&self) {}
+/// What is written: the project's own lines, and a few a second from one place.
+struct Limit {
+    level: LevelFilter,
+    left_out: Arc<AtomicU64>,
+    places: Mutex<HashMap<Identifier, (Instant, u32)>>,
 }
 
-fn write_all(lines: &Receiver<Line>, dropped: &AtomicU64, to: &mut impl Write) {
-    let mut places: HashMap<(&'static str, u32), (Instant, u32)> = HashMap::new();
-    for line in lines {
-        let Line::Said { unix_ms, level, place, text } = line else {
-            if let Line::Flush(done) = line {
-                let _ = done.send(());
-            }
-            continue;
-        };
+impl<S> Filter<S> for Limit {
+    fn enabled(&self, meta: &Metadata, _: &Context<S>) -> bool {
+        meta.target().starts_with("ochrewalk") && *meta.level() <= self.level
+    }
+
+    fn event_enabled(&self, event: &Event, _: &Context<S>) -> bool {
+        // Who asks for the finest lines wants all of them.
+        if *event.metadata().level() > Level::INFO {
+            return true;
+        }
         let now = Instant::now();
-        let (since, said) = places.entry(place).or_insert((now, 0));
-        if now.duration_since(*since) >= Duration::from_secs(1) {
-            if *said > A_SECOND {
-                let _ = writeln!(to, "{unix_ms} {level} ... {} more such lines", *said - A_SECOND);
-            }
+        let mut places = self.places.lock().unwrap_or_else(|broken| broken.into_inner());
+        let (since, said) = places.entry(event.metadata().callsite()).or_insert((now, 0));
+        if now.duration_since(*since) >= SECOND {
             (*since, *said) = (now, 0);
         }
         *said += 1;
-        if level <= Level::Info && *said > A_SECOND {
-            continue;
+        let written = *said <= A_SECOND;
+        if !written {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
         }
-        let lost = dropped.swap(0, Ordering::Relaxed);
-        if lost > 0 {
-            let _ = writeln!(to, "{unix_ms} WARN {lost} lines dropped: the log was not written fast enough");
-        }
-        let _ = writeln!(to, "{unix_ms} {level} {text}");
+        written
+    }
+
+    fn max_level_hint(&self) -> Option<LevelFilter> {
+        Some(self.level)
     }
 }
--- a/crates/ochrewalk-node/src/main.rs
+++ b/crates/ochrewalk-node/src/main.rs
@@ -1,10 +1,11 @@
 //! The command line of the real node.
 
 use clap::{Parser, Subcommand};
-use log::LevelFilter;
+use ochrewalk_node::logger::{Form, Logs};
 use ochrewalk_node::node::Files;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing::level_filters::LevelFilter;
 
 #[derive(Parser)]
 #[command(name = "ochrewalk", version, about = "Decides what a server of a fleet takes, runs and turns away")]
@@ -26,6 +27,9 @@
         /// The least serious lines that are logged: error, warn, info, debug
         #[arg(long, env = "OCHREWALK_LOG", default_value = "info", value_name = "LEVEL")]
         log: LevelFilter,
+        /// How lines are written
+        #[arg(long, env = "OCHREWALK_LOG_FORMAT", default_value = "plain", value_enum)]
+        log_format: Form,
     },
     /// Check a node's file and the operators' own, and say which key or line is at fault
     Check {
@@ -59,8 +63,9 @@
                 }
             })
         }
-        Command::Serve { config, operators, log } => {
-            ochrewalk_node::node::serve(&Files { node: config, operators }, log)
+        Command::Serve { config, operators, log, log_format } => {
+            let logs = Logs { level: log, form: log_format };
+            ochrewalk_node::node::serve(&Files { node: config, operators }, logs)
         }
     };
     match done {
--- a/crates/ochrewalk-node/src/net/ajp_below.rs
+++ b/crates/ochrewalk-node/src/net/ajp_below.rs
@@ -109,7 +109,8 @@
                     if is_out != out[at] {
                         out[at] = is_out;
                         let word = if is_out { "left out" } else { "taken in again" };
-                        log::warn!("below {}: {word}; {in_hand} calls there", self.0.told.places[at]);
+                        let place = self.0.told.places[at];
+                        tracing::warn!(part = "below", %place, in_hand, "{word}");
                     }
                 }
             });
@@ -186,8 +187,8 @@
             }
         };
         match ending {
-            Ending::Idle => log::debug!("below {at}: {ending}"),
-            _ => log::warn!("below {at}: {ending}"),
+            Ending::Idle => tracing::debug!(part = "below", place = %at, "{ending}"),
+            _ => tracing::warn!(part = "below", place = %at, "{ending}"),
         }
     }
 
--- a/crates/ochrewalk-node/src/net/ajp_front.rs
+++ b/crates/ochrewalk-node/src/net/ajp_front.rs
@@ -106,7 +106,7 @@
     pub fn accept(self: &Arc<Self>, listener: &TcpListener) {
         match listener.inner().try_clone() {
             Ok(second) => self.lock().listener = Some(second),
-            Err(err) => log::error!("cannot clone the listener: {err}"),
+            Err(err) => tracing::error!(part = "ajp", "cannot clone the listener: {err}"),
         }
         loop {
             let accepted = listener.accept();
@@ -116,7 +116,7 @@
             match accepted {
                 Ok((stream, from)) => {
                     if !self.rules().guests.may_connect(from.ip()) {
-                        log::warn!("ajp: {} may not connect", from.ip());
+                        tracing::warn!(part = "ajp", "{} may not connect", from.ip());
                         continue;
                     }
                     let room = (0..ROOM_TRIES).any(|tried| {
@@ -126,8 +126,9 @@
                         self.make_room()
                     });
                     if !room {
-                        log::warn!(
-                            "ajp: {} connections open, none of them idle: a new one is closed",
+                        tracing::warn!(
+                            part = "ajp",
+                            "{} connections open, none of them idle: a new one is closed",
                             self.most
                         );
                         continue;
@@ -137,7 +138,7 @@
                     may::go!(move || front.serve(&stream, number, &connection));
                 }
                 Err(err) => {
-                    log::warn!("ajp: cannot accept: {err}");
+                    tracing::warn!(part = "ajp", "cannot accept: {err}");
                     let pause = if out_of_room(&err) { NO_ROOM } else { Duration::from_millis(1) };
                     may::coroutine::sleep(pause);
                 }
@@ -262,8 +263,8 @@
         let mut wanted = Wanted::default();
         connection.lock().life.closed(&mut wanted);
         match &ending {
-            Ending::Malformed(_) | Ending::TooLong => log::warn!("ajp: {ending}"),
-            _ => log::debug!("ajp: {ending}; {} RPCs open", u8::from(wanted.gone)),
+            Ending::Malformed(_) | Ending::TooLong => tracing::warn!(part = "ajp", "{ending}"),
+            _ => tracing::debug!(part = "ajp", "{ending}; {} RPCs open", u8::from(wanted.gone)),
         }
         let rpc = connection.lock().rpc.take();
         if let Some(id) = rpc.filter(|_| wanted.gone) {
@@ -278,7 +279,7 @@
             Answer::Served(result) => match decoded(result) {
                 Some(body) => (200, "OK", body),
                 None => {
-                    log::error!("ajp: a result that is no base64 cannot be given");
+                    tracing::error!(part = "ajp", "a result that is no base64 cannot be given");
                     (500, "Aborted", b"aborted: its result cannot be given\n".to_vec())
                 }
             },
@@ -304,7 +305,7 @@
     }
 
     fn refusal(&self, refusal: Refusal, allow: &[String], reuse: bool) -> Vec<u8> {
-        log::warn!("ajp: {} {}", refusal.status, refusal.why);
+        tracing::warn!(part = "ajp", "{} {}", refusal.status, refusal.why);
         let body = format!("{}\n", refusal.why);
         let allow = (b"allow".as_slice(), allow.join(", "));
         let headers = if allow.1.is_empty() { vec![] } else { vec![allow] };
@@ -569,7 +570,7 @@
             Some(End::Idle | End::Leaving) => outbox.finish(Finish::Idle),
             Some(End::Silent | End::Unclosed) => outbox.finish(Finish::Silent),
             Some(End::Broken(why)) => {
-                log::warn!("ajp: {why}");
+                tracing::warn!(part = "ajp", "{why}");
                 outbox.finish(Finish::Faulty);
             }
         }
--- a/crates/ochrewalk-node/src/net/below.rs
+++ b/crates/ochrewalk-node/src/net/below.rs
@@ -158,7 +158,7 @@
             unwritten.iter().any(|line| line.starts_with(start.as_bytes()))
         };
         if !calls.is_empty() {
-            log::warn!("below {}: {ending}; {} calls under way", link.at, calls.len());
+            tracing::warn!(part = "below", place = %link.at, "{ending}; {} calls under way", calls.len());
         }
         for (id, post) in calls {
             // What was never written whole never ran, however the connection ended.
--- a/crates/ochrewalk-node/src/net/directory.rs
+++ b/crates/ochrewalk-node/src/net/directory.rs
@@ -37,10 +37,10 @@
         if let Err(ending) = &told {
             stream = None;
             if !failed {
-                log::warn!("directory {at}: {ending}; reports go on");
+                tracing::warn!(part = "directory", place = %at, "{ending}; reports go on");
             }
         } else if failed {
-            log::info!("directory {at}: reports arrive again");
+            tracing::info!(part = "directory", place = %at, "reports arrive again");
         }
         failed = told.is_err();
         let rest_us = EVERY.saturating_sub(from.elapsed()).as_micros() as u64;
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -97,7 +97,7 @@
     pub fn accept(self: &Arc<Self>, listener: &TcpListener) {
         match listener.inner().try_clone() {
             Ok(second) => self.lock().listener = Some(second),
-            Err(err) => log::error!("cannot clone the listener: {err}"),
+            Err(err) => tracing::error!(part = "json-rpc", "cannot clone the listener: {err}"),
         }
         loop {
             let accepted = listener.accept();
@@ -113,7 +113,11 @@
                         self.make_room()
                     });
                     if !room {
-                        log::warn!("{} connections open, none of them idle: a new one is closed", self.most);
+                        tracing::warn!(
+                            part = "json-rpc",
+                            "{} connections open, none idle: a new one is closed",
+                            self.most
+                        );
                         continue;
                     }
                     let (number, connection) = self.enter();
@@ -121,7 +125,7 @@
                     may::go!(move || all.serve(&stream, number, &connection));
                 }
                 Err(err) => {
-                    log::warn!("cannot accept: {err}");
+                    tracing::warn!(part = "json-rpc", "cannot accept: {err}");
                     let pause = if out_of_room(&err) { NO_ROOM } else { Duration::from_millis(1) };
                     may::coroutine::sleep(pause);
                 }
@@ -250,7 +254,7 @@
             }
             Answer::Aborted => jsonrpc::failed(&self.id, signal),
             Answer::Fault(why) => {
-                log::warn!("dispatcher: {why}");
+                tracing::warn!(part = "json-rpc", "{why}");
                 self.connection.fault();
                 jsonrpc::error(&self.id, jsonrpc::BAD_PARAMS, why, "")
             }
@@ -364,8 +368,8 @@
         self.lock().of.remove(&number);
         let open = std::mem::take(&mut connection.lock().open);
         match &ending {
-            Ending::Malformed(_) | Ending::TooLong => log::warn!("dispatcher: {ending}"),
-            _ => log::debug!("dispatcher: {ending}; {} RPCs open", open.len()),
+            Ending::Malformed(_) | Ending::TooLong => tracing::warn!(part = "json-rpc", "{ending}"),
+            _ => tracing::debug!(part = "json-rpc", "{ending}; {} RPCs open", open.len()),
         }
         // Nobody can be answered there any more.
         open.values().for_each(|id| self.core.gate.gone(id));
@@ -485,7 +489,7 @@
 
     /// Tells a sender what was wrong; the connection goes on for a while.
     fn faulty(&self, id: &str, code: i32, why: &'static str) -> Result<(), Ending> {
-        log::warn!("dispatcher: {why}");
+        tracing::warn!(part = "json-rpc", "{why}");
         self.connection.outbox.push(jsonrpc::error(id, code, why, ""));
         self.connection.fault();
         Ok(())
--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -147,7 +147,7 @@
             let was_up = std::mem::take(&mut self.lock().welcomed);
             self.lock().doubtful.extend(self.outbox.take_written());
             if was_up || ending != Ending::Refused {
-                log::warn!("executor {at}: {ending}; joining again");
+                tracing::warn!(part = "executor", place = %at, "{ending}; joining again");
             }
             may::coroutine::sleep(pause_after(from.elapsed()));
         }
@@ -218,7 +218,12 @@
     fn notice(&self, gate: &Gate, up: &Sender<()>, notice: Notice) -> Result<(), Ending> {
         match notice {
             Notice::Welcome { cold, up_us } => {
-                log::info!("executor: up for {} ms, {}", up_us / 1_000, if cold { "cold" } else { "warm" });
+                tracing::info!(
+                    part = "executor",
+                    "up for {} ms, {}",
+                    up_us / 1_000,
+                    if cold { "cold" } else { "warm" }
+                );
                 self.lock().welcomed = true;
                 self.ask_for_proof();
                 gate.open(cold, up_us);
@@ -250,7 +255,7 @@
                 }
             }
             Notice::Bad { command, uid } => {
-                log::warn!("executor: {command} not carried out for {uid:?}");
+                tracing::warn!(part = "executor", "{command} not carried out for {uid:?}");
                 let Some(uid) = uid else { return Ok(()) };
                 match &*command {
                     // A run that was never begun is proof; for any other command it is none.
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::gate::Gate;
+use crate::logger::Logs;
 use crate::net::ajp_below::AjpBelow;
 use crate::net::ajp_front::{AjpFront, Open};
 use crate::net::below::Below;
@@ -10,7 +11,6 @@
 use crate::net::dispatchers::Dispatchers;
 use crate::net::executor::{rows, Executor};
 use crate::seam::Beneath;
-use log::LevelFilter;
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
 use ochrewalk::deployment::Placement;
@@ -113,12 +113,12 @@
 
 /// Serves as the node of those files until SIGTERM or SIGINT, then ends the process. SIGHUP has them read again. An
 /// error comes back before any RPC is taken.
-pub fn serve(files: &Files, level: LevelFilter) -> Result<(), String> {
+pub fn serve(files: &Files, logs: Logs) -> Result<(), String> {
     // Before anything else: guards against a SIGHUP that ends a process which has only begun.
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
         .map_err(|err| format!("cannot wait for signals: {err}"))?;
     let (mut placement, operators) = files.read()?;
-    crate::logger::start(level);
+    crate::logger::start(logs);
     // One core is ours: one worker runs all coroutines, so that none of them ever waits for a lock for long.
     may::config()
         .set_workers(1)
@@ -127,9 +127,9 @@
         .set_worker_pin(false);
     let listener = listen(placement.listen)?;
     let ajp_listener = operators.ajp.as_ref().map(|front| listen(front.listen)).transpose()?;
-    log::info!("node {} listens on {}", placement.name, placement.listen);
+    tracing::info!(part = "json-rpc", place = %placement.listen, "node {} listens", placement.name);
     if let Some(front) = &operators.ajp {
-        log::info!("it takes AJP on {}", front.listen);
+        tracing::info!(part = "ajp", place = %front.listen, "node {} listens", placement.name);
     }
     let (node, report_now) = start(&placement, operators, listener, ajp_listener);
     let mut readings = 0;
@@ -152,14 +152,14 @@
         }
     };
     let stop_ms = placement.stop_ms;
-    log::info!("signal {signal}: leaving within {stop_ms} ms");
+    tracing::info!("signal {signal}: leaving within {stop_ms} ms");
     let (left, over) = channel();
     may::go!(move || {
         leave(&node, stop_ms, &report_now);
         let _ = left.send(());
     });
     let _ = over.recv_timeout(Duration::from_millis(stop_ms.saturating_sub(END_MS / 2)));
-    log::info!("over");
+    tracing::info!("over");
     crate::logger::flush();
     // Coroutines that still wait for others end with the process.
     std::process::exit(0)
@@ -178,16 +178,16 @@
         Err(why) => {
             if readings == READINGS || readings == 1 {
                 let then = if readings == 1 { "the old figures stay" } else { "it is read again" };
-                log::error!("SIGHUP: {why}; {then}");
+                tracing::error!("SIGHUP: {why}; {then}");
             }
             return false;
         }
     };
     let Placement { executor, directory, below, .. } = *placement;
     let below_name = below.map_or("nothing".into(), |at| at.to_string());
-    log::info!("SIGHUP: executor {executor}, directory {directory}, below {below_name}");
+    tracing::info!("SIGHUP: executor {executor}, directory {directory}, below {below_name}");
     for key in left_alone {
-        log::warn!("SIGHUP: {key} has changed; it takes effect with the next start only");
+        tracing::warn!("SIGHUP: {key} has changed; it takes effect with the next start only");
     }
     if let (Some(front), Some(newer)) = (&node.ajp, operators.ajp) {
         // Who may connect and what requests stand for; the rest takes effect with the next start.
@@ -305,5 +305,5 @@
     while clock.now_us() < from_us + stop_ms.saturating_sub(END_MS) * 1_000 && connections() > 0 {
         may::coroutine::sleep(Duration::from_millis(5));
     }
-    log::info!("{} RPCs and {} connections left", gate.open_rpcs(), connections());
+    tracing::info!("{} RPCs and {} connections left", gate.open_rpcs(), connections());
 }
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -62,7 +62,9 @@
 pub struct Stand {
     child: Child,
     config: PathBuf,
+    pub operators: PathBuf,
     pub at: String,
+    pub ajp: String,
     executor: TcpListener,
     pub below: TcpListener,
     pub directory: TcpListener,
@@ -75,6 +77,11 @@
     }
 
     pub fn with(change: impl FnOnce(&mut Value)) -> Stand {
+        Stand::with_operators(change, "")
+    }
+
+    /// With the operators' own file, too, in which `AJP` stands for an address of the node's own.
+    pub fn with_operators(change: impl FnOnce(&mut Value), operators: &str) -> Stand {
         let (executor, below, directory) = (listener(), listener(), listener());
         // An address of its own, whose port no other socket is given by chance.
         let at = format!("127.{}.{}.1:7001", 10 + number() % 200, 1 + std::process::id() % 250);
@@ -85,10 +92,13 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings()
         });
         change(&mut config);
+        let ajp = at.replace(":7001", ":8009");
         let config = file(&config.to_string());
-        let child =
-            program(&["serve", "--config", config.to_str().unwrap()]).stderr(Stdio::null()).spawn().unwrap();
-        Stand { child, config, at, executor, below, directory }
+        let operators = file(&operators.replace("AJP", &ajp));
+        let words =
+            ["serve", "--config", config.to_str().unwrap(), "--operators", operators.to_str().unwrap()];
+        let child = program(&words).stderr(Stdio::null()).spawn().unwrap();
+        Stand { child, config, operators, at, ajp, executor, below, directory }
     }
 
     /// A node whose executor is up and warm.
@@ -163,6 +173,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(&self.operators);
     }
 }
 
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -780,3 +780,44 @@
         std::fs::remove_file(path).unwrap();
     }
 }
+
+/// Lines of both forms, from a node that many faults are sent to: each place is cut, and what was cut is counted.
+#[test]
+fn logs_are_structured_and_a_place_that_repeats_itself_is_cut() {
+    for form in ["plain", "json"] {
+        let stand = Stand::start();
+        let words = stand.config().to_string().replace(&stand.at, &stand.at.replace(":7001", ":7002"));
+        let config = file(&words);
+        let words = ["serve", "--config", config.to_str().unwrap(), "--log-format", form];
+        let child = program(&words).stderr(std::process::Stdio::piped()).spawn().unwrap();
+        let at = stand.at.replace(":7001", ":7002");
+        let mut caller = (0..1000)
+            .find_map(|_| {
+                std::thread::sleep(std::time::Duration::from_millis(5));
+                std::net::TcpStream::connect(&at).ok().map(Peer::new)
+            })
+            .unwrap();
+        for number in 1..8 {
+            assert!(caller.ask(&rpc(number, "none")).contains("-32601"));
+        }
+        std::thread::sleep(std::time::Duration::from_millis(1_200));
+        let pid = child.id().to_string();
+        assert!(std::process::Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        let said = String::from_utf8(child.wait_with_output().unwrap().stderr).unwrap();
+        let faults: Vec<&str> = said.lines().filter(|line| line.contains("unknown method")).collect();
+        assert_eq!(faults.len(), 5, "{said}");
+        if form == "json" {
+            let lines: Vec<serde_json::Value> =
+                said.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+            let fault = lines.iter().find(|l| l["message"] == "unknown method").unwrap();
+            assert_eq!((fault["part"].as_str(), fault["level"].as_str()), (Some("json-rpc"), Some("WARN")));
+            let cut = lines.iter().find(|l| l["part"] == "log").unwrap();
+            assert_eq!((cut["repeated"].as_u64(), cut["dropped"].as_u64()), (Some(2), Some(0)));
+        } else {
+            assert!(faults[0].contains("WARN unknown method part=\"json-rpc\""), "{}", faults[0]);
+            assert!(said.contains("repeated=2"), "{said}");
+        }
+        assert!(said.lines().last().unwrap().contains("over"), "all is written at the end: {said}");
+        std::fs::remove_file(config).unwrap();
+    }
+}
