--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -821,3 +821,13 @@
         std::fs::remove_file(config).unwrap();
     }
 }
+
+#[test]
+fn the_samples_are_good_as_they_are() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    let (config, operators) = (root.join("node.json"), root.join("ochrewalk.conf"));
+    let words = ["check", config.to_str().unwrap(), "--operators", operators.to_str().unwrap()];
+    let output = program(&words).output().unwrap();
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert_eq!(String::from_utf8(output.stdout).unwrap().lines().count(), 2);
+}
