--- a/crates/ochrewalk-node/src/core.rs
+++ b/crates/ochrewalk-node/src/core.rs
@@ -3,6 +3,8 @@
 
 use crate::clock::Clock;
 use crate::gate::{Gate, Incoming, Token};
+use crate::life::Life;
+use crate::live::{live, Living};
 use crate::net::executor::Executor;
 use crate::seam::{Answer, Asker, Beneath};
 use ochrewalk::deployment::Deployment;
@@ -90,16 +92,18 @@
     }
 
     /// Starts the life of an RPC that its front has entered as owed an answer.
-    pub fn begin(self: &Arc<Core>, incoming: Incoming, body: &str, asker: impl Asker + 'static) {
+    pub fn begin(self: &Arc<Core>, rpc: Incoming, body: &str, asker: impl Asker + 'static) {
         // Guards the program's own memory against a flood: long before this many RPCs are open, the module's
         // hold is full.
         if self.lives.fetch_add(1, Ordering::Relaxed) >= self.most_lives {
             self.lives.fetch_sub(1, Ordering::Relaxed);
             return asker.answer(Answer::UNSEEN, self.gate.posture().signal);
         }
-        let (core, body) = (self.clone(), body.to_string());
+        let living = Arc::new(Living::new(self, rpc, body, Box::new(asker), Life::begin()));
+        let core = self.clone();
+        self.gate.unrest.more();
         may::go!(move || {
-            crate::life::live(&core, &incoming, &body, &asker);
+            live(&core, &living);
             core.lives.fetch_sub(1, Ordering::Relaxed);
         });
     }
--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -1,5 +1,5 @@
-//! The facade round the module, in blocking style: an RPC's coroutine waits in [`Gate::pick`] for the first
-//! verdict, reports what became of its run and calls, and gets the next one. Only this file knows the
+//! The facade round the module, in blocking style: an RPC's coroutine tells of it by [`Gate::pick`], waits at its
+//! ticket for the verdict, reports what became of its run and calls, and waits again. Only this file knows the
 //! module's events and actions. One lock guards it, and nothing is read or written while it is held.
 
 use crate::clock::{since_us, whole_ms, Clock};
@@ -10,7 +10,9 @@
 use ochrewalk::decide::Decide;
 use ochrewalk::deployment::Deployment;
 use ochrewalk::host::{Arrival, Gauges, Host, Outcome, RpcId};
+use std::cell::Cell;
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -98,28 +100,90 @@
     }
 }
 
+/// Mail that was sent to RPCs and is not dealt with yet, and RPCs that were begun and not yet told to the gate. None
+/// means that all is at rest until something comes from outside.
+#[derive(Clone, Default)]
+pub struct Unrest(Arc<AtomicUsize>);
+
+impl Unrest {
+    pub fn more(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub fn less(&self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    pub fn is_none(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == 0
+    }
+}
+
+/// A way to send news to an RPC.
+#[derive(Clone)]
+pub struct Post {
+    to: Sender<Next>,
+    unrest: Unrest,
+}
+
+impl Post {
+    pub fn send(&self, next: Next) {
+        self.unrest.more();
+        if self.to.send(next).is_err() {
+            self.unrest.less();
+        }
+    }
+}
+
 /// An open RPC's place in the gate: where its coroutine waits.
 pub struct Ticket {
     id: RpcId,
-    post: Sender<Next>,
+    post: Post,
     mail: Receiver<Next>,
+    /// The last mail taken is being dealt with.
+    busy: Cell<bool>,
 }
 
 impl Ticket {
+    fn new(id: RpcId, unrest: &Unrest) -> Ticket {
+        let (to, mail) = channel();
+        Ticket { id, post: Post { to, unrest: unrest.clone() }, mail, busy: Cell::new(false) }
+    }
+
     /// A way for the network to send news.
-    pub fn post(&self) -> Sender<Next> {
+    pub fn post(&self) -> Post {
         self.post.clone()
     }
 
-    /// Waits for whatever comes next, for so long at most (see [`whole_ms`]).
+    /// Waits for whatever comes next, for so long at most (see [`whole_ms`]). What came before is dealt with.
     pub fn wait(&self, most: Option<Duration>) -> Next {
-        let Some(most) = most else { return self.mail.recv().unwrap_or(Next::Gone) };
-        match self.mail.recv_timeout(most) {
+        self.dealt_with();
+        let came = match most {
+            Some(most) => self.mail.recv_timeout(most),
+            None => self.mail.recv().map_err(|_| RecvTimeoutError::Disconnected),
+        };
+        self.busy.set(came.is_ok());
+        match came {
             Ok(next) => next,
             Err(RecvTimeoutError::Timeout) => Next::Nothing,
             Err(RecvTimeoutError::Disconnected) => Next::Gone,
         }
     }
+
+    fn dealt_with(&self) {
+        if self.busy.take() {
+            self.post.unrest.less();
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.dealt_with();
+        while self.mail.try_recv().is_ok() {
+            self.post.unrest.less();
+        }
+    }
 }
 
 /// What callers and the directory are told.
@@ -143,6 +207,7 @@
     stir: Sender<()>,
     /// Tells who waits in [`Gate::wait_due`] that a wake-up has moved forward.
     earlier: Sender<()>,
+    pub unrest: Unrest,
 }
 
 /// The other ends of the gate's own channels.
@@ -172,7 +237,7 @@
 }
 
 struct Open {
-    post: Sender<Next>,
+    post: Post,
     token: Option<Token>,
 }
 
@@ -193,7 +258,8 @@
         };
         let ((stir, told), (earlier, moved)) = (channel(), channel());
         let state = Mutex::new(Inside::Closed(desk));
-        (Gate { clock, deployment, seed, state, stir, earlier }, Stirred { told, earlier: moved })
+        let unrest = Unrest::default();
+        (Gate { clock, deployment, seed, state, stir, earlier, unrest }, Stirred { told, earlier: moved })
     }
 
     /// The executor is up, and has been for so long: from here on RPCs are taken. Once only.
@@ -210,10 +276,10 @@
         let _ = self.earlier.send(());
     }
 
-    /// Tells the module of an RPC that was read and waits for the verdict.
-    pub fn pick(&self, new: &Incoming) -> Result<(Ticket, Next), Turned> {
-        let (post, mail) = channel();
-        let ticket = Ticket { id: new.id.clone(), post: post.clone(), mail };
+    /// Tells the module of an RPC that was read. The verdict comes by the ticket.
+    pub fn pick(&self, new: &Incoming) -> Result<Ticket, Turned> {
+        let ticket = Ticket::new(new.id.clone(), &self.unrest);
+        let post = ticket.post();
         let method = &self.deployment.methods[new.method];
         let unix_ms = self.clock.unix_ms();
         let queued_us = since_us(unix_ms, new.ts_ms, method.deadline_us);
@@ -247,16 +313,17 @@
             Ok(())
         });
         // No module yet: it cannot run.
-        let Some(took) = took else { return Ok((ticket, Next::PushBack { last: false, come_back_us: 0 })) };
+        let Some(took) = took else {
+            ticket.post.send(Next::PushBack { last: false, come_back_us: 0 });
+            return Ok(ticket);
+        };
         took?;
-        let next = ticket.wait(None);
-        Ok((ticket, next))
+        Ok(ticket)
     }
 
-    /// Tells the module what became of a run or a call and waits for what comes next. After a run's end
+    /// Tells the module what became of a run or a call. What comes next comes by the ticket; after a run's end
     /// nothing does.
-    pub fn report(&self, ticket: &Ticket, what: Report) -> Next {
-        let over = matches!(what, Report::RunEnded(..));
+    pub fn report(&self, ticket: &Ticket, what: Report) {
         self.tell(|module, now_us| match what {
             Report::NeedsCall => module.needs_call(now_us, &ticket.id),
             Report::CallEnded { outcome, took_us } => {
@@ -267,11 +334,6 @@
                 module.run_ended(now_us, &ticket.id, run_outcome(end));
             }
         });
-        if over {
-            Next::Nothing
-        } else {
-            ticket.wait(None)
-        }
     }
 
     /// The caller of an RPC has gone. Its coroutine hears of it, too. Guards against one that was never taken
@@ -389,7 +451,7 @@
 impl Desk {
     fn mail(&self, id: &str, next: Next) {
         if let Some(open) = self.open.get(id) {
-            let _ = open.post.send(next);
+            open.post.send(next);
         }
     }
 
--- a/crates/ochrewalk-node/src/lib.rs
+++ b/crates/ochrewalk-node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod gate;
 pub mod keys;
 pub mod life;
+pub mod live;
 pub mod logger;
 pub mod net;
 pub mod node;
--- /dev/null
+++ b/crates/ochrewalk-node/src/live.rs
@@ -0,0 +1,130 @@
+//! One coroutine for each RPC: it waits for what happens next and feeds the RPC's life. Nobody else answers it.
+
+use crate::clock::whole_ms;
+use crate::core::Core;
+use crate::gate::{Incoming, Post, Report, Ticket, Turned};
+use crate::life::{Acts, Life};
+use crate::seam::{Answer, Asker};
+use ochrewalk::host::Effect;
+use std::sync::{Mutex, MutexGuard};
+
+/// An RPC that is open, and all that its life needs.
+pub struct Living {
+    pub rpc: Incoming,
+    /// A JSON string, as it came.
+    pub body: Box<str>,
+    /// Its run, and its call, may happen twice.
+    pub again: bool,
+    pub asker: Box<dyn Asker>,
+    life: Mutex<Life>,
+}
+
+impl Living {
+    pub fn new(core: &Core, rpc: Incoming, body: &str, asker: Box<dyn Asker>, life: Life) -> Living {
+        let again = core.deployment.methods[rpc.method].effect == Effect::Idempotent;
+        Living { rpc, body: body.into(), again, asker, life: Mutex::new(life) }
+    }
+
+    /// Held for one event at most, and never over a wait.
+    pub fn lock(&self) -> MutexGuard<'_, Life> {
+        self.life.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+}
+
+/// Tells the gate of an RPC and lives it to its end.
+pub fn live(core: &Core, living: &Living) {
+    // Guards against a run for nobody: it may have been revoked before the gate heard of it.
+    let told = living.asker.is_owed().then(|| core.gate.pick(&living.rpc));
+    core.gate.unrest.less();
+    match told {
+        None => {}
+        Some(Ok(ticket)) => go_on(core, living, &ticket),
+        Some(Err(turned)) => {
+            let answer = match turned {
+                // Who holds it may be the stranger and this one be honest: it never ran, and may elsewhere.
+                Turned::TokenTaken { ran: false } => Answer::UNSEEN,
+                Turned::TokenTaken { ran: true } => Answer::Fault("a token that stands for other work"),
+                Turned::OpenAlready => Answer::Fault("an id that is open already"),
+            };
+            living.asker.answer(answer, None);
+        }
+    }
+}
+
+/// Lives one that the gate knows of to its end.
+pub fn go_on(core: &Core, living: &Living, ticket: &Ticket) {
+    loop {
+        let late_us = living.lock().late_us();
+        let most = late_us.map(|late_us| whole_ms(late_us.saturating_sub(core.clock.now_us()) + 1_000));
+        let next = ticket.wait(most);
+        let mut life = living.lock();
+        life.next(core.clock.now_us(), next, &mut Deeds { core, living, ticket });
+        if life.is_over() {
+            break;
+        }
+    }
+    core.gate.close(ticket);
+}
+
+struct Deeds<'a> {
+    core: &'a Core,
+    living: &'a Living,
+    ticket: &'a Ticket,
+}
+
+impl Deeds<'_> {
+    fn post(&self) -> Post {
+        self.ticket.post()
+    }
+}
+
+impl Acts for Deeds<'_> {
+    fn run(&mut self) {
+        let Living { rpc, body, again, .. } = self.living;
+        self.core.executor.run(&rpc.id, &self.core.lanes[rpc.method], body, *again, self.post());
+    }
+
+    fn wake(&mut self) {
+        self.core.executor.wake(&self.living.rpc.id);
+    }
+
+    fn stop(&mut self) {
+        self.core.executor.stop(&self.living.rpc.id);
+    }
+
+    fn bypass(&mut self, pos: u64) {
+        self.core.executor.bypass(&self.living.rpc.id, pos);
+    }
+
+    fn call(&mut self, wait_ms: u64, body: &[u8]) -> bool {
+        let Some(below) = &self.core.below else { return false };
+        below.call(&self.living.rpc.id, wait_ms, body, self.living.again, self.post());
+        true
+    }
+
+    fn give_up_call(&mut self) {
+        if let Some(below) = &self.core.below {
+            below.give_up(&self.living.rpc.id);
+        }
+    }
+
+    fn give_back(&mut self, reply: &[u8]) {
+        self.core.executor.give_back(&self.living.rpc.id, reply);
+    }
+
+    fn answer(&mut self, answer: Answer) {
+        self.living.asker.answer(answer, self.core.gate.posture().signal);
+    }
+
+    fn fault(&mut self) {
+        self.living.asker.fault();
+    }
+
+    fn proven(&mut self) {
+        self.living.asker.proven();
+    }
+
+    fn report(&mut self, what: Report) {
+        self.core.gate.report(self.ticket, what);
+    }
+}
--- a/crates/ochrewalk-node/src/net/ajp_below.rs
+++ b/crates/ochrewalk-node/src/net/ajp_below.rs
@@ -4,9 +4,8 @@
 use super::link::{carry, connect, Finish, Outbox, Reader};
 use crate::clock::Clock;
 use crate::ending::{CallEnd, Ending};
-use crate::gate::Next;
+use crate::gate::{Next, Post};
 use crate::seam::Beneath;
-use may::sync::mpsc::Sender;
 use ochrewalk::host::RpcId;
 use ochrewalk_ajp::asker::{Acts, Bounds, End, Life, Reply};
 use ochrewalk_ajp::reply;
@@ -63,7 +62,7 @@
     id: RpcId,
     body: Vec<u8>,
     until_us: u64,
-    post: Sender<Next>,
+    post: Post,
 }
 
 impl AjpBelow {
@@ -119,7 +118,7 @@
 }
 
 impl Beneath for AjpBelow {
-    fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Sender<Next>) {
+    fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Post) {
         // A second call of an RPC stands in the place of the first.
         self.give_up(id);
         let now_us = self.0.clock.now_us();
@@ -274,7 +273,7 @@
                 None => CallEnd::Failed,
             },
         };
-        let _ = post.send(Next::CallEnded(end));
+        post.send(Next::CallEnded(end));
     }
 
     fn close(&mut self, link: LinkId) {
--- a/crates/ochrewalk-node/src/net/below.rs
+++ b/crates/ochrewalk-node/src/net/below.rs
@@ -5,10 +5,9 @@
 use super::link::{carry, connect, Finish, Outbox, Reader};
 use crate::clock::Clock;
 use crate::ending::{CallEnd, Ending};
-use crate::gate::Next;
+use crate::gate::{Next, Post};
 use crate::seam::Beneath;
 use crate::wire::calls::{self, Word};
-use may::sync::mpsc::Sender;
 use ochrewalk::host::RpcId;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -47,7 +46,7 @@
 }
 
 struct Carried {
-    calls: HashMap<RpcId, Sender<Next>>,
+    calls: HashMap<RpcId, Post>,
     used_us: u64,
     /// Since when a reply is under way that has no end yet.
     partial_us: Option<u64>,
@@ -74,7 +73,7 @@
 }
 
 impl Beneath for Below {
-    fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Sender<Next>) {
+    fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Post) {
         self.0.call(id, wait_ms, body, again, post);
     }
 
@@ -86,7 +85,7 @@
 impl Links {
     /// One that is not to be made `again` goes on a connection of its own: guards against one that was forgotten
     /// below, which would leave it without proof.
-    fn call(self: &Arc<Self>, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Sender<Next>) {
+    fn call(self: &Arc<Self>, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Post) {
         let mut state = self.lock();
         let now_us = self.clock.now_us();
         let room = state.links.len() < self.most_links;
@@ -163,7 +162,7 @@
         for (id, post) in calls {
             // What was never written whole never ran, however the connection ended.
             let end = if never_written(&id) { CallEnd::Unsent } else { CallEnd::Link(ending.clone()) };
-            let _ = post.send(Next::CallEnded(end));
+            post.send(Next::CallEnded(end));
         }
     }
 
@@ -201,7 +200,7 @@
         };
         // One that was given up may still be answered.
         if let Some(post) = post {
-            let _ = post.send(Next::CallEnded(match reply.word {
+            post.send(Next::CallEnded(match reply.word {
                 Word::Ok => CallEnd::Good(reply.body.to_vec()),
                 Word::Busy => CallEnd::PushedBack,
                 Word::Err => CallEnd::Failed,
--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -11,7 +11,7 @@
 
 use super::link::{carry, connect, Finish, Outbox, Reader};
 use crate::ending::Ending;
-use crate::gate::{Gate, Next};
+use crate::gate::{Gate, Next, Post};
 use crate::wire::notices::{self, Notice, RunEnd};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use may::sync::mpsc::{channel, Receiver, Sender};
@@ -51,7 +51,7 @@
 }
 
 struct Run {
-    post: Sender<Next>,
+    post: Post,
     again: bool,
 }
 
@@ -81,7 +81,7 @@
 
     /// Starts a run; what becomes of it goes to `post`. Where `again` is harmless the command is repeated
     /// after a link that broke under it.
-    pub fn run(&self, id: &RpcId, lane: &str, content: &str, again: bool, post: Sender<Next>) {
+    pub fn run(&self, id: &RpcId, lane: &str, content: &str, again: bool, post: Post) {
         self.lock().runs.insert(id.clone(), Run { post, again });
         self.outbox.push(notices::exec(id, lane, content));
     }
@@ -159,13 +159,13 @@
 
     fn news(&self, id: &str, next: Next) {
         if let Some(run) = self.lock().runs.get(id) {
-            let _ = run.post.send(next);
+            run.post.send(next);
         }
     }
 
     fn ended(&self, id: &str, end: RunEnd, content: Option<Arc<str>>) {
         if let Some(run) = self.lock().runs.remove(id) {
-            let _ = run.post.send(Next::RunEnded(end, content));
+            run.post.send(Next::RunEnded(end, content));
         }
     }
 
--- a/crates/ochrewalk-node/src/seam.rs
+++ b/crates/ochrewalk-node/src/seam.rs
@@ -1,8 +1,7 @@
 //! What an RPC's life needs of the two sides that it stands between: of whoever asked, and of whatever lies
 //! below. Each protocol brings its own; the life knows none of them.
 
-use crate::gate::Next;
-use may::sync::mpsc::Sender;
+use crate::gate::Post;
 use ochrewalk::host::RpcId;
 
 /// The final answer to an RPC, before a protocol has put it into bytes.
@@ -24,7 +23,7 @@
 }
 
 /// Who waits for the answer to one RPC.
-pub trait Asker: Send {
+pub trait Asker: Send + Sync {
     /// Whether an answer is still owed.
     fn is_owed(&self) -> bool;
 
@@ -42,7 +41,7 @@
 pub trait Beneath: Send + Sync {
     /// Places a call that may take so long; what becomes of it goes to `post`, once. Only one that may be made
     /// `again` can be repeated, or go where its fate would not be known for certain.
-    fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Sender<Next>);
+    fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Post);
 
     /// Gives a call up; nothing more is heard of it.
     fn give_up(&self, id: &str);
--- /dev/null
+++ b/crates/ochrewalk-node/tests/life.rs
@@ -0,0 +1,221 @@
+//! The life of one RPC as a value: what each event brings, and that no order of them brings two answers.
+
+use ochrewalk_node::ending::{CallEnd, Ending};
+use ochrewalk_node::gate::{Next, Report};
+use ochrewalk_node::life::{Acts, Life};
+use ochrewalk_node::seam::Answer;
+use ochrewalk_node::wire::notices::RunEnd;
+
+/// What was asked for, in words. Nothing lies below where told so.
+#[derive(Default)]
+struct Deeds {
+    did: Vec<String>,
+    nothing_below: bool,
+}
+
+impl Deeds {
+    fn take(&mut self) -> String {
+        std::mem::take(&mut self.did).join(", ")
+    }
+
+    fn note(&mut self, what: impl Into<String>) {
+        self.did.push(what.into());
+    }
+}
+
+impl Acts for Deeds {
+    fn run(&mut self) {
+        self.note("run");
+    }
+    fn wake(&mut self) {
+        self.note("wake");
+    }
+    fn stop(&mut self) {
+        self.note("stop");
+    }
+    fn bypass(&mut self, pos: u64) {
+        self.note(format!("bypass {pos}"));
+    }
+    fn call(&mut self, wait_ms: u64, body: &[u8]) -> bool {
+        self.note(format!("call {wait_ms} {}", body.len()));
+        !self.nothing_below
+    }
+    fn give_up_call(&mut self) {
+        self.note("give up");
+    }
+    fn give_back(&mut self, reply: &[u8]) {
+        self.note(format!("back {}", reply.len()));
+    }
+    fn answer(&mut self, answer: Answer) {
+        self.note(match answer {
+            Answer::Served(_) => "served".into(),
+            Answer::PushedBack { last, come_back_us } => format!("pushed back {last} {come_back_us}"),
+            Answer::Aborted => "aborted".into(),
+            Answer::Fault(why) => format!("fault {why}"),
+        });
+    }
+    fn fault(&mut self) {
+        self.note("fault");
+    }
+    fn proven(&mut self) {
+        self.note("proven");
+    }
+    fn report(&mut self, what: Report) {
+        self.note(match what {
+            Report::NeedsCall => "needs call".into(),
+            Report::CallEnded { outcome, took_us } => format!("{outcome:?} after {took_us}"),
+            Report::RunEnded(end, _) => format!("{end:?}"),
+        });
+    }
+}
+
+fn needs_call() -> Next {
+    Next::NeedsCall { pos: 4, body: vec![1, 2, 3] }
+}
+
+fn call() -> Next {
+    Next::Call { until_us: 5_000 }
+}
+
+fn ended(end: RunEnd) -> Next {
+    Next::RunEnded(end, (end == RunEnd::Complete).then(|| "\"QQ==\"".into()))
+}
+
+#[test]
+fn each_event_brings_what_it_should() {
+    let back = || Next::PushBack { last: true, come_back_us: 9 };
+    let good = || Next::CallEnded(CallEnd::Good(vec![7]));
+    let broken = || Next::CallEnded(CallEnd::Link(Ending::Closed));
+    let table: Vec<(Vec<Next>, &str, bool)> = vec![
+        (vec![back()], "pushed back true 9", true),
+        (vec![Next::Serve("\"QQ==\"".into())], "served", true),
+        (vec![Next::Abort], "aborted", true),
+        (vec![Next::Gone], "", true),
+        (vec![Next::Nothing], "", false),
+        (vec![Next::Run], "run", false),
+        (vec![Next::Run, Next::Run], "run, wake", false),
+        (vec![Next::Run, Next::Stop], "run, stop", false),
+        (vec![Next::Run, ended(RunEnd::Complete)], "run, proven, served, Complete", true),
+        (vec![Next::Run, ended(RunEnd::Failed)], "run, aborted, Failed", true),
+        (vec![Next::Run, ended(RunEnd::Stopped)], "run, aborted, Stopped", true),
+        (vec![Next::Run, ended(RunEnd::NeverRan)], "run, pushed back false 0, NeverRan", true),
+        (vec![Next::Run, ended(RunEnd::Unknown)], "run, fault, pushed back false 0, Unknown", true),
+        // One that was given up, or whose caller has gone, lives on until its run has ended, and answers no more.
+        (vec![Next::Run, Next::Abort], "run, aborted", false),
+        (vec![Next::Run, Next::Abort, ended(RunEnd::Complete)], "run, aborted, Complete", true),
+        (vec![Next::Run, Next::Gone, ended(RunEnd::Unknown)], "run, Unknown", true),
+        (
+            vec![Next::Run, Next::Gone, Next::Abort, Next::Serve("x".into()), ended(RunEnd::Failed)],
+            "run, Failed",
+            true,
+        ),
+        // Its call.
+        (vec![Next::Run, needs_call()], "run, needs call", false),
+        (vec![Next::Run, needs_call(), Next::Skip], "run, needs call, bypass 4", false),
+        (vec![Next::Run, needs_call(), call()], "run, needs call, call 4 3", false),
+        (
+            vec![Next::Run, needs_call(), call(), good()],
+            "run, needs call, call 4 3, back 1, Ok after 0",
+            false,
+        ),
+        (
+            vec![Next::Run, needs_call(), call(), broken()],
+            "run, needs call, call 4 3, Interrupted after 0",
+            false,
+        ),
+        (
+            vec![Next::Run, needs_call(), call(), broken(), call(), good()],
+            "run, needs call, call 4 3, Interrupted after 0, call 4 3, back 1, Ok after 0",
+            false,
+        ),
+        (
+            vec![Next::Run, needs_call(), call(), Next::Abort],
+            "run, needs call, call 4 3, aborted, give up",
+            false,
+        ),
+        (
+            vec![Next::Run, needs_call(), call(), Next::Gone, good()],
+            "run, needs call, call 4 3, give up",
+            false,
+        ),
+        (
+            vec![Next::Run, needs_call(), call(), ended(RunEnd::Stopped)],
+            "run, needs call, call 4 3, give up, aborted, Stopped",
+            true,
+        ),
+        // What ends unasked means nothing.
+        (vec![good(), call(), Next::Skip], "", false),
+    ];
+    for (events, wanted, over) in table {
+        let (mut life, mut deeds) = (Life::begin(), Deeds::default());
+        let what = format!("{events:?}");
+        events.into_iter().for_each(|event| life.next(1_000, event, &mut deeds));
+        assert_eq!((deeds.take().as_str(), life.is_over()), (wanted, over), "{what}");
+    }
+}
+
+#[test]
+fn a_call_without_an_answer_is_late_and_one_that_nobody_takes_is_unsent() {
+    let (mut life, mut deeds) = (Life::begin(), Deeds::default());
+    for event in [Next::Run, needs_call(), call()] {
+        life.next(1_000, event, &mut deeds);
+    }
+    deeds.take();
+    assert_eq!(life.late_us(), Some(15_000));
+    life.next(14_999, Next::Nothing, &mut deeds);
+    assert_eq!(deeds.take(), "");
+    life.next(15_000, Next::Nothing, &mut deeds);
+    assert_eq!(deeds.take(), "give up, TimedOut after 14000");
+    assert_eq!(life.late_us(), None);
+    deeds.nothing_below = true;
+    life.next(16_000, call(), &mut deeds);
+    assert_eq!(deeds.take(), "call 1 3, Unreachable after 0");
+}
+
+/// Whatever comes in whatever order, each event to a copy that goes on in its place: one answer at most, exactly one where
+/// the caller stays, and calls that are placed end once.
+#[test]
+fn no_order_of_events_brings_two_answers_or_leaves_a_call() {
+    for seed in 0..5_000 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (mut life, mut answers, mut gone) = (Life::begin(), 0, false);
+        let mut deeds = Deeds::default();
+        for now in (0..40).map(|n| n * 1_000) {
+            if life.is_over() {
+                break;
+            }
+            let event = match rng.u32(0..12) {
+                0 => Next::Run,
+                1 => Next::Stop,
+                2 => needs_call(),
+                3 | 4 => Next::Call { until_us: now + 3_000 },
+                5 => Next::Skip,
+                6 => Next::CallEnded(CallEnd::Good(vec![])),
+                7 => Next::CallEnded(CallEnd::Link(Ending::Closed)),
+                8 if rng.bool() => Next::Abort,
+                9 if rng.bool() => Next::Gone,
+                10 if life.running => {
+                    ended([RunEnd::Complete, RunEnd::Failed, RunEnd::Unknown][rng.usize(0..3)])
+                }
+                11 if !life.running => Next::PushBack { last: false, come_back_us: 0 },
+                _ => Next::Nothing,
+            };
+            gone |= matches!(event, Next::Gone);
+            // A value: it goes on from a copy.
+            life = life.clone();
+            let placed = |life: &Life| life.call.as_ref().is_some_and(|call| call.placed.is_some());
+            let was_placed = placed(&life);
+            life.next(now, event, &mut deeds);
+            let did = std::mem::take(&mut deeds.did);
+            let is_answer = |d: &&String| ["served", "aborted"].contains(&&***d) || d.starts_with("pushed");
+            answers += did.iter().filter(is_answer).count();
+            assert!(answers <= 1, "seed {seed}: {did:?}");
+            // A call that is out does not just go: it has ended, or is given up, once.
+            let ends = did.iter().filter(|d| *d == "give up" || d.contains(" after ")).count();
+            let late = did.iter().any(|d| d.starts_with("TimedOut"));
+            assert_eq!(was_placed && !placed(&life), ends > 0, "seed {seed}: {did:?}");
+            assert!(ends <= 1 + usize::from(late), "seed {seed}: {did:?}");
+        }
+        assert!(!life.is_over() || answers == 1 || gone, "seed {seed}");
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,6 +3,10 @@
 //! `turn` once all that happened at one moment has been told. The module acts by the `Host` it was handed;
 //! that trait and the small types are in src/host.rs. "DESIGN" and "paper" in comments: see docs/design.md.
 
+mod kept;
+
+pub use kept::Kept;
+
 use crate::host::{
     Advice, Arrival, Below, Crowd, Customer, Effect, Gauges, Host, Machine, Method, Outcome, RpcId, SentBack,
     Shares, Stopping,
--- /dev/null
+++ b/tests/kept.rs
@@ -0,0 +1,219 @@
+//! The same events bring the same actions, whether one module sees them all or a successor goes on from what the first
+//! one wrote down.
+
+mod helper;
+
+use helper::*;
+use ochrewalk::decide::{Decide, Kept};
+use ochrewalk::host::*;
+use prost::Message;
+use std::collections::BTreeMap;
+
+struct Fixed {
+    machine: Machine,
+    crowd: Crowd,
+    methods: Vec<Method>,
+    below: Below,
+    advice: Advice,
+    shares: Shares,
+}
+
+fn fixed(seed: u64) -> Fixed {
+    let stopping = [Stopping::Never, Stopping::Drop, Stopping::Pause][seed as usize % 3];
+    let shared = Below::Shared { share: 3.0, window_us: 2_000_000, linger_us: 300_000 };
+    Fixed {
+        machine: Machine {
+            cores: 2,
+            memory_kb: 400.0,
+            run_factor: 4.0,
+            key_kb: 0.5,
+            stopping,
+            idle_most_us: 30_000_000,
+        },
+        crowd: Crowd {
+            multiple: 6.0,
+            cold: seed.is_multiple_of(2),
+            cold_from: 0.4,
+            warm_within_us: 20_000_000,
+        },
+        methods: vec![
+            method(Effect::Idempotent, 0.0),
+            method(Effect::Tokened, 0.0),
+            method(Effect::NonIdempotent, 0.0),
+            method(Effect::Idempotent, 0.5),
+        ],
+        below: if seed.is_multiple_of(2) { Below::Tier } else { shared },
+        advice: Advice {
+            sent_back: [SentBack::Weight, SentBack::Level, SentBack::Credit][seed as usize / 3 % 3],
+            callers: 3,
+            marks_tries: seed % 2 == 1,
+            max_come_back_us: 1_000_000,
+        },
+        shares: Shares {
+            by_work: seed.is_multiple_of(4),
+            over_share: 0.25,
+            customers: vec![Customer { per_second: 5.0 }, Customer { per_second: 50.0 }],
+            servers: 2,
+        },
+    }
+}
+
+/// What the outside knows of each RPC.
+#[derive(Clone, Copy, PartialEq)]
+enum At {
+    Held,
+    Running,
+    Waiting,
+    Calling,
+}
+
+/// One event, told to any module in the same way.
+type Event = Box<dyn Fn(&mut Decide<Tape>)>;
+
+fn next_event(rng: &mut fastrand::Rng, now: u64, known: &BTreeMap<String, At>, count: &mut u64) -> Event {
+    let of = |at: At, rng: &mut fastrand::Rng| -> Option<String> {
+        let all: Vec<&String> = known.iter().filter(|(_, a)| **a == at).map(|(id, _)| id).collect();
+        (!all.is_empty()).then(|| all[rng.usize(0..all.len())].clone())
+    };
+    match rng.u32(0..12) {
+        0..=3 => {
+            *count += 1;
+            let arrival = Arrival {
+                id: format!("r{count}").as_str().into(),
+                method: rng.usize(0..4),
+                kb: 1.0 + rng.f64() * 20.0,
+                queued_us: rng.u64(0..50_000),
+                left_us: rng.bool().then(|| rng.u64(100_000..9_000_000)),
+                effort_us: rng.bool().then(|| rng.u64(500..40_000)),
+                repeats: None,
+                further_try: rng.u32(0..4) == 0,
+                customer: rng.bool().then(|| rng.usize(0..2)),
+            };
+            Box::new(move |m| m.arrived(now, arrival.clone()))
+        }
+        4 | 5 => match of(At::Running, rng) {
+            Some(id) => Box::new(move |m| m.needs_call(now, &id)),
+            None => Box::new(|_| ()),
+        },
+        6 | 7 => match of(At::Calling, rng) {
+            Some(id) => {
+                let outcome =
+                    [Outcome::Ok, Outcome::Ok, Outcome::PushedBack, Outcome::TimedOut, Outcome::Interrupted];
+                let (outcome, took) = (outcome[rng.usize(0..5)], rng.u64(500..900_000));
+                Box::new(move |m| m.call_ended(now, &id, outcome, took))
+            }
+            None => Box::new(|_| ()),
+        },
+        8 | 9 => match of(At::Running, rng) {
+            Some(id) => {
+                let outcome = [Outcome::Ok, Outcome::Ok, Outcome::Error, Outcome::Stopped][rng.usize(0..4)];
+                Box::new(move |m| m.run_ended(now, &id, outcome))
+            }
+            None => Box::new(|_| ()),
+        },
+        10 => match of([At::Held, At::Running, At::Waiting][rng.usize(0..3)], rng) {
+            Some(id) => Box::new(move |m| m.gone(&id)),
+            None => Box::new(|_| ()),
+        },
+        _ => {
+            let gauges =
+                Gauges { busy: Some(rng.f64()), runnable: Some(rng.f64() * 6.0), connections: Some(9.0) };
+            let token = rng.u64(0..3);
+            Box::new(move |m| m.timer(now, token, gauges))
+        }
+    }
+}
+
+/// Follows what the module asked for, so that events make sense.
+fn follow(asked: &[String], known: &mut BTreeMap<String, At>) {
+    for line in asked {
+        let (what, id) = line.split_once(' ').unwrap();
+        let id = id.split(' ').next().unwrap().to_string();
+        match what {
+            "run" | "skip" => drop(known.insert(id, At::Running)),
+            "call" => drop(known.insert(id, At::Calling)),
+            "push" => drop(known.remove(&id)),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn a_successor_decides_as_the_one_before_it_would_have() {
+    let mut actions = 0;
+    for seed in 0..60 {
+        let f = fixed(seed);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (mut now, mut count, mut known) = (1_000_000, 0, BTreeMap::new());
+        let start = |f: &Fixed| {
+            let (methods, shares) = (f.methods.clone(), f.shares.clone());
+            Decide::start(
+                Tape::default(),
+                1_000_000,
+                seed,
+                f.machine,
+                f.crowd,
+                methods,
+                f.below,
+                f.advice,
+                shares,
+                300_000,
+            )
+        };
+        let mut one = start(&f);
+        let mut other = start(&f);
+        let hand_over = rng.usize(50..400);
+        for step in 0..600 {
+            now += rng.u64(0..30_000);
+            let before = one.host().0.len();
+            let event = next_event(&mut rng, now, &known, &mut count);
+            event(&mut one);
+            one.turn(now);
+            event(&mut other);
+            other.turn(now);
+            let asked = one.host().0[before..].to_vec();
+            assert_eq!(
+                asked,
+                other.host().0[before..],
+                "seed {seed}, step {step}, handed over at {hand_over}"
+            );
+            assert_eq!(one.host().1, other.host().1, "as many wake-ups");
+            actions += asked.len();
+            for id in (count.saturating_sub(1)..=count).map(|n| format!("r{n}")) {
+                if step > 0 && !known.contains_key(&id) && !asked.iter().any(|a| a.ends_with(&id)) {
+                    known.entry(id).or_insert(At::Held);
+                }
+            }
+            follow(&asked, &mut known);
+            if step == hand_over {
+                let bytes = other.keep().encode_to_vec();
+                let kept = Kept::decode(&bytes[..]).unwrap();
+                let tape = std::mem::take(other.host());
+                let (methods, shares) = (f.methods.clone(), f.shares.clone());
+                let crowd = Crowd { cold: false, ..f.crowd };
+                let resumed =
+                    Decide::resume(tape, f.machine, crowd, methods, f.below, f.advice, shares, 300_000, kept);
+                other = resumed.unwrap();
+                // What was kept is what is kept again.
+                assert_eq!(other.keep().encode_to_vec(), bytes, "seed {seed}");
+            }
+        }
+    }
+    assert!(actions > 5_000, "{actions}");
+}
+
+#[test]
+fn what_does_not_fit_the_deployment_is_refused() {
+    let f = fixed(1);
+    let start = || {
+        let (methods, shares) = (f.methods.clone(), f.shares.clone());
+        Decide::start(Tape::default(), 0, 1, f.machine, f.crowd, methods, f.below, f.advice, shares, 300_000)
+    };
+    let mut fewer = f.methods.clone();
+    fewer.pop();
+    let shares = f.shares.clone();
+    let kept = start().keep();
+    let refused =
+        Decide::resume(Tape::default(), f.machine, f.crowd, fewer, f.below, f.advice, shares, 300_000, kept);
+    assert_eq!(refused.err().unwrap(), "runs seen of 4 methods, 3 here");
+}
