--- a/crates/ochrewalk-ajp/src/answerer.rs
+++ b/crates/ochrewalk-ajp/src/answerer.rs
@@ -110,6 +110,16 @@
         Life { state: State::Idle { since_us: now_us }, bounds, spoke: false, faults: 0, leaving: false }
     }
 
+    /// Its state, whether it spoke, and its faults, for whoever goes on with it in another process.
+    pub fn keep(&self) -> (State, bool, u32) {
+        (self.state, self.spoke, self.faults)
+    }
+
+    /// Goes on with a life that was kept; it does not leave.
+    pub fn resume(bounds: Bounds, state: State, spoke: bool, faults: u32) -> Life {
+        Life { state, bounds, spoke, faults, leaving: false }
+    }
+
     pub fn state(&self) -> State {
         self.state
     }
--- a/crates/ochrewalk-lab/src/ajp.rs
+++ b/crates/ochrewalk-lab/src/ajp.rs
@@ -172,6 +172,12 @@
         }
     }
 
+    /// Whether the other side answers a ping.
+    pub fn is_alive(&mut self) -> bool {
+        let asked = self.send(&plain(&request::Message::CPing));
+        asked.is_ok() && self.message(|m| matches!(m, Message::CPong)).unwrap_or(false)
+    }
+
     pub fn end(&self) {
         let _ = self.stream.shutdown(Shutdown::Both);
     }
--- a/crates/ochrewalk-node/src/clock.rs
+++ b/crates/ochrewalk-node/src/clock.rs
@@ -1,22 +1,35 @@
 //! The two clocks of a node: durations come from one that only advances, moments that others name from the
 //! system's Unix clock.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use rustix::time::{clock_gettime, ClockId};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// What the monotonic clock shows at the start, so that moments before the start can be named too.
 const START_US: u64 = 3_600_000_000;
 
+/// It counts from a moment of the system's monotonic clock, which another process on the machine sees as well.
 #[derive(Clone, Copy, Debug)]
-pub struct Clock(Instant);
+pub struct Clock {
+    base_ns: i64,
+}
 
 impl Clock {
     pub fn start() -> Clock {
-        Clock(Instant::now())
+        Clock { base_ns: monotonic_ns() }
+    }
+
+    /// Goes on counting as the one before this process did.
+    pub fn resume(base_ns: i64) -> Clock {
+        Clock { base_ns }
+    }
+
+    pub fn base_ns(&self) -> i64 {
+        self.base_ns
     }
 
     /// Microseconds that only advance.
     pub fn now_us(&self) -> u64 {
-        START_US + self.0.elapsed().as_micros() as u64
+        START_US + ((monotonic_ns() - self.base_ns) / 1_000).max(0) as u64
     }
 
     /// Unix milliseconds.
@@ -25,6 +38,11 @@
     }
 }
 
+fn monotonic_ns() -> i64 {
+    let now = clock_gettime(ClockId::Monotonic);
+    now.tv_sec * 1_000_000_000 + now.tv_nsec
+}
+
 /// A time to wait for a channel of may's. Guards against its waits, which count whole milliseconds, rounded
 /// down: a part of one is waited for twice over, and less than one for ever.
 ///
--- a/crates/ochrewalk-node/src/core.rs
+++ b/crates/ochrewalk-node/src/core.rs
@@ -2,17 +2,18 @@
 //! RPC from its protocol and hands it over here; from then on it is the same for all of them.
 
 use crate::clock::Clock;
-use crate::gate::{Gate, Incoming, Token};
+use crate::gate::{Gate, Incoming, Ticket, Token};
 use crate::life::Life;
-use crate::live::{live, Living};
+use crate::live::{go_on, live, Living};
 use crate::net::executor::Executor;
 use crate::seam::{Answer, Asker, Beneath};
 use ochrewalk::deployment::Deployment;
 use ochrewalk::host::{Effect, RpcId};
-use std::collections::hash_map::RandomState;
-use std::hash::BuildHasher;
+use siphasher::sip::SipHasher13;
+use std::collections::HashMap;
+use std::hash::{Hash, Hasher};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 
 /// Memory that one open RPC may take: its stack, its body and its answer.
 const RPC_BYTES: usize = 32 * 1024;
@@ -28,7 +29,9 @@
     pub executor: Executor,
     pub below: Option<Arc<dyn Beneath>>,
     /// Prints of RPCs' work, by a key that no stranger knows.
-    prints: RandomState,
+    prints: SipHasher13,
+    /// Those that the gate knows of.
+    living: Mutex<HashMap<RpcId, Arc<Living>>>,
     /// RPCs whose coroutines live, and how many may.
     lives: AtomicUsize,
     most_lives: usize,
@@ -57,6 +60,7 @@
         executor: Executor,
         below: Option<Arc<dyn Beneath>>,
         bytes: usize,
+        print_key: (u64, u64),
     ) -> Core {
         let lanes = deployment.method_names.iter().map(|n| serde_json::Value::from(n.as_str()).to_string());
         Core {
@@ -66,7 +70,8 @@
             deployment,
             executor,
             below,
-            prints: RandomState::new(),
+            prints: SipHasher13::new_with_keys(print_key.0, print_key.1),
+            living: Mutex::default(),
             lives: AtomicUsize::new(0),
             most_lives: bytes / 4 / RPC_BYTES,
         }
@@ -81,7 +86,7 @@
         let token = asked.token.filter(|_| tokened).map(|key| Token {
             key: key.into(),
             // Some escape the solidus: the work is the same by any protocol.
-            work: self.prints.hash_one((asked.method, asked.body.replace('\\', ""))),
+            work: self.print(asked.method, &asked.body.replace('\\', "")),
         });
         if tokened && token.is_none() {
             return Err("no token");
@@ -91,6 +96,33 @@
         Ok(Incoming { id, method, kb, ts_ms, left_us, token })
     }
 
+    fn print(&self, method: usize, body: &str) -> u64 {
+        let mut print = self.prints;
+        (method, body).hash(&mut print);
+        print.finish()
+    }
+
+    /// The key of the prints, for whoever goes on.
+    pub fn print_key(&self) -> (u64, u64) {
+        self.prints.keys()
+    }
+
+    /// The RPCs that the gate knows of.
+    pub fn living(&self) -> MutexGuard<'_, HashMap<RpcId, Arc<Living>>> {
+        self.living.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// Goes on with the life of an RPC that another process began.
+    pub fn go_on(self: &Arc<Core>, living: Arc<Living>, ticket: Ticket) {
+        self.lives.fetch_add(1, Ordering::Relaxed);
+        self.living().insert(living.rpc.id.clone(), living.clone());
+        let core = self.clone();
+        may::go!(move || {
+            go_on(&core, &living, &ticket);
+            core.lives.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+
     /// Starts the life of an RPC that its front has entered as owed an answer.
     pub fn begin(self: &Arc<Core>, rpc: Incoming, body: &str, asker: impl Asker + 'static) {
         // Guards the program's own memory against a flood: long before this many RPCs are open, the module's
--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -5,6 +5,8 @@
 use crate::clock::{since_us, whole_ms, Clock};
 use crate::ending::CallEnd;
 use crate::keys::{Keys, Known, Served, State};
+use crate::moving::records::KeptNode;
+use crate::moving::stands_still;
 use crate::wire::notices::RunEnd;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use ochrewalk::decide::Decide;
@@ -262,6 +264,61 @@
         (Gate { clock, deployment, seed, state, stir, earlier, unrest }, Stirred { told, earlier: moved })
     }
 
+    /// Writes down the module, the tokens and what callers are told, for `node`'s part in a hand-over.
+    pub fn keep(&self, node: &mut KeptNode) {
+        let mut state = self.lock();
+        let (desk, module) = match &mut *state {
+            Inside::Closed(desk) => (desk, None),
+            Inside::Open(module) => {
+                let kept = module.keep();
+                (module.host(), Some(kept))
+            }
+        };
+        node.module = module;
+        let Posture { healthy, signal, idle_us } = desk.posture;
+        (node.healthy, node.signal, node.idle_us) = (healthy, signal, idle_us);
+        (node.wake_us, node.wake_token) = (desk.wake_us, desk.wake_token);
+        node.tokens = desk.keys.keep();
+    }
+
+    /// Goes on with what another process wrote down. The RPCs that are open get their tickets.
+    pub fn resume(
+        clock: Clock,
+        deployment: Deployment,
+        seed: u64,
+        most_bytes: usize,
+        node: &mut KeptNode,
+        open: &[Incoming],
+    ) -> Result<(Gate, Stirred, Vec<Ticket>), String> {
+        let (gate, stirred) = Gate::new(clock, deployment.clone(), seed, most_bytes);
+        let ticket = |rpc: &Incoming| Ticket::new(rpc.id.clone(), &gate.unrest);
+        let tickets: Vec<Ticket> = open.iter().map(ticket).collect();
+        {
+            let mut state = gate.lock();
+            let Inside::Closed(desk) = &mut *state else { unreachable!("just made") };
+            let (healthy, signal, idle_us) = (node.healthy, node.signal, node.idle_us);
+            desk.posture = Posture { healthy, signal, idle_us };
+            (desk.wake_us, desk.wake_token) = (node.wake_us, node.wake_token);
+            desk.keys = Keys::resume(most_bytes, std::mem::take(&mut node.tokens));
+            for (rpc, ticket) in open.iter().zip(&tickets) {
+                desk.open.insert(rpc.id.clone(), Open { post: ticket.post(), token: rpc.token.clone() });
+            }
+            if let Some(kept) = node.module.take() {
+                let placeholder =
+                    Desk { keys: Keys::new(0), open: HashMap::new(), shared: Vec::new(), ..*desk };
+                let desk = std::mem::replace(desk, placeholder);
+                *state = Inside::Open(Box::new(deployment.resume(desk, kept)?));
+            }
+        }
+        Ok((gate, stirred, tickets))
+    }
+
+    /// Whether all that was told has been acted on, and all mail dealt with.
+    pub fn is_at_rest(&self) -> bool {
+        let stirred = self.desk(|desk| desk.stirred || !desk.shared.is_empty());
+        !stirred && self.unrest.is_none()
+    }
+
     /// The executor is up, and has been for so long: from here on RPCs are taken. Once only.
     pub fn open(&self, cold: bool, up_us: u64) {
         let mut state = self.lock();
@@ -356,6 +413,9 @@
     /// The wake-up that the module asked for, or any time at which its gauges are fresh.
     pub fn tick(&self, gauges: Gauges) {
         let unix_ms = self.clock.unix_ms();
+        if stands_still() {
+            return;
+        }
         self.tell(|module, now_us| {
             let desk = module.host();
             desk.keys.sweep(unix_ms);
@@ -373,9 +433,10 @@
         loop {
             let due_us = self.desk(|desk| desk.wake_us);
             let now_us = self.clock.now_us();
-            if due_us <= now_us {
+            if due_us <= now_us && !stands_still() {
                 return;
             }
+            let due_us = due_us.max(now_us + 1_000);
             // Moved forward, or due: either way it is looked at again.
             let _ = moved.recv_timeout(whole_ms(due_us.min(now_us + 1_000_000) - now_us));
         }
--- a/crates/ochrewalk-node/src/keys.rs
+++ b/crates/ochrewalk-node/src/keys.rs
@@ -1,5 +1,6 @@
 //! Remembered tokens: which RPC holds each, what became of it, and which repeats wait for that.
 
+use crate::moving::records::KeptToken;
 use ochrewalk::host::RpcId;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -112,6 +113,50 @@
         waiting
     }
 
+    /// Writes all of it down.
+    pub fn keep(&self) -> Vec<KeptToken> {
+        let token = |(key, entry): (&Arc<str>, &Entry)| {
+            let (state, result) = match &entry.state {
+                State::Open => (0, String::new()),
+                State::Served(body) => (1, body.to_string()),
+                State::Failed => (2, String::new()),
+            };
+            KeptToken {
+                key: key.to_string(),
+                holder: entry.holder.to_string(),
+                work: entry.work,
+                until_ms: entry.until_ms,
+                state,
+                result,
+                waiting: entry.waiting.iter().map(|id| id.to_string()).collect(),
+            }
+        };
+        self.entries.iter().map(token).collect()
+    }
+
+    /// Goes on with what another process wrote down.
+    pub fn resume(most_bytes: usize, kept: Vec<KeptToken>) -> Keys {
+        let mut keys = Keys::new(most_bytes);
+        for token in kept {
+            let state = match token.state {
+                0 => State::Open,
+                1 => State::Served(token.result.into()),
+                _ => State::Failed,
+            };
+            keys.bytes += size(&state);
+            let waiting = token.waiting.into_iter().map(RpcId::from).collect();
+            let entry = Entry {
+                holder: token.holder.into(),
+                work: token.work,
+                until_ms: token.until_ms,
+                state,
+                waiting,
+            };
+            keys.entries.insert(token.key.into(), entry);
+        }
+        keys
+    }
+
     /// Drops what has lapsed.
     pub fn sweep(&mut self, unix_ms: u64) {
         let bytes = &mut self.bytes;
--- a/crates/ochrewalk-node/src/lib.rs
+++ b/crates/ochrewalk-node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod life;
 pub mod live;
 pub mod logger;
+pub mod moving;
 pub mod net;
 pub mod node;
 pub mod seam;
--- a/crates/ochrewalk-node/src/live.rs
+++ b/crates/ochrewalk-node/src/live.rs
@@ -6,7 +6,7 @@
 use crate::life::{Acts, Life};
 use crate::seam::{Answer, Asker};
 use ochrewalk::host::Effect;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 /// An RPC that is open, and all that its life needs.
 pub struct Living {
@@ -32,13 +32,16 @@
 }
 
 /// Tells the gate of an RPC and lives it to its end.
-pub fn live(core: &Core, living: &Living) {
+pub fn live(core: &Core, living: &Arc<Living>) {
     // Guards against a run for nobody: it may have been revoked before the gate heard of it.
     let told = living.asker.is_owed().then(|| core.gate.pick(&living.rpc));
     core.gate.unrest.less();
     match told {
         None => {}
-        Some(Ok(ticket)) => go_on(core, living, &ticket),
+        Some(Ok(ticket)) => {
+            core.living().insert(living.rpc.id.clone(), living.clone());
+            go_on(core, living, &ticket);
+        }
         Some(Err(turned)) => {
             let answer = match turned {
                 // Who holds it may be the stranger and this one be honest: it never ran, and may elsewhere.
@@ -63,6 +66,7 @@
             break;
         }
     }
+    core.living().remove(&living.rpc.id);
     core.gate.close(ticket);
 }
 
--- a/crates/ochrewalk-node/src/main.rs
+++ b/crates/ochrewalk-node/src/main.rs
@@ -40,6 +40,15 @@
         #[arg(long, env = "OCHREWALK_OPERATORS", value_name = "FILE")]
         operators: Option<PathBuf>,
     },
+    /// Have another program take over from the running one, with all that it holds
+    Upgrade {
+        /// The socket that the operators' file names
+        #[arg(long, value_name = "PATH")]
+        control: PathBuf,
+        /// The program that takes over
+        #[arg(long, value_name = "FILE")]
+        program: PathBuf,
+    },
     /// Say which version this is
     Version,
 }
@@ -50,6 +59,9 @@
             println!("ochrewalk {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
+        Command::Upgrade { control, program } => {
+            ochrewalk_node::moving::keeper::ask(&control, &program).map(|how| println!("{how}"))
+        }
         Command::Check { config, operators } => {
             let files = Files { node: config, operators };
             files.read().map(|(placement, operators)| {
--- /dev/null
+++ b/crates/ochrewalk-node/src/moving/keeper.rs
@@ -0,0 +1,334 @@
+//! The keeper: the process that the platform started and watches, where the operators' file allows upgrades. It starts
+//! the program that serves, starts another beside it when asked to, hands on signals, and says which of the two may
+//! act. It serves nothing itself, so that little can go wrong with it.
+
+use super::wire::{inherit, lines, send_line};
+use rustix::net::sockopt::socket_peercred;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::os::fd::{AsFd, AsRawFd, FromRawFd, OwnedFd};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// What a program that was started by a keeper is told: the descriptor of its line to the keeper, and of the stream to
+/// the program that it is to succeed.
+const KEPT: &str = "OCHREWALK_KEPT";
+const TAKES: &str = "OCHREWALK_TAKES";
+/// How long whoever asks on the control socket may take to say what for.
+const ASKING: Duration = Duration::from_secs(2);
+/// How long the outcome of an upgrade is waited for by whoever asked.
+const OUTCOME: Duration = Duration::from_secs(60);
+
+/// Whether this process was started by a keeper.
+pub fn is_kept() -> bool {
+    std::env::var_os(KEPT).is_some()
+}
+
+/// The other end of the line to the keeper, in a program that serves.
+pub struct Line {
+    stream: UnixStream,
+    answers: Mutex<Receiver<bool>>,
+}
+
+/// The line to the keeper, the stream to the program before this one, and where streams come to hand over by.
+pub struct Kept {
+    pub line: Line,
+    pub takes: Option<UnixStream>,
+    pub gives: Receiver<OwnedFd>,
+}
+
+/// What this process was started with. Once only.
+pub fn kept() -> Option<Kept> {
+    let descriptor = |name: &str| -> Option<UnixStream> {
+        let number = std::env::var(name).ok()?.parse::<i32>().ok()?;
+        std::env::remove_var(name);
+        // SAFETY: the keeper passed this descriptor on for this use alone, and the name is gone now.
+        let owned = unsafe { OwnedFd::from_raw_fd(number) };
+        rustix::io::fcntl_setfd(&owned, rustix::io::FdFlags::CLOEXEC).ok()?;
+        Some(UnixStream::from(owned))
+    };
+    let stream = descriptor(KEPT)?;
+    let takes = descriptor(TAKES);
+    let ((answer, answers), (give, gives)) = (channel(), channel());
+    let reads = stream.try_clone().ok()?;
+    std::thread::spawn(move || {
+        lines(&reads, |line, descriptor| match (line, descriptor) {
+            ("give", Some(descriptor)) => drop(give.send(descriptor)),
+            ("yes", _) => drop(answer.send(true)),
+            ("no", _) => drop(answer.send(false)),
+            _ => {}
+        });
+        // The keeper has ended, and for the platform so has this node.
+        let _ = signal_hook::low_level::raise(SIGTERM);
+    });
+    Some(Kept { line: Line { stream, answers: Mutex::new(answers) }, takes, gives })
+}
+
+impl Line {
+    pub fn say(&self, words: &str) {
+        let _ = send_line(&self.stream, &words.replace('\n', " "), None);
+    }
+
+    /// Whether this process may act now.
+    pub fn may(&self, what: &str) -> bool {
+        let answers = self.answers.lock().unwrap_or_else(|broken| broken.into_inner());
+        self.say(what);
+        answers.recv_timeout(OUTCOME).unwrap_or(false)
+    }
+}
+
+enum Event {
+    Said(u64, String),
+    Ended(u64, Option<ExitStatus>),
+    Asked(UnixStream),
+    Signal(i32),
+}
+
+struct Worker {
+    pid: u32,
+    line: UnixStream,
+}
+
+/// An upgrade that is under way.
+struct Attempt {
+    from: u64,
+    to: u64,
+    /// Who waits to hear of it.
+    asker: UnixStream,
+    ended_one: bool,
+}
+
+struct Keeper {
+    workers: BTreeMap<u64, Worker>,
+    next: u64,
+    /// Who may act; nobody while state passes from one to the other.
+    acts: Option<u64>,
+    attempt: Option<Attempt>,
+    last_status: Option<ExitStatus>,
+    to_self: Sender<Event>,
+}
+
+/// Keeps programs that serve until none is left; its status is that of the last one. An error comes back before
+/// anything is started.
+pub fn keep(control: &Path) -> Result<ExitStatus, String> {
+    let (to_self, events) = channel();
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
+        .map_err(|err| format!("cannot wait for signals: {err}"))?;
+    let listener = listen(control)?;
+    let on_signal = to_self.clone();
+    std::thread::spawn(move || {
+        signals.forever().for_each(|signal| drop(on_signal.send(Event::Signal(signal))))
+    });
+    let on_asked = to_self.clone();
+    std::thread::spawn(move || {
+        listener.incoming().flatten().for_each(|stream| drop(on_asked.send(Event::Asked(stream))));
+    });
+    let (workers, last_status) = (BTreeMap::new(), None);
+    let mut keeper = Keeper { workers, next: 0, acts: None, attempt: None, last_status, to_self };
+    let own = std::env::current_exe().map_err(|err| err.to_string())?;
+    keeper.acts = Some(keeper.start(&own, None).map_err(|err| format!("{}: {err}", own.display()))?);
+    for event in events {
+        keeper.handle(event);
+        if keeper.workers.is_empty() {
+            break;
+        }
+    }
+    let _ = std::fs::remove_file(control);
+    keeper.last_status.ok_or_else(|| "the program that served cannot be waited for".into())
+}
+
+/// A socket for its owner alone.
+fn listen(control: &Path) -> Result<UnixListener, String> {
+    let fault = |err: std::io::Error| format!("{}: {err}", control.display());
+    // One that nobody listens at was left by a keeper that was killed.
+    if UnixStream::connect(control).is_ok() {
+        return Err(format!("{}: another keeper listens there", control.display()));
+    }
+    let _ = std::fs::remove_file(control);
+    // Guards against a moment in which others could connect: made under another name, open to nobody else, first.
+    let fresh = PathBuf::from(format!("{}.{}", control.display(), std::process::id()));
+    let _ = std::fs::remove_file(&fresh);
+    let before = rustix::process::umask(rustix::fs::Mode::from_raw_mode(0o177));
+    let listener = UnixListener::bind(&fresh);
+    rustix::process::umask(before);
+    let listener = listener.map_err(fault)?;
+    std::fs::set_permissions(&fresh, std::fs::Permissions::from_mode(0o600)).map_err(fault)?;
+    std::fs::rename(&fresh, control).map_err(fault)?;
+    Ok(listener)
+}
+
+impl Keeper {
+    fn start(&mut self, program: &Path, takes: Option<&UnixStream>) -> std::io::Result<u64> {
+        let (ours, theirs) = UnixStream::pair()?;
+        let theirs = inherit(theirs.as_fd())?;
+        let takes = takes.map(|stream| inherit(stream.as_fd())).transpose()?;
+        let mut command = Command::new(program);
+        command.args(std::env::args_os().skip(1)).env(KEPT, theirs.as_raw_fd().to_string());
+        match &takes {
+            Some(takes) => command.env(TAKES, takes.as_raw_fd().to_string()),
+            None => command.env_remove(TAKES),
+        };
+        let child = command.spawn()?;
+        self.next += 1;
+        let number = self.next;
+        self.workers.insert(number, Worker { pid: child.id(), line: ours.try_clone()? });
+        let on_said = self.to_self.clone();
+        std::thread::spawn(move || {
+            lines(&ours, |line, _| drop(on_said.send(Event::Said(number, line.into()))));
+        });
+        let on_end = self.to_self.clone();
+        std::thread::spawn(move || wait(child, number, &on_end));
+        Ok(number)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Signal(signal) => self.workers.values().for_each(|worker| send_signal(worker.pid, signal)),
+            Event::Asked(stream) => self.asked(stream),
+            Event::Ended(number, status) => self.ended(number, status),
+            Event::Said(number, line) => self.said(number, &line),
+        }
+    }
+
+    fn said(&mut self, number: u64, line: &str) {
+        match line {
+            "still?" | "on?" | "begin?" => {
+                let may = self.acts.is_none() || self.acts == Some(number);
+                if may {
+                    self.acts = if line == "still?" { None } else { Some(number) };
+                }
+                if let Some(worker) = self.workers.get(&number) {
+                    let _ = send_line(&worker.line, if may { "yes" } else { "no" }, None);
+                }
+            }
+            "end other" => {
+                // Only while neither acts, and one of them at the most: the other may be the last one alive.
+                let Some(attempt) = self.attempt.as_mut().filter(|a| !a.ended_one && self.acts.is_none())
+                else {
+                    return;
+                };
+                attempt.ended_one = true;
+                let other = if number == attempt.from { attempt.to } else { attempt.from };
+                if let Some(worker) = self.workers.get(&other) {
+                    send_signal(worker.pid, signal_hook::consts::SIGKILL);
+                }
+            }
+            _ => {
+                if let Some(how) = line.strip_prefix("told ") {
+                    self.over(how);
+                }
+            }
+        }
+    }
+
+    /// An attempt has come to its end.
+    fn over(&mut self, how: &str) {
+        let Some(mut attempt) = self.attempt.take() else { return };
+        let _ = writeln!(attempt.asker, "{how}");
+        // Guards against a new program that hangs: nothing is left of an attempt that failed.
+        if let (Some(worker), true) = (self.workers.get(&attempt.to), self.acts == Some(attempt.from)) {
+            send_signal(worker.pid, signal_hook::consts::SIGKILL);
+        }
+    }
+
+    fn ended(&mut self, number: u64, status: Option<ExitStatus>) {
+        self.workers.remove(&number);
+        // The node's end is that of the one that acted: one that has handed over ends well beside it.
+        let acted = self.acts == Some(number);
+        if acted {
+            self.acts = None;
+        }
+        if acted || self.last_status.is_none() {
+            self.last_status = status;
+        }
+        let attempt = self.attempt.as_ref().map(|a| (a.from, a.to));
+        match attempt {
+            // The one that serves hears of it by itself, and says what it makes of it.
+            Some((_, to)) if to == number => {}
+            Some((from, _)) if from == number => {
+                self.over("the running program ended in the middle; the new one takes over");
+            }
+            _ => {}
+        }
+    }
+
+    /// Somebody is at the control socket.
+    fn asked(&mut self, mut stream: UnixStream) {
+        let own = rustix::process::geteuid();
+        let peer = socket_peercred(&stream).map(|peer| peer.uid);
+        if peer.as_ref().is_ok_and(|uid| *uid != own && !uid.is_root()) || peer.is_err() {
+            let _ = writeln!(stream, "refused: another user");
+            return;
+        }
+        let _ = stream.set_read_timeout(Some(ASKING));
+        let mut line = String::new();
+        let Ok(reads) = stream.try_clone() else { return };
+        let mut reads = BufReader::new(std::io::Read::take(reads, 4096));
+        if reads.read_line(&mut line).is_err() {
+            let _ = writeln!(stream, "refused: nothing was asked for");
+            return;
+        }
+        let Some(program) = line.strip_prefix("upgrade ").map(str::trim_end) else {
+            let _ = writeln!(stream, "refused: write upgrade PROGRAM");
+            return;
+        };
+        let Some(from) = self.acts.filter(|_| self.attempt.is_none()) else {
+            let _ = writeln!(stream, "refused: another upgrade is under way");
+            return;
+        };
+        if let Err(why) = self.begin(from, Path::new(program), &stream) {
+            let _ = writeln!(stream, "refused: {program}: {why}");
+        }
+    }
+
+    fn begin(&mut self, from: u64, program: &Path, asker: &UnixStream) -> std::io::Result<()> {
+        let (gives, takes) = UnixStream::pair()?;
+        let asker = asker.try_clone()?;
+        let to = self.start(program, Some(&takes))?;
+        // Only the two of them hold an end from here on: so the end of either is heard by the other.
+        drop(takes);
+        self.attempt = Some(Attempt { from, to, asker, ended_one: false });
+        let running = self.workers.get(&from).ok_or(std::io::ErrorKind::NotFound)?;
+        send_line(&running.line, "give", Some(gives.as_fd()))
+    }
+}
+
+fn wait(mut child: Child, number: u64, on_end: &Sender<Event>) {
+    let status = child.wait().ok();
+    let _ = on_end.send(Event::Ended(number, status));
+}
+
+fn send_signal(pid: u32, signal: i32) {
+    let pid = rustix::process::Pid::from_raw(pid as i32);
+    let signal = match signal {
+        SIGTERM => rustix::process::Signal::TERM,
+        SIGINT => rustix::process::Signal::INT,
+        SIGHUP => rustix::process::Signal::HUP,
+        _ => rustix::process::Signal::KILL,
+    };
+    if let Some(pid) = pid {
+        let _ = rustix::process::kill_process(pid, signal);
+    }
+}
+
+/// Asks a keeper for an upgrade and waits for its outcome; an error says why it did not come about.
+pub fn ask(control: &Path, program: &Path) -> Result<String, String> {
+    let fault = |err: std::io::Error| format!("{}: {err}", control.display());
+    let program = std::fs::canonicalize(program).map_err(|err| format!("{}: {err}", program.display()))?;
+    let mut stream = UnixStream::connect(control).map_err(fault)?;
+    stream.set_read_timeout(Some(OUTCOME)).map_err(fault)?;
+    writeln!(stream, "upgrade {}", program.display()).map_err(fault)?;
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).map_err(fault)?;
+    match line.trim_end() {
+        "" => Err("the keeper ended without a word".into()),
+        "handed over" => Ok("handed over".into()),
+        other => Err(other.into()),
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-node/src/moving/take.rs
@@ -0,0 +1,203 @@
+//! The side that is to take over: it reads its files, takes all that the running program holds, puts it together
+//! without acting on any of it, and begins at the word.
+
+use super::keeper::Line;
+use super::records::{self, KeptAjps, KeptBelow, KeptDispatchers, KeptExecutor, KeptNode, KeptRpcs};
+use super::wire::{Heard, Wire};
+use crate::clock::Clock;
+use ochrewalk_handover::messages::{Message, Refuse};
+use ochrewalk_handover::taker::{Acts, Limits, Room, State, Taker};
+use std::collections::HashMap;
+use std::os::fd::OwnedFd;
+use std::time::Duration;
+
+const LIMITS: Limits = Limits { answer_us: 5_000_000, frozen_us: 3_000_000 };
+const BEGIN_TRIES: u32 = 100;
+const LOOK: Duration = Duration::from_millis(10);
+/// For tests of what fails: a step of the hand-over, and whether to crash or hang there, as in `crash:ready`.
+const FAILS: &str = "OCHREWALK_TAKE_FAILS";
+
+/// All that the program before held.
+pub struct Taken {
+    pub node: KeptNode,
+    pub listeners: Vec<OwnedFd>,
+    pub rpcs: KeptRpcs,
+    pub json: (KeptDispatchers, Vec<OwnedFd>),
+    pub ajp: (KeptAjps, Vec<OwnedFd>),
+    pub executor: (KeptExecutor, Option<OwnedFd>),
+    pub below: (KeptBelow, Vec<OwnedFd>),
+}
+
+/// How this process is to begin.
+pub enum Begin<P> {
+    /// With what was put together.
+    With(P),
+    /// As after any start: the program before died with all that it held.
+    Anew,
+}
+
+/// Says that nothing is to be taken over, as the files cannot be used.
+pub fn refuse(wire: &Wire, why: &str) {
+    let _ = wire.send(Message::Refuse(Refuse { why: why.replace('\n', "; ") }), &[]);
+}
+
+/// Takes over, by `build` from what was taken. An error says why not; the program before goes on then.
+pub fn take<P>(
+    wire: Wire,
+    line: &Line,
+    digest: u64,
+    (bytes, descriptors): (u64, u32),
+    interrupted: impl Fn() -> bool,
+    build: impl FnMut(Taken) -> Result<P, String>,
+) -> Result<Begin<P>, String> {
+    fails("start");
+    let clock = Clock::start();
+    let program = env!("CARGO_PKG_VERSION").to_string();
+    let room = Room { digest, program, knows: records::sections(), bytes, descriptors };
+    let mut side =
+        Side { wire, line, build, kept: HashMap::new(), short: false, built: None, begin: None, end: None };
+    let mut taker = Taker::start(clock.now_us(), LIMITS, room, &mut side);
+    fails("greet");
+    loop {
+        if let Some(why) = side.end.take() {
+            return Err(why);
+        }
+        if let Some(begin) = side.begin.take() {
+            fails("done");
+            return Ok(begin);
+        }
+        if interrupted() {
+            taker.leave(&mut side);
+        }
+        match side.wire.hear(LOOK) {
+            Ok(Heard::Message(message)) => {
+                let before = taker.state();
+                taker.message(clock.now_us(), &message, &mut side);
+                match (before, taker.state()) {
+                    (State::Prepared { .. }, State::Ready { .. }) => fails("ready"),
+                    (State::Ready { .. }, State::Committed { .. }) => fails("commit"),
+                    _ => {}
+                }
+            }
+            Ok(Heard::Ended) => taker.peer_ended(&mut side),
+            Ok(Heard::Unknown | Heard::Nothing) => taker.tick(clock.now_us(), &mut side),
+            Err(err) => return Err(format!("what is passed on cannot be read: {err}")),
+        }
+    }
+}
+
+fn fails(step: &str) {
+    let Ok(wanted) = std::env::var(FAILS) else { return };
+    match wanted.split_once(':') {
+        Some(("crash", at)) if at == step => std::process::abort(),
+        Some(("hang", at)) if at == step => loop {
+            std::thread::sleep(Duration::from_secs(1));
+        },
+        _ => {}
+    }
+}
+
+struct Side<'a, P, B> {
+    wire: Wire,
+    line: &'a Line,
+    build: B,
+    /// Bytes and descriptors of each section.
+    kept: HashMap<String, (Vec<u8>, Vec<OwnedFd>)>,
+    /// Fewer descriptors came than were announced.
+    short: bool,
+    built: Option<P>,
+    begin: Option<Begin<P>>,
+    end: Option<String>,
+}
+
+impl<P, B: FnMut(Taken) -> Result<P, String>> Side<'_, P, B> {
+    fn section<M: prost::Message + Default>(&mut self, name: &str) -> Result<(M, Vec<OwnedFd>), String> {
+        let (bytes, descriptors) = self.kept.remove(name).unwrap_or_default();
+        let kept = M::decode(bytes.as_slice()).map_err(|err| format!("section {name}: {err}"))?;
+        Ok((kept, descriptors))
+    }
+
+    fn taken(&mut self) -> Result<Taken, String> {
+        if self.short {
+            return Err("fewer descriptors came than were announced".into());
+        }
+        let (node, _) = self.section::<KeptNode>("node")?;
+        let (rpcs, _) = self.section::<KeptRpcs>("rpcs")?;
+        let (_, listeners) = self.kept.remove("listeners").unwrap_or_default();
+        let (executor, link) = self.section::<KeptExecutor>("executor")?;
+        let taken = Taken {
+            node,
+            listeners,
+            rpcs,
+            json: self.section("json")?,
+            ajp: self.section("ajp")?,
+            executor: (executor, link.into_iter().next()),
+            below: self.section("below")?,
+        };
+        let matches = taken.json.0.of.len() == taken.json.1.len()
+            && taken.ajp.0.of.len() == taken.ajp.1.len()
+            && taken.below.0.links.len() == taken.below.1.len()
+            && taken.executor.0.stream.is_some() == taken.executor.1.is_some();
+        if matches {
+            Ok(taken)
+        } else {
+            Err("streams and descriptors differ in number".into())
+        }
+    }
+}
+
+impl<P, B: FnMut(Taken) -> Result<P, String>> Acts for Side<'_, P, B> {
+    fn send(&mut self, message: Message) {
+        let _ = self.wire.send(message, &[]);
+    }
+
+    fn keep(&mut self, section: &str, bytes: &[u8], descriptors: u32) {
+        let came = self.wire.take(descriptors as usize);
+        self.short |= came.is_none();
+        let kept = self.kept.entry(section.to_string()).or_default();
+        kept.0.extend_from_slice(bytes);
+        kept.1.extend(came.unwrap_or_default());
+    }
+
+    fn load(&mut self) -> Result<(), String> {
+        let taken = self.taken()?;
+        self.built = Some((self.build)(taken)?);
+        Ok(())
+    }
+
+    fn begin(&mut self) {
+        self.begins(true);
+    }
+
+    fn begin_anew(&mut self) {
+        self.begins(false);
+    }
+
+    fn end_peer(&mut self) {
+        self.line.say("end other");
+    }
+
+    fn end(&mut self, why: &str) {
+        self.end = Some(why.to_string());
+    }
+}
+
+impl<P, B> Side<'_, P, B> {
+    fn begins(&mut self, with: bool) {
+        // Whoever started both has the last word on who acts; that the other died it may hear a moment later.
+        let may = (0..BEGIN_TRIES).any(|tried| {
+            if tried > 0 {
+                std::thread::sleep(LOOK);
+            }
+            self.line.may("begin?")
+        });
+        if !may {
+            self.end = Some("the running program goes on".into());
+            return;
+        }
+        self.begin = Some(match self.built.take().filter(|_| with) {
+            Some(built) => Begin::With(built),
+            None => Begin::Anew,
+        });
+    }
+}
--- a/crates/ochrewalk-node/src/net/ajp_below.rs
+++ b/crates/ochrewalk-node/src/net/ajp_below.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::ending::{CallEnd, Ending};
 use crate::gate::{Next, Post};
+use crate::moving::records::KeptBelow;
 use crate::seam::Beneath;
 use ochrewalk::host::RpcId;
 use ochrewalk_ajp::asker::{Acts, Bounds, End, Life, Reply};
@@ -14,6 +15,7 @@
 use ochrewalk_operators::AjpBelow as Told;
 use ochrewalk_places::{CallId, Ended, Leaving, LinkId, Places, Said, Settled, Wire};
 use std::collections::HashMap;
+use std::os::fd::RawFd;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -35,6 +37,17 @@
 struct State {
     places: Places,
     hands: Hands,
+    /// Calls that wait for the end of a hold; none where none is on.
+    held: Option<Vec<HeldCall>>,
+}
+
+/// A call that came while none was to be placed.
+struct HeldCall {
+    id: RpcId,
+    until_us: u64,
+    body: Vec<u8>,
+    again: bool,
+    post: Post,
 }
 
 /// What the connections carry, and what is asked of them.
@@ -86,7 +99,12 @@
                 why: None,
                 now_us: 0,
             };
-            Inner { clock, told, headers: Headers::default(), state: Mutex::new(State { places, hands }) }
+            Inner {
+                clock,
+                told,
+                headers: Headers::default(),
+                state: Mutex::new(State { places, hands, held: None }),
+            }
         }))
     }
 
@@ -121,18 +139,46 @@
     fn call(&self, id: &RpcId, wait_ms: u64, body: &[u8], again: bool, post: Post) {
         // A second call of an RPC stands in the place of the first.
         self.give_up(id);
-        let now_us = self.0.clock.now_us();
-        let until_us = now_us + wait_ms * 1_000;
-        self.0.with(|places, hands| {
-            hands.next_call += 1;
-            let call = hands.next_call;
-            hands.ids.insert(id.clone(), call);
-            hands.calls.insert(call, Call { id: id.clone(), body: body.to_vec(), until_us, post });
-            places.call(now_us, call, again, until_us, hands);
-        });
+        let until_us = self.0.clock.now_us() + wait_ms * 1_000;
+        let call = HeldCall { id: id.clone(), until_us, body: body.to_vec(), again, post };
+        if let Some(held) = &mut self.0.lock().held {
+            return held.push(call);
+        }
+        self.0.place(call);
+    }
+
+    /// Connections by AJP do not move: a call is under way on each that carries one.
+    fn hold(&self, hold: bool) {
+        let held = {
+            let mut state = self.0.lock();
+            let held = state.held.take().unwrap_or_default();
+            state.held = hold.then(Vec::new);
+            held
+        };
+        held.into_iter().for_each(|call| self.0.place(call));
+    }
+
+    fn is_unmovable(&self) -> bool {
+        self.0.lock().places.open_calls() > 0
+    }
+
+    fn keep(&self) -> (KeptBelow, Vec<RawFd>) {
+        let state = self.0.lock();
+        // Those that only wait for a connection were not written, and are placed anew.
+        let written = |link: &Link| link.call.filter(|_| link.life.wrote());
+        let lost = state.hands.links.values().filter_map(written);
+        let name = |call: CallId| state.hands.calls.get(&call).map(|call| call.id.to_string());
+        (KeptBelow { links: Vec::new(), lost: lost.filter_map(name).collect() }, Vec::new())
+    }
+
+    fn nudge(&self) {
+        self.0.lock().hands.links.values().for_each(|link| link.outbox.nudge());
     }
 
     fn give_up(&self, id: &str) {
+        if let Some(held) = &mut self.0.lock().held {
+            held.retain(|call| *call.id != *id);
+        }
         self.0.with(|places, hands| {
             let Some(call) = hands.ids.remove(id) else { return };
             hands.calls.remove(&call);
@@ -142,9 +188,20 @@
 }
 
 impl Inner {
+    fn place(&self, new: HeldCall) {
+        let HeldCall { id, until_us, body, again, post } = new;
+        self.with(|places, hands| {
+            hands.next_call += 1;
+            let call = hands.next_call;
+            hands.ids.insert(id.clone(), call);
+            hands.calls.insert(call, Call { id, body, until_us, post });
+            places.call(hands.now_us, call, again, until_us, hands);
+        });
+    }
+
     fn with<T>(&self, what: impl FnOnce(&mut Places, &mut Hands) -> T) -> T {
         let mut state = self.lock();
-        let State { places, hands } = &mut *state;
+        let State { places, hands, .. } = &mut *state;
         hands.now_us = self.clock.now_us();
         what(places, hands)
     }
--- a/crates/ochrewalk-node/src/net/ajp_front.rs
+++ b/crates/ochrewalk-node/src/net/ajp_front.rs
@@ -1,22 +1,24 @@
 //! Callers' connections by AJP: accepted, read, answered, ended. What may come when is the life's in `ochrewalk-ajp`,
 //! what a request stands for the judge's in `ochrewalk-fronts`; from there on an RPC is as any other.
 
-use super::link::{carry, Finish, Outbox, Reader};
+use super::link::{accept, adopt, carry, Finish, Outbox, Reader};
 use crate::core::{Asked, Core};
 use crate::ending::{out_of_room, Ending};
+use crate::moving::records::{KeptAjp, KeptAjps, KeptAsks, Whereabouts};
 use crate::seam::{Answer, Asker};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use may::net::{TcpListener, TcpStream};
 use ochrewalk::host::RpcId;
-use ochrewalk_ajp::answerer::{Acts, Bounds, End, Life, Plain, Refusal};
+use ochrewalk_ajp::answerer::{Acts, Bounds, End, Life, Plain, Refusal, State};
 use ochrewalk_ajp::reply::{self, Head};
 use ochrewalk_ajp::request::{self, BodyLength, Message};
 use ochrewalk_fronts::guests::Guests;
-use ochrewalk_fronts::judge::{Asks, No, Rules};
+use ochrewalk_fronts::judge::{Asks, Method, No, Rules};
 use ochrewalk_fronts::room::{self, Standing, Verdict, Worth};
 use socket2::SockRef;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::Shutdown;
+use std::os::fd::{AsRawFd, OwnedFd, RawFd};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -64,7 +66,8 @@
     listener: Option<std::net::TcpListener>,
 }
 
-struct Connection {
+pub struct Connection {
+    number: u64,
     outbox: Outbox,
     state: Mutex<Carried>,
 }
@@ -109,7 +112,7 @@
             Err(err) => tracing::error!(part = "ajp", "cannot clone the listener: {err}"),
         }
         loop {
-            let accepted = listener.accept();
+            let accepted = accept(listener);
             if accepted.is_err() && self.lock().listener.is_none() {
                 return;
             }
@@ -193,9 +196,8 @@
         self.table.lock().unwrap_or_else(|broken| broken.into_inner())
     }
 
-    fn enter(&self) -> (u64, Arc<Connection>) {
-        let now_us = self.core.clock.now_us();
-        let bounds = Bounds {
+    fn bounds(&self) -> Bounds {
+        Bounds {
             first_us: FIRST_US,
             packet_us: PACKET_US,
             body_us: BODY_US,
@@ -203,9 +205,123 @@
             close_us: CLOSE_US,
             most_body: MOST_BODY,
             most_faults: MOST_FAULTS,
-        };
+        }
+    }
+
+    /// Has every connection looked at again, as a standstill is over.
+    pub fn nudge(&self) {
+        self.all().iter().for_each(|connection| connection.outbox.nudge());
+    }
+
+    /// The listener's descriptor.
+    pub fn listener(&self) -> Option<RawFd> {
+        self.lock().listener.as_ref().map(|listener| listener.as_raw_fd())
+    }
+
+    /// Every connection with its descriptor, for another process to go on with. None where one is only just coming
+    /// or going.
+    pub fn keep(&self) -> Option<(KeptAjps, Vec<RawFd>)> {
+        let table = self.lock();
+        let (mut of, mut descriptors) = (Vec::new(), Vec::new());
+        for (number, connection) in &table.of {
+            let (fd, stream) = connection.outbox.keep()?;
+            let state = connection.lock();
+            let (life, spoke, faults) = state.life.keep();
+            let (kind, since_us, got, stated, flag) = match life {
+                State::Idle { since_us } => (0, since_us, 0, None, false),
+                State::Head { since_us } => (1, since_us, 0, None, false),
+                State::Body { since_us, got, of } => {
+                    let stated = if let BodyLength::Stated(length) = of { Some(length) } else { None };
+                    (2, since_us, got, stated, false)
+                }
+                State::InHand { spoilt } => (3, 0, 0, None, spoilt),
+                State::Answering { reuse } => (4, 0, 0, None, reuse),
+                State::Closing { since_us } => (5, since_us, 0, None, false),
+                State::Over => (6, 0, 0, None, false),
+            };
+            of.push(KeptAjp {
+                number: *number,
+                stream,
+                state: kind,
+                since_us,
+                got,
+                stated,
+                flag,
+                spoke,
+                faults,
+                asks: state.asks.as_ref().map(|(asks, ts_ms)| kept_asks(asks, *ts_ms)),
+                body: state.body.clone(),
+                rpc: state.rpc.as_ref().map(|id| id.to_string()),
+                serial: state.serial,
+                used_us: state.used_us,
+                good: state.good,
+            });
+            descriptors.push(fd);
+        }
+        Some((KeptAjps { of, next: table.next }, descriptors))
+    }
+
+    /// Goes on with connections of another process. `ids` are those of the RPCs that are open.
+    pub fn resume(
+        &self,
+        kept: KeptAjps,
+        descriptors: Vec<OwnedFd>,
+        ids: &HashSet<RpcId>,
+    ) -> Vec<(Arc<Connection>, OwnedFd)> {
+        let mut table = self.lock();
+        table.next = kept.next;
+        let id = |rpc: String| ids.get(rpc.as_str()).cloned().unwrap_or_else(|| rpc.into());
+        let mut resumed = Vec::new();
+        for (kept, descriptor) in kept.of.into_iter().zip(descriptors) {
+            let (since_us, flag) = (kept.since_us, kept.flag);
+            let life = match kept.state {
+                0 => State::Idle { since_us },
+                1 => State::Head { since_us },
+                2 => {
+                    let of = kept.stated.map_or(BodyLength::Unstated, BodyLength::Stated);
+                    State::Body { since_us, got: kept.got, of }
+                }
+                3 => State::InHand { spoilt: flag },
+                4 => State::Answering { reuse: flag },
+                5 => State::Closing { since_us },
+                _ => State::Over,
+            };
+            let state = Carried {
+                life: Life::resume(self.bounds(), life, kept.spoke, kept.faults),
+                asks: kept.asks.map(asks_again),
+                body: kept.body,
+                rpc: kept.rpc.map(id),
+                serial: kept.serial,
+                used_us: kept.used_us,
+                good: kept.good,
+                going: false,
+            };
+            let outbox = Outbox::resume(kept.stream, false);
+            let connection = Arc::new(Connection { number: kept.number, outbox, state: Mutex::new(state) });
+            table.of.insert(kept.number, connection.clone());
+            resumed.push((connection, descriptor));
+        }
+        resumed
+    }
+
+    /// Carries connections that [`AjpFront::resume`] gave.
+    pub fn go_on(self: &Arc<Self>, resumed: Vec<(Arc<Connection>, OwnedFd)>) {
+        for (connection, descriptor) in resumed {
+            let front = self.clone();
+            may::go!(move || front.serve(&adopt(descriptor), connection.number, &connection));
+        }
+    }
+
+    /// Who waits for an answer on a connection, as [`Asker::whereabouts`] said.
+    pub fn asker(self: &Arc<Self>, at: &Whereabouts) -> Option<Box<dyn Asker>> {
+        let connection = self.lock().of.get(&at.connection)?.clone();
+        Some(Box::new(Caller { front: self.clone(), connection, serial: at.serial }))
+    }
+
+    fn enter(&self) -> (u64, Arc<Connection>) {
+        let now_us = self.core.clock.now_us();
         let mut table = self.lock();
-        let mut life = Life::new(now_us, bounds);
+        let mut life = Life::new(now_us, self.bounds());
         if table.leaving {
             life.leave();
         }
@@ -219,9 +335,9 @@
             good: false,
             going: false,
         };
-        let connection = Arc::new(Connection { outbox: Outbox::default(), state: Mutex::new(state) });
         table.next += 1;
         let number = table.next;
+        let connection = Arc::new(Connection { number, outbox: Outbox::default(), state: Mutex::new(state) });
         table.of.insert(number, connection.clone());
         (number, connection)
     }
@@ -339,6 +455,29 @@
     }
 }
 
+fn kept_asks(asks: &Asks, ts_ms: u64) -> KeptAsks {
+    match asks {
+        Asks::Health => KeptAsks { health: true, ts_ms, ..KeptAsks::default() },
+        Asks::Method(Method { method, id, token, left_us, kb }) => KeptAsks {
+            health: false,
+            method: *method as u32,
+            id: id.clone(),
+            token: token.clone(),
+            left_us: *left_us,
+            kb: *kb,
+            ts_ms,
+        },
+    }
+}
+
+fn asks_again(kept: KeptAsks) -> (Asks, u64) {
+    let KeptAsks { health, method, id, token, left_us, kb, ts_ms } = kept;
+    if health {
+        return (Asks::Health, ts_ms);
+    }
+    (Asks::Method(Method { method: method as usize, id, token, left_us, kb }), ts_ms)
+}
+
 /// The bytes of a JSON string of base64, in which the solidus may be escaped.
 fn decoded(json: &str) -> Option<Vec<u8>> {
     let text = json.strip_prefix('"')?.strip_suffix('"')?;
@@ -412,6 +551,15 @@
         self.connection.outbox.push(self.front.packets(answer, signal, reuse));
     }
 
+    fn whereabouts(&self) -> Whereabouts {
+        Whereabouts {
+            by_ajp: true,
+            connection: self.connection.number,
+            name: String::new(),
+            serial: self.serial,
+        }
+    }
+
     /// It counts once its answer says so: one RPC is in hand at a time.
     fn fault(&self) {}
 
--- a/crates/ochrewalk-node/src/net/below.rs
+++ b/crates/ochrewalk-node/src/net/below.rs
@@ -2,15 +2,18 @@
 //! one spoilt reply makes a connection useless for all calls on it. Connections are kept for a moment, for later
 //! calls that may be made again, and then closed by us before the other side would.
 
-use super::link::{carry, connect, Finish, Outbox, Reader};
+use super::link::{adopt, carry, connect, Finish, Outbox, Reader};
 use crate::clock::Clock;
 use crate::ending::{CallEnd, Ending};
 use crate::gate::{Next, Post};
+use crate::moving::records::{KeptBelow, KeptLink};
 use crate::seam::Beneath;
 use crate::wire::calls::{self, Word};
+use may::net::TcpStream;
 use ochrewalk::host::RpcId;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::os::fd::{OwnedFd, RawFd};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -80,6 +83,47 @@
     fn give_up(&self, id: &str) {
         self.0.give_up(id);
     }
+
+    fn keep(&self) -> (KeptBelow, Vec<RawFd>) {
+        let state = self.0.lock();
+        let (mut links, mut descriptors) = (Vec::new(), Vec::new());
+        // One that is only being made has written nothing: its calls are placed anew.
+        for (link, (fd, stream)) in state.links.iter().filter_map(|link| Some((link, link.outbox.keep()?))) {
+            let carried = link.lock();
+            links.push(KeptLink {
+                at: link.at.to_string(),
+                stream,
+                calls: carried.calls.keys().map(|id| id.to_string()).collect(),
+                used_us: carried.used_us,
+                partial_us: carried.partial_us,
+            });
+            descriptors.push(fd);
+        }
+        (KeptBelow { links, lost: Vec::new() }, descriptors)
+    }
+
+    fn nudge(&self) {
+        self.0.lock().links.iter().for_each(|link| link.outbox.nudge());
+    }
+}
+
+impl Below {
+    /// Goes on with the connections of another process; the posts are those of the RPCs whose calls they carry.
+    pub fn resume(&self, kept: KeptBelow, descriptors: Vec<OwnedFd>, posts: &HashMap<RpcId, Post>) {
+        let mut state = self.0.lock();
+        for (kept, descriptor) in kept.links.into_iter().zip(descriptors) {
+            let post =
+                |id: String| posts.get_key_value(id.as_str()).map(|(id, post)| (id.clone(), post.clone()));
+            let calls = kept.calls.into_iter().filter_map(post).collect();
+            let carried = Carried { calls, used_us: kept.used_us, partial_us: kept.partial_us };
+            let at = kept.at.parse().unwrap_or(state.at);
+            let outbox = Outbox::resume(kept.stream, false);
+            let link = Arc::new(Link { at, outbox, carried: Mutex::new(carried) });
+            state.links.push(link.clone());
+            let below = self.0.clone();
+            may::go!(move || below.keep(&link, Some(adopt(descriptor))));
+        }
+    }
 }
 
 impl Links {
@@ -107,7 +151,7 @@
                 let link = Arc::new(Link { at: state.at, outbox: Outbox::default(), carried });
                 state.links.push(link.clone());
                 let (below, of) = (self.clone(), link.clone());
-                may::go!(move || below.keep(&of));
+                may::go!(move || below.keep(&of, None));
                 link
             }
         };
@@ -141,8 +185,8 @@
     }
 
     /// Carries one link to its end.
-    fn keep(&self, link: &Arc<Link>) {
-        let ending = match connect(&link.at, CONNECT) {
+    fn keep(&self, link: &Arc<Link>, adopted: Option<TcpStream>) {
+        let ending = match adopted.map_or_else(|| connect(&link.at, CONNECT), Ok) {
             Ok(stream) => {
                 carry(&stream, &link.outbox, None, calls::LONGEST, &mut Replies { below: self, link })
             }
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -1,18 +1,20 @@
 //! Dispatchers' connections: accepted, read, answered and, when they carry nothing or this server leaves,
 //! asked to end.
 
-use super::link::{carry, Finish, Outbox, Reader};
+use super::link::{accept, adopt, carry, Finish, Outbox, Reader};
 use crate::core::{Asked, Core};
 use crate::ending::{out_of_room, Ending};
 use crate::gate::Posture;
+use crate::moving::records::{KeptDispatcher, KeptDispatchers, KeptOpen, Whereabouts};
 use crate::seam::{Answer, Asker};
 use crate::wire::jsonrpc::{self, Message, Which};
 use may::net::{TcpListener, TcpStream};
 use ochrewalk::host::RpcId;
 use ochrewalk_fronts::room::{self, Standing, Verdict, Worth};
 use socket2::SockRef;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::Shutdown;
+use std::os::fd::{AsRawFd, OwnedFd, RawFd};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -62,6 +64,7 @@
 
 /// What others need of a connection that one coroutine carries.
 pub struct Connection {
+    number: u64,
     pub outbox: Outbox,
     state: Mutex<Carried>,
 }
@@ -100,7 +103,7 @@
             Err(err) => tracing::error!(part = "json-rpc", "cannot clone the listener: {err}"),
         }
         loop {
-            let accepted = listener.accept();
+            let accepted = accept(listener);
             if accepted.is_err() && self.lock().listener.is_none() {
                 return;
             }
@@ -138,10 +141,10 @@
     fn enter(&self) -> (u64, Arc<Connection>) {
         let now_us = self.core.clock.now_us();
         let state = Mutex::new(Carried { used_us: now_us, ..Carried::default() });
-        let connection = Arc::new(Connection { outbox: Outbox::default(), state });
         let mut open = self.lock();
         open.next += 1;
         let number = open.next;
+        let connection = Arc::new(Connection { number, outbox: Outbox::default(), state });
         open.of.insert(number, connection.clone());
         if open.leaving {
             connection.ask_to_end(now_us, TO_CLOSE_US);
@@ -224,6 +227,93 @@
         self.lock().of.len()
     }
 
+    /// Has every connection looked at again, as a standstill is over.
+    pub fn nudge(&self) {
+        self.all().iter().for_each(|connection| connection.outbox.nudge());
+    }
+
+    /// The listener's descriptor.
+    pub fn listener(&self) -> Option<RawFd> {
+        self.lock().listener.as_ref().map(|listener| listener.as_raw_fd())
+    }
+
+    /// Every connection with its descriptor, for another process to go on with. None where one is only just coming
+    /// or going.
+    pub fn keep(&self) -> Option<(KeptDispatchers, Vec<RawFd>)> {
+        let open = self.lock();
+        let (mut of, mut descriptors) = (Vec::new(), Vec::new());
+        for (number, connection) in &open.of {
+            let (fd, stream) = connection.outbox.keep()?;
+            let state = connection.lock();
+            of.push(KeptDispatcher {
+                number: *number,
+                stream,
+                open: state
+                    .open
+                    .iter()
+                    .map(|(name, rpc)| KeptOpen { name: name.to_string(), rpc: rpc.to_string() })
+                    .collect(),
+                used_us: state.used_us,
+                spoke: state.spoke,
+                good: state.good,
+                faults: state.faults,
+                after_faults: state.after_faults,
+                partial_us: state.partial_us,
+                rpcs: state.rpcs,
+                end_by_us: state.end_by_us,
+            });
+            descriptors.push(fd);
+        }
+        Some((KeptDispatchers { of, next: open.next }, descriptors))
+    }
+
+    /// Goes on with connections of another process. `ids` are those of the RPCs that are open.
+    pub fn resume(
+        self: &Arc<Self>,
+        kept: KeptDispatchers,
+        descriptors: Vec<OwnedFd>,
+        ids: &HashSet<RpcId>,
+    ) -> Vec<(Arc<Connection>, OwnedFd)> {
+        let mut open = self.lock();
+        open.next = kept.next;
+        let id = |rpc: String| ids.get(rpc.as_str()).cloned().unwrap_or_else(|| rpc.into());
+        let mut resumed = Vec::new();
+        for (kept, descriptor) in kept.of.into_iter().zip(descriptors) {
+            let owed = kept.open.into_iter().map(|o| (o.name.into(), id(o.rpc)));
+            let state = Carried {
+                open: owed.collect(),
+                used_us: kept.used_us,
+                spoke: kept.spoke,
+                good: kept.good,
+                faults: kept.faults,
+                after_faults: kept.after_faults,
+                going: false,
+                partial_us: kept.partial_us,
+                rpcs: kept.rpcs,
+                end_by_us: kept.end_by_us,
+            };
+            let outbox = Outbox::resume(kept.stream, false);
+            let connection = Arc::new(Connection { number: kept.number, outbox, state: Mutex::new(state) });
+            open.of.insert(kept.number, connection.clone());
+            resumed.push((connection, descriptor));
+        }
+        resumed
+    }
+
+    /// Carries connections that [`Dispatchers::resume`] gave.
+    pub fn go_on(self: &Arc<Self>, resumed: Vec<(Arc<Connection>, OwnedFd)>) {
+        for (connection, descriptor) in resumed {
+            let all = self.clone();
+            may::go!(move || all.serve(&adopt(descriptor), connection.number, &connection));
+        }
+    }
+
+    /// Who waits for an answer on a connection, as [`Asker::whereabouts`] said.
+    pub fn asker(&self, at: &Whereabouts) -> Option<Box<dyn Asker>> {
+        let connection = self.lock().of.get(&at.connection)?.clone();
+        Some(Box::new(Caller { core: self.core.clone(), connection, id: at.name.as_str().into() }))
+    }
+
     fn all(&self) -> Vec<Arc<Connection>> {
         self.lock().of.values().cloned().collect()
     }
@@ -262,6 +352,11 @@
         self.connection.answer(&self.id, self.core.clock.now_us(), line);
     }
 
+    fn whereabouts(&self) -> Whereabouts {
+        let (connection, name) = (self.connection.number, self.id.to_string());
+        Whereabouts { by_ajp: false, connection, name, serial: 0 }
+    }
+
     fn fault(&self) {
         self.connection.fault();
     }
--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -12,12 +12,15 @@
 use super::link::{carry, connect, Finish, Outbox, Reader};
 use crate::ending::Ending;
 use crate::gate::{Gate, Next, Post};
+use crate::moving::records::KeptExecutor;
 use crate::wire::notices::{self, Notice, RunEnd};
 use base64::prelude::{Engine, BASE64_STANDARD};
+use may::net::TcpStream;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use ochrewalk::host::RpcId;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -71,6 +74,54 @@
         Executor { pauses, outbox: Outbox::keeping(), state: Mutex::new(state) }
     }
 
+    /// Goes on with the link and the runs of another process.
+    pub fn resume(
+        at: SocketAddr,
+        pauses: bool,
+        kept: KeptExecutor,
+        runs: Vec<(RpcId, bool, Post)>,
+    ) -> Executor {
+        let mut executor = Executor::new(at, pauses);
+        let run = |(id, again, post)| (id, Run { post, again });
+        {
+            let mut state = executor.lock();
+            state.runs = runs.into_iter().map(run).collect();
+            (state.read, state.asked, state.doubt_until) = (kept.read, kept.asked, kept.doubt_until);
+            state.welcomed = kept.welcomed && kept.stream.is_some();
+            state.doubtful = kept.doubtful;
+            state.paused = kept.paused.into_iter().map(RpcId::from).collect();
+        }
+        match kept.stream {
+            Some(stream) => executor.outbox = Outbox::resume(stream, true),
+            None => kept.waiting.into_iter().for_each(|line| executor.outbox.push(line)),
+        }
+        executor
+    }
+
+    /// The link, where there is one with its descriptor, and what is known of the notices.
+    pub fn keep(&self) -> (KeptExecutor, Option<RawFd>) {
+        let stream = self.outbox.keep();
+        let state = self.lock();
+        let kept = KeptExecutor {
+            waiting: if stream.is_none() { self.outbox.waiting() } else { Vec::new() },
+            read: state.read,
+            welcomed: state.welcomed,
+            asked: state.asked,
+            doubtful: state.doubtful.clone(),
+            doubt_until: state.doubt_until,
+            paused: state.paused.iter().map(|id| id.to_string()).collect(),
+            stream: None,
+        };
+        match stream {
+            Some((fd, stream)) => (KeptExecutor { stream: Some(stream), ..kept }, Some(fd)),
+            None => (kept, None),
+        }
+    }
+
+    pub fn nudge(&self) {
+        self.outbox.nudge();
+    }
+
     /// It is found there from now on: the link is made anew, and goes on where it was left.
     pub fn move_to(&self, at: SocketAddr) {
         let from = std::mem::replace(&mut self.lock().at, at);
@@ -124,23 +175,22 @@
         row.or_else(|| rows.1.try_recv().ok())
     }
 
-    /// Keeps the link up for ever. `up` gets a word whenever the executor is known to be up.
-    pub fn keep(&self, gate: &Gate, up: &Sender<()>) {
+    /// Keeps the link up for ever, `adopted` first. `up` gets a word whenever the executor is known to be up.
+    pub fn keep_up(&self, gate: &Gate, up: &Sender<()>, adopted: Option<TcpStream>) {
+        let mut adopted = adopted;
         loop {
             let from = Instant::now();
+            let goes_on = adopted.take();
             // Before the address is read: guards against a new one that comes while this one is connected to.
-            self.outbox.begin();
+            if goes_on.is_none() {
+                self.outbox.begin();
+            }
             let State { at, read, .. } = *self.lock();
-            let ending = match connect(&at, CONNECT) {
+            let first = goes_on.is_none().then(|| notices::join(read));
+            let ending = match goes_on.map_or_else(|| connect(&at, CONNECT), Ok) {
                 Ok(stream) => {
-                    let join = notices::join(read);
-                    carry(
-                        &stream,
-                        &self.outbox,
-                        Some(join),
-                        notices::LONGEST,
-                        &mut Link { executor: self, gate, up },
-                    )
+                    let mut link = Link { executor: self, gate, up };
+                    carry(&stream, &self.outbox, first, notices::LONGEST, &mut link)
                 }
                 Err(ending) => ending,
             };
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -3,11 +3,14 @@
 //! first, that something can be read, that it can be written, or that a line was put into the outbox.
 
 use crate::ending::Ending;
+use crate::moving::records::KeptStream;
+use crate::moving::stands_still;
 use may::io::{WaitIo, WaitIoWaker};
-use may::net::TcpStream;
+use may::net::{TcpListener, TcpStream};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::{AsRawFd, FromRawFd, IntoRawFd, OwnedFd, RawFd};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -16,13 +19,31 @@
 const TURN: usize = 16;
 /// A stream that is to end is not written out if its peer has taken nothing for so long.
 const STUCK: Duration = Duration::from_secs(1);
+/// How often a standstill is looked at by whoever accepts.
+const STILL: Duration = Duration::from_millis(1);
 /// Written lines that are kept until they are confirmed.
 const MOST_WRITTEN: usize = 4_096;
 
 /// What waits to be written to one peer. Lines that were not written whole when a stream ended stay, for the
 /// next stream.
 #[derive(Default)]
-pub struct Outbox(Mutex<Waiting>);
+pub struct Outbox {
+    waiting: Mutex<Waiting>,
+    /// The present stream, held while something is read or written on it. Taken before the other where both are.
+    progress: Mutex<Progress>,
+}
+
+/// A stream between any two bytes.
+#[derive(Default)]
+struct Progress {
+    /// None while there is no stream.
+    fd: Option<RawFd>,
+    /// Read, and no whole message yet.
+    input: Vec<u8>,
+    writing: Writing,
+    /// It goes on from another process.
+    resumed: bool,
+}
 
 #[derive(Default)]
 struct Waiting {
@@ -53,10 +74,64 @@
     Leaving,
 }
 
+impl Finish {
+    const ALL: [Finish; 5] = [Finish::Idle, Finish::Faulty, Finish::Silent, Finish::Moved, Finish::Leaving];
+}
+
 impl Outbox {
     /// An outbox that keeps what was written until [`Outbox::confirm`] or [`Outbox::take_written`].
     pub fn keeping() -> Outbox {
-        Outbox(Mutex::new(Waiting { written: Some(VecDeque::new()), ..Waiting::default() }))
+        let waiting = Waiting { written: Some(VecDeque::new()), ..Waiting::default() };
+        Outbox { waiting: Mutex::new(waiting), progress: Mutex::default() }
+    }
+
+    /// The present stream, for another process to go on with. None while there is no stream.
+    pub fn keep(&self) -> Option<(RawFd, KeptStream)> {
+        let progress = self.progress();
+        let waiting = self.lock();
+        let mut lines: Vec<Vec<u8>> = waiting.lines.iter().cloned().collect();
+        let Writing { line, sent, half_closed, .. } = &progress.writing;
+        if *sent < line.len() {
+            lines.insert(0, line.clone());
+        }
+        let finish =
+            waiting.finish.map_or(0, |how| 1 + Finish::ALL.iter().position(|h| *h == how).unwrap_or(0));
+        let kept = KeptStream {
+            input: progress.input.clone(),
+            lines,
+            sent: if *sent < line.len() { *sent as u64 } else { 0 },
+            half_closed: *half_closed,
+            finish: finish as u32,
+            written: waiting.written.iter().flatten().cloned().collect(),
+        };
+        Some((progress.fd?, kept))
+    }
+
+    /// What waits for the next stream, where there is none.
+    pub fn waiting(&self) -> Vec<Vec<u8>> {
+        self.lock().lines.iter().cloned().collect()
+    }
+
+    /// Goes on with a stream of another process; `keeping` as for [`Outbox::keeping`].
+    pub fn resume(kept: KeptStream, keeping: bool) -> Outbox {
+        let mut lines: VecDeque<Vec<u8>> = kept.lines.into();
+        let mut writing = Writing { half_closed: kept.half_closed, ..Writing::default() };
+        if kept.sent > 0 {
+            (writing.line, writing.sent) = (lines.pop_front().unwrap_or_default(), kept.sent as usize);
+        }
+        let waiting = Waiting {
+            bytes: lines.iter().map(Vec::len).sum(),
+            lines,
+            waker: None,
+            finish: (kept.finish as usize).checked_sub(1).and_then(|at| Finish::ALL.get(at).copied()),
+            written: keeping.then(|| kept.written.into()),
+        };
+        let progress = Progress { fd: None, input: kept.input, writing, resumed: true };
+        Outbox { waiting: Mutex::new(waiting), progress: Mutex::new(progress) }
+    }
+
+    fn progress(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(|broken| broken.into_inner())
     }
 
     pub fn push(&self, line: Vec<u8>) {
@@ -133,7 +208,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Waiting> {
-        self.0.lock().unwrap_or_else(|broken| broken.into_inner())
+        self.waiting.lock().unwrap_or_else(|broken| broken.into_inner())
     }
 }
 
@@ -156,6 +231,30 @@
     }
 }
 
+/// The next connection. While this process stands still none is taken; it waits with the system.
+pub fn accept(listener: &TcpListener) -> std::io::Result<(TcpStream, SocketAddr)> {
+    loop {
+        if stands_still() {
+            may::coroutine::sleep(STILL);
+            continue;
+        }
+        match listener.inner().accept() {
+            // SAFETY: the descriptor was just made and is owned by nobody else.
+            Ok((stream, from)) => return Ok((unsafe { TcpStream::from_raw_fd(stream.into_raw_fd()) }, from)),
+            Err(err) if err.kind() == ErrorKind::WouldBlock => {
+                listener.wait_io();
+            }
+            Err(err) => return Err(err),
+        }
+    }
+}
+
+/// A stream that came from another process.
+pub fn adopt(descriptor: OwnedFd) -> TcpStream {
+    // SAFETY: the descriptor is owned by the caller, who gives it away.
+    unsafe { TcpStream::from_raw_fd(descriptor.into_raw_fd()) }
+}
+
 pub fn connect(to: &SocketAddr, within: Duration) -> Result<TcpStream, Ending> {
     let stream = TcpStream::connect_timeout(to, within).map_err(|err| Ending::of_connect(&err))?;
     stream.set_nodelay(true).map_err(|err| Ending::of_use(&err))?;
@@ -172,10 +271,23 @@
     reader: &mut impl Reader,
 ) -> Ending {
     outbox.change(|w| w.waker = Some(stream.waker()));
-    let mut writing = Writing { line: first.unwrap_or_default(), own: true, ..Writing::default() };
-    let mut input = Vec::new();
+    {
+        let mut progress = outbox.progress();
+        if !std::mem::take(&mut progress.resumed) {
+            progress.writing = Writing { line: first.unwrap_or_default(), own: true, ..Writing::default() };
+            progress.input = Vec::new();
+        }
+        progress.fd = Some(stream.as_raw_fd());
+    }
     let ending = loop {
-        match turn(stream, outbox, &mut writing, &mut input, longest, reader) {
+        let went = if stands_still() {
+            Ok(false)
+        } else {
+            let mut progress = outbox.progress();
+            let Progress { input, writing, .. } = &mut *progress;
+            turn(stream, outbox, writing, input, longest, reader)
+        };
+        match went {
             Ok(false) => {
                 stream.wait_io();
             }
@@ -183,11 +295,14 @@
             Err(ending) => break ending,
         }
     };
+    let mut progress = outbox.progress();
+    let Writing { line, sent, own, .. } = std::mem::take(&mut progress.writing);
+    *progress = Progress::default();
     outbox.change(|w| {
         w.waker = None;
-        if !writing.own && writing.sent < writing.line.len() {
-            w.bytes += writing.line.len();
-            w.lines.push_front(std::mem::take(&mut writing.line));
+        if !own && sent < line.len() {
+            w.bytes += line.len();
+            w.lines.push_front(line);
         }
     });
     ending
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -2,22 +2,34 @@
 
 use crate::clock::Clock;
 use crate::core::Core;
-use crate::gate::Gate;
+use crate::ending::{CallEnd, Ending};
+use crate::gate::{Gate, Incoming, Next, Post, Stirred, Ticket, Token};
+use crate::life::{Call, Life, Placed};
+use crate::live::Living;
 use crate::logger::Logs;
+use crate::moving::give::{self, Handing};
+use crate::moving::keeper::{self, Kept};
+use crate::moving::records::{KeptBelow, KeptCall, KeptRpc, Whereabouts};
+use crate::moving::take::{self, Begin, Taken};
+use crate::moving::wire::Wire;
 use crate::net::ajp_below::AjpBelow;
-use crate::net::ajp_front::{AjpFront, Open};
+use crate::net::ajp_front::{self, AjpFront, Open};
 use crate::net::below::Below;
-use crate::net::directory;
-use crate::net::dispatchers::Dispatchers;
+use crate::net::dispatchers::{self, Dispatchers};
 use crate::net::executor::{rows, Executor};
-use crate::seam::Beneath;
+use crate::net::{directory, link::adopt};
+use crate::seam::{Answer, Asker, Beneath};
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
 use ochrewalk::deployment::Placement;
-use ochrewalk::host::{Below as Called, Effect, Stopping};
+use ochrewalk::host::{Below as Called, Effect, RpcId, Stopping};
 use ochrewalk_operators::Operators;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use siphasher::sip::SipHasher13;
+use std::collections::{HashMap, HashSet};
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
+use std::os::fd::{FromRawFd, IntoRawFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -37,19 +49,25 @@
 /// A file that cannot be used on SIGHUP may be only half written: it is read so many times, so far apart.
 const READINGS: u32 = 20;
 const BETWEEN_READINGS: Duration = Duration::from_millis(100);
+/// Fewer connections than this make no front.
+const LEAST_DISPATCHERS: usize = 8;
 /// Of `stop_ms`, what is kept for the last answers to be written, and for the process to end.
 const FLUSH_MS: u64 = 300;
 const LAST_MS: u64 = 200;
 const END_MS: u64 = 120;
 
-/// What signals act on.
-struct Node {
-    core: Arc<Core>,
+/// What signals and hand-overs act on.
+pub struct Node {
+    pub core: Arc<Core>,
     store: Option<Below>,
-    ajp: Option<Arc<AjpFront>>,
+    pub ajp: Option<Arc<AjpFront>>,
     /// Where the directory is.
     directory: Mutex<SocketAddr>,
-    dispatchers: Arc<Dispatchers>,
+    pub dispatchers: Arc<Dispatchers>,
+    /// The limits of its file, and a digest of what both files say.
+    pub memory_bytes: usize,
+    pub descriptors: usize,
+    pub digest: u64,
 }
 
 /// The files that a node goes by: the platform's, and the operators' own where there is one.
@@ -66,6 +84,16 @@
         let operators = self.operators.as_deref().map(|file| read_operators(file, &placement)).transpose()?;
         Ok((placement, operators.unwrap_or_default()))
     }
+
+    /// A digest of what both say: two programs that go by the same files have the same.
+    fn digest(&self) -> Result<u64, String> {
+        let mut print = SipHasher13::new();
+        for file in std::iter::once(&self.node).chain(&self.operators) {
+            let text = std::fs::read(file).map_err(|err| format!("{}: {err}", file.display()))?;
+            text.hash(&mut print);
+        }
+        Ok(print.finish())
+    }
 }
 
 fn read_operators(file: &Path, placement: &Placement) -> Result<Operators, String> {
@@ -111,13 +139,24 @@
         .map_err(|err| format!("cannot listen on {at}: {err}"))
 }
 
-/// Serves as the node of those files until SIGTERM or SIGINT, then ends the process. SIGHUP has them read again. An
-/// error comes back before any RPC is taken.
+/// Serves as the node of those files until SIGTERM or SIGINT, then ends the process. SIGHUP has them read again. Where
+/// the operators' file allows upgrades, another process serves and this one keeps it. An error comes back before any
+/// RPC is taken.
 pub fn serve(files: &Files, logs: Logs) -> Result<(), String> {
     // Before anything else: guards against a SIGHUP that ends a process which has only begun.
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
         .map_err(|err| format!("cannot wait for signals: {err}"))?;
-    let (mut placement, operators) = files.read()?;
+    let mut kept = keeper::kept();
+    let takes = kept.as_mut().and_then(|kept| kept.takes.take()).map(Wire::new);
+    let (mut placement, operators) = files.read().inspect_err(|why| {
+        if let Some(wire) = &takes {
+            take::refuse(wire, why);
+        }
+    })?;
+    if let (None, Some(control)) = (&kept, &operators.upgrade_control) {
+        let status = keeper::keep(control)?;
+        std::process::exit(status.code().unwrap_or(70));
+    }
     crate::logger::start(logs);
     // One core is ours: one worker runs all coroutines, so that none of them ever waits for a lock for long.
     may::config()
@@ -125,21 +164,60 @@
         .set_stack_size(STACK_WORDS)
         .set_pool_capacity(POOLED_STACKS)
         .set_worker_pin(false);
-    let listener = listen(placement.listen)?;
-    let ajp_listener = operators.ajp.as_ref().map(|front| listen(front.listen)).transpose()?;
-    tracing::info!(part = "json-rpc", place = %placement.listen, "node {} listens", placement.name);
-    if let Some(front) = &operators.ajp {
-        tracing::info!(part = "ajp", place = %front.listen, "node {} listens", placement.name);
+    let digest = files.digest()?;
+    let mut told_to_end = None;
+    let taken = match (takes, &kept) {
+        (Some(wire), Some(kept)) => {
+            let room = (placement.memory_mb * 1024 * 1024 / 2, placement.descriptors as u32);
+            let end = |signals: &mut signal_hook::iterator::Signals| signals.pending().find(|s| *s != SIGHUP);
+            let interrupted = std::cell::RefCell::new((&mut signals, &mut told_to_end));
+            let begin = take::take(
+                wire,
+                &kept.line,
+                digest,
+                room,
+                || {
+                    let (signals, told) = &mut *interrupted.borrow_mut();
+                    **told = told.or_else(|| end(signals));
+                    told.is_some()
+                },
+                |taken| build(&placement, operators.clone(), digest, Some(taken)),
+            )?;
+            match begin {
+                Begin::With(built) => Some(built),
+                Begin::Anew => None,
+            }
+        }
+        _ => None,
+    };
+    let built = match taken {
+        Some(built) => built,
+        None => build(&placement, operators, digest, None)?,
+    };
+    let (node, report_now) = begin(built, &placement);
+    let handing = Arc::new(Handing::default());
+    if let Some(Kept { line, gives, .. }) = kept {
+        let (node, handing) = (node.clone(), handing.clone());
+        std::thread::spawn(move || {
+            for stream in gives {
+                give::give(&node, &handing, &line, Wire::new(stream.into()));
+            }
+        });
     }
-    let (node, report_now) = start(&placement, operators, listener, ajp_listener);
     let mut readings = 0;
     let signal = loop {
+        if let Some(signal) = told_to_end {
+            break signal;
+        }
         let came: Vec<i32> = if readings == 0 {
             signals.wait().collect()
         } else {
             std::thread::sleep(BETWEEN_READINGS);
             signals.pending().collect()
         };
+        if !came.is_empty() {
+            handing.interrupt("the running program got a signal");
+        }
         if let Some(end) = came.iter().find(|signal| **signal != SIGHUP) {
             break *end;
         }
@@ -202,19 +280,80 @@
     true
 }
 
-/// Starts every part. What is sent to the sender makes the directory hear of the present health at once.
-fn start(
-    placement: &Placement,
-    operators: Operators,
+/// A node that is put together and does nothing yet.
+struct Built {
+    node: Arc<Node>,
+    name: String,
+    stirred: Stirred,
     listener: TcpListener,
     ajp_listener: Option<TcpListener>,
-) -> (Arc<Node>, Sender<()>) {
-    let clock = Clock::start();
+    by_ajp: Option<AjpBelow>,
+    resumed: Resumed,
+}
+
+/// What goes on from the process before.
+#[derive(Default)]
+struct Resumed {
+    json: Vec<(Arc<dispatchers::Connection>, OwnedFd)>,
+    ajp: Vec<(Arc<ajp_front::Connection>, OwnedFd)>,
+    lives: Vec<(Arc<Living>, Ticket)>,
+    /// News for lives whose calls did not come along.
+    ends: Vec<(Post, CallEnd)>,
+    link: Option<OwnedFd>,
+    below: Option<(KeptBelow, Vec<OwnedFd>, HashMap<RpcId, Post>)>,
+}
+
+/// Puts every part together, from what another process held where there is something.
+fn build(
+    placement: &Placement,
+    operators: Operators,
+    digest: u64,
+    mut taken: Option<Taken>,
+) -> Result<Built, String> {
+    let mut listeners =
+        taken.as_mut().map(|taken| std::mem::take(&mut taken.listeners)).unwrap_or_default().into_iter();
+    let mut listener = |at: SocketAddr| match listeners.next() {
+        // SAFETY: the descriptor came for this use alone.
+        Some(passed) => Ok(unsafe { TcpListener::from_raw_fd(passed.into_raw_fd()) }),
+        None => listen(at),
+    };
+    let json_listener = listener(placement.listen)?;
+    let ajp_listener = operators.ajp.as_ref().map(|front| listener(front.listen)).transpose()?;
+    let clock = taken.as_ref().map_or_else(Clock::start, |taken| Clock::resume(taken.node.clock_base_ns));
     let bytes = placement.memory_mb as usize * 1024 * 1024;
     let deployment = placement.deployment.clone();
-    let (gate, stirred) = Gate::new(clock, deployment.clone(), placement.seed, bytes / 8);
+    let pauses = deployment.machine.stopping == Stopping::Pause;
+    let print_key = taken.as_ref().map_or_else(
+        || (fastrand::u64(..), fastrand::u64(..)),
+        |t| (t.node.print_key, t.node.print_key_more),
+    );
+    let rpcs = taken.as_mut().map(|taken| std::mem::take(&mut taken.rpcs.rpcs)).unwrap_or_default();
+    let known = deployment.methods.len();
+    if rpcs.iter().any(|rpc| rpc.method as usize >= known) {
+        return Err("an RPC of an unknown method".into());
+    }
+    let incoming: Vec<Incoming> = rpcs.iter().map(incoming).collect();
+    let ids: HashSet<RpcId> = incoming.iter().map(|rpc| rpc.id.clone()).collect();
+    let (gate, stirred, tickets) = match &mut taken {
+        Some(taken) => {
+            Gate::resume(clock, deployment.clone(), placement.seed, bytes / 8, &mut taken.node, &incoming)?
+        }
+        None => {
+            let (gate, stirred) = Gate::new(clock, deployment.clone(), placement.seed, bytes / 8);
+            (gate, stirred, Vec::new())
+        }
+    };
     let most_links = operators.below.as_ref().map_or(placement.descriptors / OF_BELOW, |b| b.connections);
-    let executor = Executor::new(placement.executor, deployment.machine.stopping == Stopping::Pause);
+    let runs = incoming.iter().zip(&rpcs).zip(&tickets).filter(|((_, rpc), _)| rpc.running);
+    let again = |rpc: &Incoming| deployment.methods[rpc.method].effect == Effect::Idempotent;
+    let runs = runs.map(|((rpc, _), ticket)| (rpc.id.clone(), again(rpc), ticket.post())).collect();
+    let (executor, link) = match &mut taken {
+        Some(taken) => {
+            let (kept, link) = std::mem::take(&mut taken.executor);
+            (Executor::resume(placement.executor, pauses, kept, runs), link)
+        }
+        None => (Executor::new(placement.executor, pauses), None),
+    };
     let by_ajp = operators.below.map(|told| AjpBelow::new(told, clock, placement.seed));
     let store = placement.below.filter(|_| by_ajp.is_none()).map(|at| Below::new(at, clock, most_links));
     let below: Option<Arc<dyn Beneath>> = match (&by_ajp, &store) {
@@ -222,11 +361,14 @@
         (None, Some(store)) => Some(Arc::new(store.clone())),
         (None, None) => None,
     };
-    let core = Arc::new(Core::new(clock, gate, deployment, executor, below, bytes));
+    let core = Arc::new(Core::new(clock, gate, deployment, executor, below, bytes, print_key));
     // Each front has descriptors of its own, so that neither can take the other's: its connections, a few that
     // are ending, its listener.
     let of_ajp = operators.ajp.as_ref().map_or(0, |front| front.connections + AJP_DESCRIPTORS);
-    let most = placement.descriptors - OWN_DESCRIPTORS - most_links - of_ajp;
+    let most = placement.descriptors.saturating_sub(OWN_DESCRIPTORS + most_links + of_ajp);
+    if most < LEAST_DISPATCHERS {
+        return Err(format!("{most} descriptors are left for dispatchers, {LEAST_DISPATCHERS} are needed"));
+    }
     let dispatchers = Arc::new(Dispatchers::new(core.clone(), most));
     let directory = Mutex::new(placement.directory);
     let ajp = operators.ajp.map(|front| {
@@ -234,8 +376,72 @@
         let most = front.connections;
         AjpFront::new(core.clone(), open, front.packet, most, front.idle_us, placement.seed)
     });
-    let node = Arc::new(Node { core: core.clone(), store, ajp, directory, dispatchers });
+    let mut resumed = Resumed { link, ..Resumed::default() };
+    if let Some(taken) = taken {
+        resumed.json = dispatchers.resume(taken.json.0, taken.json.1, &ids);
+        if let Some(front) = &ajp {
+            resumed.ajp = front.resume(taken.ajp.0, taken.ajp.1, &ids);
+        }
+        let moved: HashSet<&String> = taken.below.0.links.iter().flat_map(|link| &link.calls).collect();
+        for ((rpc, kept), ticket) in incoming.into_iter().zip(rpcs).zip(tickets) {
+            let placed = kept.call.as_ref().is_some_and(|call| call.placed);
+            if placed && !moved.contains(&kept.id) {
+                let lost = taken.below.0.lost.contains(&kept.id);
+                let end = if lost { CallEnd::Link(Ending::Moved) } else { CallEnd::Unsent };
+                resumed.ends.push((ticket.post(), end));
+            }
+            let asker = kept.asker.as_ref().and_then(|at| match (&ajp, at.by_ajp) {
+                (Some(front), true) => front.asker(at),
+                (None, true) => None,
+                (_, false) => dispatchers.asker(at),
+            });
+            let life =
+                Life { owed: kept.owed && asker.is_some(), running: kept.running, call: kept.call.map(call) };
+            let living = Living::new(&core, rpc, &kept.body, asker.unwrap_or_else(|| Box::new(Nobody)), life);
+            resumed.lives.push((Arc::new(living), ticket));
+        }
+        let posts =
+            resumed.lives.iter().map(|(living, ticket)| (living.rpc.id.clone(), ticket.post())).collect();
+        resumed.below = Some((taken.below.0, taken.below.1, posts));
+    }
+    let (memory_bytes, descriptors) = (bytes, placement.descriptors);
+    let node = Arc::new(Node { core, store, ajp, directory, dispatchers, memory_bytes, descriptors, digest });
+    let name = placement.name.clone();
+    Ok(Built { node, name, stirred, listener: json_listener, ajp_listener, by_ajp, resumed })
+}
+
+fn incoming(kept: &KeptRpc) -> Incoming {
+    let token = kept.token.as_ref().map(|key| Token { key: key.as_str().into(), work: kept.work });
+    let (method, left_us) = (kept.method as usize, kept.left_us);
+    Incoming { id: kept.id.as_str().into(), method, kb: kept.kb, ts_ms: kept.ts_ms, left_us, token }
+}
+
+fn call(kept: KeptCall) -> Call {
+    let placed = Placed { at_us: kept.at_us, until_us: kept.until_us };
+    Call { pos: kept.pos, body: kept.body, placed: kept.placed.then_some(placed) }
+}
+
+/// Whoever asked is not there any more.
+struct Nobody;
+
+impl Asker for Nobody {
+    fn is_owed(&self) -> bool {
+        false
+    }
+    fn answer(&self, _answer: Answer, _signal: Option<f64>) {}
+    fn whereabouts(&self) -> Whereabouts {
+        Whereabouts::default()
+    }
+    fn fault(&self) {}
+    fn proven(&self) {}
+}
+
+/// Starts every part. What is sent to the sender makes the directory hear of the present health at once.
+fn begin(built: Built, placement: &Placement) -> (Arc<Node>, Sender<()>) {
+    let Built { node, name, stirred, listener, ajp_listener, by_ajp, resumed } = built;
+    tracing::info!(part = "json-rpc", place = %placement.listen, "node {name} listens");
     if let (Some(front), Some(listener)) = (node.ajp.clone(), ajp_listener) {
+        tracing::info!(part = "ajp", "node {name} listens");
         let of = front.clone();
         may::go!(move || of.sweep());
         may::go!(move || front.accept(&listener));
@@ -243,12 +449,25 @@
     if let Some(by_ajp) = by_ajp {
         may::go!(move || by_ajp.watch());
     }
+    let core = node.core.clone();
     let (report_now, changed) = channel();
     let (of, report) = (core.clone(), report_now.clone());
-    may::go!(move || of.executor.keep(&of.gate, &report));
+    let link = resumed.link.map(adopt);
+    may::go!(move || of.executor.keep_up(&of.gate, &report, link));
     if let Some(store) = node.store.clone() {
+        if let Some((kept, descriptors, posts)) = resumed.below {
+            store.resume(kept, descriptors, &posts);
+        }
         may::go!(move || store.watch());
     }
+    for (living, ticket) in resumed.lives {
+        core.go_on(living, ticket);
+    }
+    resumed.ends.into_iter().for_each(|(post, end)| post.send(Next::CallEnded(end)));
+    node.dispatchers.go_on(resumed.json);
+    if let Some(front) = &node.ajp {
+        front.go_on(resumed.ajp);
+    }
     let of = core.clone();
     may::go!(move || loop {
         of.gate.turn(&stirred.told);
@@ -262,7 +481,7 @@
             of.gate.tick(of.deployment.gauges(|at| row.get(at).copied()));
         }
     });
-    let (of, name) = (node.clone(), placement.name.clone());
+    let of = node.clone();
     may::go!(move || {
         let at = || *of.directory.lock().expect("never held over a panic");
         let healthy = || of.core.gate.posture().healthy;
--- a/crates/ochrewalk-node/src/seam.rs
+++ b/crates/ochrewalk-node/src/seam.rs
@@ -2,7 +2,9 @@
 //! below. Each protocol brings its own; the life knows none of them.
 
 use crate::gate::Post;
+use crate::moving::records::{KeptBelow, Whereabouts};
 use ochrewalk::host::RpcId;
+use std::os::fd::RawFd;
 
 /// The final answer to an RPC, before a protocol has put it into bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +32,9 @@
     /// Gives the answer, if it is still owed. `signal` is the value sent back, where there is one.
     fn answer(&self, answer: Answer, signal: Option<f64>);
 
+    /// Where it is found again by another process that goes on with the connections.
+    fn whereabouts(&self) -> Whereabouts;
+
     /// The executor knows of no such RPC: it counts against its sender.
     fn fault(&self);
 
@@ -45,4 +50,18 @@
 
     /// Gives a call up; nothing more is heard of it.
     fn give_up(&self, id: &str);
+
+    /// Places no new call for the moment, so that those under way can end before a standstill; or goes on.
+    fn hold(&self, _hold: bool) {}
+
+    /// Whether calls are under way on connections that cannot move to another process.
+    fn is_unmovable(&self) -> bool {
+        false
+    }
+
+    /// The connections and calls, for another process to go on with, and the connections' descriptors.
+    fn keep(&self) -> (KeptBelow, Vec<RawFd>);
+
+    /// Has every connection looked at again, as a standstill is over.
+    fn nudge(&self);
 }
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -82,6 +82,11 @@
 
     /// With the operators' own file, too, in which `AJP` stands for an address of the node's own.
     pub fn with_operators(change: impl FnOnce(&mut Value), operators: &str) -> Stand {
+        Stand::with_all(change, operators, &[])
+    }
+
+    /// With words in its environment, too.
+    pub fn with_all(change: impl FnOnce(&mut Value), operators: &str, environment: &[(&str, &str)]) -> Stand {
         let (executor, below, directory) = (listener(), listener(), listener());
         // An address of its own, whose port no other socket is given by chance.
         let at = format!("127.{}.{}.1:7001", 10 + number() % 200, 1 + std::process::id() % 250);
@@ -97,7 +102,12 @@
         let operators = file(&operators.replace("AJP", &ajp));
         let words =
             ["serve", "--config", config.to_str().unwrap(), "--operators", operators.to_str().unwrap()];
-        let child = program(&words).stderr(Stdio::null()).spawn().unwrap();
+        let child = program(&words)
+            .envs(environment.iter().copied())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
         Stand { child, config, operators, at, ajp, executor, below, directory }
     }
 
@@ -133,6 +143,10 @@
         panic!("the node does not listen");
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- /dev/null
+++ b/crates/ochrewalk-node/tests/upgrade.rs
@@ -0,0 +1,266 @@
+//! A running program is replaced by another, on the real program: with everything under way, and with everything that
+//! may fail.
+
+mod helper;
+
+use helper::*;
+use ochrewalk_ajp::request::Message;
+use ochrewalk_lab::ajp::{piece, plain, Call, Peer as Ajp};
+use std::io::{BufRead, BufReader, Write};
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Kept {
+    stand: Stand,
+    control: PathBuf,
+}
+
+impl Kept {
+    /// A node under a keeper, its executor up; `fails` is what a program that takes over does wrong.
+    fn up(fails: &str) -> (Kept, Peer) {
+        let control = file("").with_extension("sock");
+        let operators = format!(
+            "ajp listen AJP\najp allow 127.0.0.0/8\najp memory 20.5\najp header token X-Sale\najp route GET /look look\n\
+             ajp route POST /sale sale\nupgrade control {}\n",
+            control.display()
+        );
+        let stand = Stand::with_all(|_| (), &operators, &[("OCHREWALK_TAKE_FAILS", fails)]);
+        let mut executor = stand.executor();
+        executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+        stand.caller().wait_healthy();
+        (Kept { stand, control }, executor)
+    }
+
+    fn upgrade(&self) -> String {
+        let (control, own) = (self.control.to_str().unwrap(), env!("CARGO_BIN_EXE_ochrewalk"));
+        let output = program(&["upgrade", "--control", control, "--program", own]).output().unwrap();
+        String::from_utf8([output.stdout, output.stderr].concat()).unwrap().trim_end().to_string()
+    }
+
+    fn ajp(&self) -> Ajp {
+        Ajp::connect(self.stand.ajp.parse().unwrap(), PATIENCE).unwrap()
+    }
+}
+
+fn served(number: u64) -> String {
+    format!(r#"{{"jsonrpc":"2.0","id":{number},"result":{{"body":"UkVT","signal":1}}}}"#)
+}
+
+fn sale(number: u64, token: &str) -> String {
+    rpc_with(number, "sale", unix_ms(), &format!(r#","opkey":"{token}""#))
+}
+
+fn ajp_look(number: u64) -> Call<'static> {
+    Call {
+        method: "GET",
+        uri: "/look",
+        headers: vec![("x-request-id", req(number))],
+        secret: None,
+        body: b"ABC",
+    }
+}
+
+#[test]
+fn all_that_is_under_way_goes_on_in_the_next_program() {
+    let (kept, mut executor) = Kept::up("");
+    let stand = &kept.stand;
+    let mut json = stand.caller();
+    let mut pos = 0;
+    // Again and again, with the same connections and the same executor's link.
+    for round in 0..4u64 {
+        let base = 100 * round;
+        let mut by_ajp = kept.ajp();
+        // Running, one by each protocol; a third is held, a fourth is a repeat that waits for the first.
+        json.say(&sale(base + 1, &format!("t{round}")));
+        executor.hear_of(&exec(base + 1, "sale"));
+        by_ajp.send(&ajp_look(base + 2).whole()).unwrap();
+        executor.hear_of(&exec(base + 2, "look"));
+        json.say(&rpc(base + 3, "look"));
+        json.say(&sale(base + 4, &format!("t{round}")));
+        // A call below is under way, and a line, a head and a body are half here.
+        executor.say(&callout(pos + 1, base + 1));
+        let mut below = Peer::accept(&stand.below);
+        assert!(below.hear().starts_with(&format!("CALL {} ", req(base + 1))));
+        // One waits for its call, so that the third has a core.
+        executor.hear_of(&exec(base + 3, "look"));
+        let (line, head) = (rpc(base + 5, "look") + "\n", ajp_look(base + 6).whole());
+        json.stream.write_all(&line.as_bytes()[..50]).unwrap();
+        let mut half = kept.ajp();
+        half.send(&head[..30]).unwrap();
+        let mut body = kept.ajp();
+        let late = ajp_look(base + 7);
+        body.send(&late.head()).unwrap();
+        assert!(kept.ajp().is_alive());
+        assert_eq!(kept.upgrade(), "handed over");
+        // The rest of each comes to the next program.
+        json.stream.write_all(&line.as_bytes()[50..]).unwrap();
+        half.send(&head[30..]).unwrap();
+        body.send(&piece(late.body)).unwrap();
+        assert_eq!(below.hear_bytes(5), b"\x00\x01\x02\r\n");
+        below.say(&format!("{} OK 1\r\nB\r", req(base + 1)));
+        executor.hear_of("RETURN");
+        executor.say(&exit(pos + 2, base + 1, "complete"));
+        executor.say(&exit(pos + 3, base + 2, "complete"));
+        executor.say(&exit(pos + 4, base + 3, "complete"));
+        assert_eq!(by_ajp.answer().unwrap().text(), "RES");
+        // Those that came in two pieces run now, each once.
+        let mut heard = Vec::new();
+        while heard.len() < 3 {
+            let line = executor.hear_of("EXEC");
+            heard.push(line.clone());
+            let number = (5..8).map(|n| base + n).find(|n| line == exec(*n, "look")).expect("one of ours");
+            executor.say(&exit(pos + 4 + heard.len() as u64, number, "complete"));
+        }
+        heard.sort();
+        heard.dedup();
+        assert_eq!(heard.len(), 3);
+        let mut answers: Vec<String> = (0..4).map(|_| json.hear()).collect();
+        answers.sort();
+        let mut wanted: Vec<String> = [1, 3, 4, 5].iter().map(|n| served(base + n)).collect();
+        wanted.sort();
+        assert_eq!(answers, wanted);
+        assert_eq!(half.answer().unwrap().text(), "RES");
+        assert_eq!(body.answer().unwrap().text(), "RES");
+        // The token is known for its window.
+        assert_eq!(json.ask(&sale(base + 8, &format!("t{round}"))), served(base + 8));
+        pos += 7;
+    }
+}
+
+#[test]
+fn whatever_fails_before_the_word_leaves_the_running_program_as_it_was() {
+    for fails in ["crash:start", "crash:greet", "crash:ready", "crash:commit", "hang:ready", "hang:commit"] {
+        let (kept, mut executor) = Kept::up(fails);
+        let mut json = kept.stand.caller();
+        json.say(&sale(1, "aa"));
+        executor.hear_of(&exec(1, "sale"));
+        json.stream.write_all(&rpc(2, "look").as_bytes()[..40]).unwrap();
+        let how = kept.upgrade();
+        match fails {
+            "crash:commit" => assert!(how == "the new program ended before it began", "{fails}: {how}"),
+            "hang:commit" => assert!(how == "the new program ended before it began", "{fails}: {how}"),
+            _ if fails.starts_with("crash") => assert_eq!(how, "the new program ended", "{fails}"),
+            _ => assert_eq!(how, "the new program took too long", "{fails}"),
+        }
+        json.stream.write_all((rpc(2, "look")[40..].to_string() + "\n").as_bytes()).unwrap();
+        executor.hear_of(&exec(2, "look"));
+        executor.say(&exit(1, 1, "complete"));
+        executor.say(&exit(2, 2, "complete"));
+        assert_eq!(json.hear(), served(1), "{fails}");
+        assert_eq!(json.hear(), served(2), "{fails}");
+        assert_eq!(json.ask(&sale(3, "aa")), served(3), "{fails}");
+        kept.stand.caller().wait_healthy();
+    }
+}
+
+#[test]
+fn a_program_that_dies_at_its_first_act_is_the_nodes_end_and_said_so() {
+    let (mut kept, mut executor) = Kept::up("crash:done");
+    std::thread::spawn(move || executor.hear_out());
+    assert_eq!(kept.upgrade(), "handed over");
+    // The platform sees that its process has ended, and not well.
+    assert!(!kept.stand.wait().success());
+}
+
+#[test]
+fn a_notice_to_leave_or_new_files_in_the_middle_are_obeyed() {
+    // While the new program hangs, the running one hears the signal, takes itself back and leaves.
+    for (fails, signal) in [("hang:greet", "-TERM"), ("hang:ready", "-TERM"), ("hang:commit", "-TERM")] {
+        let (mut kept, mut executor) = Kept::up(fails);
+        let mut json = kept.stand.caller();
+        json.say(&rpc(1, "look"));
+        executor.hear_of(&exec(1, "look"));
+        let (control, own) = (kept.control.clone(), env!("CARGO_BIN_EXE_ochrewalk"));
+        let asked = std::thread::spawn(move || {
+            program(&["upgrade", "--control", control.to_str().unwrap(), "--program", own]).output().unwrap()
+        });
+        std::thread::sleep(Duration::from_millis(400));
+        kept.stand.signal(signal);
+        json.hear_of("noMore");
+        executor.say(&exit(1, 1, "complete"));
+        assert!(json.hear().contains(r#""id":1,"result":{"body":"UkVT""#), "{fails}");
+        std::thread::spawn(move || executor.hear_out());
+        assert!(!asked.join().unwrap().status.success(), "{fails}");
+        kept.stand.wait();
+    }
+    let (kept, mut executor) = Kept::up("hang:greet");
+    let (control, own) = (kept.control.clone(), env!("CARGO_BIN_EXE_ochrewalk"));
+    let asked = std::thread::spawn(move || {
+        program(&["upgrade", "--control", control.to_str().unwrap(), "--program", own]).output().unwrap()
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    kept.stand.signal("-HUP");
+    let said = String::from_utf8(asked.join().unwrap().stderr).unwrap();
+    assert!(said.contains("the running program got a signal"), "{said}");
+    let mut json = kept.stand.caller();
+    json.say(&rpc(1, "look"));
+    executor.hear_of(&exec(1, "look"));
+    executor.say(&exit(1, 1, "complete"));
+    assert_eq!(json.hear(), served(1));
+}
+
+#[test]
+fn what_cannot_take_over_is_refused_and_the_node_serves_on() {
+    let (kept, _executor) = Kept::up("");
+    let ask = |words: &[u8]| {
+        let mut stream = UnixStream::connect(&kept.control).unwrap();
+        stream.write_all(words).unwrap();
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line).unwrap();
+        line
+    };
+    assert_eq!(ask(b"GET / HTTP/1.1\r\n\r\n"), "refused: write upgrade PROGRAM\n");
+    assert_eq!(ask(b"\xff\xfe\n"), "refused: nothing was asked for\n");
+    assert_eq!(ask(b""), "refused: write upgrade PROGRAM\n");
+    assert!(ask(b"upgrade /nowhere/at-all\n").starts_with("refused: /nowhere/at-all: "));
+    assert!(ask(&[b'x'; 9_000]).starts_with("refused: write"));
+    // Another program ends without a word of ours.
+    assert_eq!(ask(b"upgrade /bin/true\n"), "the new program ended\n");
+    // Files that set other things, and files that cannot be used.
+    let text = std::fs::read_to_string(&kept.stand.operators).unwrap();
+    std::fs::write(&kept.stand.operators, format!("{text}ajp idle 30s\n")).unwrap();
+    assert_eq!(kept.upgrade(), "its files set other things; reload or restart for those");
+    std::fs::write(&kept.stand.operators, "ajp idle 3\n").unwrap();
+    let how = kept.upgrade();
+    assert!(how.starts_with("the new program refused: ") && how.contains("3 has no unit"), "{how}");
+    std::fs::write(&kept.stand.operators, text).unwrap();
+    // The socket is its owner's alone.
+    use std::os::unix::fs::PermissionsExt;
+    assert_eq!(std::fs::metadata(&kept.control).unwrap().permissions().mode() & 0o777, 0o600);
+    assert_eq!(kept.upgrade(), "handed over");
+    let mut peer = kept.ajp();
+    peer.send(&plain(&Message::CPing)).unwrap();
+    assert!(peer.message(|_| ()).is_ok());
+    kept.stand.caller().wait_healthy();
+}
+
+#[test]
+fn when_the_running_program_is_killed_in_the_middle_the_new_one_takes_over() {
+    let (kept, mut executor) = Kept::up("hang:commit");
+    let mut json = kept.stand.caller();
+    json.say(&rpc(1, "look"));
+    executor.hear_of(&exec(1, "look"));
+    // The keeper itself is the platform's process: its children are the programs that serve.
+    let children = || -> Vec<String> {
+        let path = format!("/proc/{0}/task/{0}/children", kept.stand.pid());
+        let text = std::fs::read_to_string(path).unwrap();
+        text.split_whitespace().map(String::from).collect()
+    };
+    let before = children();
+    assert_eq!(before.len(), 1);
+    for _ in 0..3 {
+        assert_eq!(kept.upgrade(), "the new program ended before it began");
+        assert_eq!(children(), before, "nothing is left behind");
+    }
+    executor.say(&exit(1, 1, "complete"));
+    assert_eq!(json.hear(), served(1));
+    let kill = std::process::Command::new("kill").args(["-KILL", &before[0]]).status().unwrap();
+    assert!(kill.success());
+    // Without another beside it, its end is the node's.
+    let mut kept = kept;
+    assert!(!kept.stand.wait().success());
+}
--- a/crates/ochrewalk-operators/src/lib.rs
+++ b/crates/ochrewalk-operators/src/lib.rs
@@ -26,6 +26,8 @@
 pub struct Operators {
     pub ajp: Option<AjpFront>,
     pub below: Option<AjpBelow>,
+    /// The socket by which the running program is asked to let another take over.
+    pub upgrade_control: Option<PathBuf>,
 }
 
 /// The front that takes AJP.
--- a/crates/ochrewalk-operators/src/read.rs
+++ b/crates/ochrewalk-operators/src/read.rs
@@ -39,6 +39,9 @@
     }
 }
 
+/// The system's bound on a socket's path, with room for a name beside it while it is made.
+const LONGEST_SOCKET: usize = 90;
+
 /// What is wrong with one line, and what would be right.
 type Wrong = (String, String);
 
@@ -62,7 +65,7 @@
     Directive { section, name, usage, repeats: true }
 }
 
-const DIRECTIVES: [Directive; 28] = [
+const DIRECTIVES: [Directive; 29] = [
     many("host", "", "host NAME ADDRESS"),
     once("ajp", "listen", "ajp listen ADDRESS:PORT"),
     many("ajp", "allow", "ajp allow NETWORK"),
@@ -91,6 +94,7 @@
     once("below", "leave-out", "below leave-out FAILURES"),
     once("below", "pause", "below pause TIME TIME"),
     once("below", "repeats", "below repeats SHARE"),
+    once("upgrade", "control", "upgrade control PATH"),
 ];
 
 /// Reads the file's text. `file` names it in faults.
@@ -140,6 +144,7 @@
     listen: Option<SocketAddr>,
     front: AjpFront,
     below: AjpBelow,
+    upgrade_control: Option<PathBuf>,
 }
 
 impl<'a> Reading<'a> {
@@ -150,6 +155,7 @@
             hosts: BTreeMap::new(),
             stood: BTreeMap::new(),
             listen: None,
+            upgrade_control: None,
             front: AjpFront {
                 listen: nowhere,
                 guests: Guests::default(),
@@ -271,6 +277,15 @@
                     (format!("{word} is no share"), "write one from 0 to 1, such as 0.1".to_string())
                 })?;
             }
+            ("upgrade", "control") => {
+                if !word.starts_with('/') || word.len() > LONGEST_SOCKET {
+                    return wrong(
+                        format!("{word} is no path for a socket"),
+                        format!("write an absolute one of {LONGEST_SOCKET} bytes at most"),
+                    );
+                }
+                self.upgrade_control = Some(PathBuf::from(word));
+            }
             _ => return Err(unknown(section, name)),
         }
         Ok(())
@@ -366,6 +381,7 @@
         Ok(Operators {
             ajp: self.listen.is_some().then_some(self.front),
             below: (!self.below.places.is_empty()).then_some(self.below),
+            upgrade_control: self.upgrade_control,
         })
     }
 }
@@ -374,9 +390,11 @@
     let of = |d: &&Directive| d.section == section && !d.name.is_empty();
     let known: Vec<&str> = DIRECTIVES.iter().filter(of).map(|d| d.name).collect();
     if known.is_empty() {
-        let sections = ["host", "ajp", "below"];
+        let sections = ["host", "ajp", "below", "upgrade"];
         let right = nearest(section, sections.into_iter())
-            .map_or("a line begins with host, ajp or below".into(), |near| format!("did you mean {near}?"));
+            .map_or("a line begins with host, ajp, below or upgrade".into(), |near| {
+                format!("did you mean {near}?")
+            });
         return (format!("{section} is no directive"), right);
     }
     let right = match nearest(name, known.iter().copied()) {
--- a/crates/ochrewalk-operators/tests/operators.rs
+++ b/crates/ochrewalk-operators/tests/operators.rs
@@ -45,11 +45,13 @@
 below leave-out 5
 below pause 100ms 1m
 below repeats 0.25
+upgrade control /run/ochrewalk/control
 "#;
 
 #[test]
 fn a_whole_file_sets_what_it_says() {
-    let Operators { ajp, below } = get(WHOLE).unwrap();
+    let Operators { ajp, below, upgrade_control } = get(WHOLE).unwrap();
+    assert_eq!(upgrade_control, Some("/run/ochrewalk/control".into()));
     let (front, below) = (ajp.unwrap(), below.unwrap());
     assert_eq!(front.listen, "127.0.0.21:8009".parse().unwrap());
     let may = |text: &str| front.guests.may_connect(text.parse().unwrap());
@@ -92,7 +94,7 @@
     let front = "ajp listen 127.0.0.1:8009\najp allow 127.0.0.0/8\najp route POST /a sale-record\n";
     for (text, said) in [
         ("apj listen 127.0.0.1:8009", "1: apj is no directive; did you mean ajp?"),
-        ("listen 127.0.0.1:8009", "1: listen is no directive; a line begins with host, ajp or below"),
+        ("listen 127.0.0.1:8009", "1: listen is no directive; a line begins with host, ajp, below or upgrade"),
         ("ajp lisen 127.0.0.1:8009", "1: ajp lisen is no directive; did you mean ajp listen?"),
         ("ajp", "1: ajp is no directive; after ajp comes one of listen, allow, deny, secret, secret-file, packet, connections, idle, memory, health, header, route"),
         ("ajp idle 30s 40s", "1: 1 word after ajp idle needed, 2 found; write ajp idle TIME"),
@@ -124,6 +126,7 @@
         ("below ajp 1.1.1.1:80\nbelow ajp 1.1.1.1:80", "2: 1.1.1.1:80 stands here already; name each place once"),
         ("below repeats 2", "1: 2 is no share; write one from 0 to 1, such as 0.1"),
         ("below pause 2s 1s", "1: the longest pause is shorter than the first; write the shorter one first"),
+        ("upgrade control run/up", "1: run/up is no path for a socket; write an absolute one of 90 bytes at most"),
         ("below uri \"/a b\"", "1: /a b is no path; write one that begins with '/' and has no '?'"),
         ("ajp secret \"a", "1: a quotation mark is not closed; write \"a b\" for a word with a blank"),
         ("ajp secret a\"b", "1: a quotation mark stands inside a word; write \"a b\" for a word with a blank"),
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -1,7 +1,7 @@
 //! A deployment's figures: read from JSON, checked and given defaults here and nowhere else. Every message
 //! names the key at fault. A key that is not known is passed over, so that newer files still start.
 
-use crate::decide::Decide;
+use crate::decide::{Decide, Kept};
 use crate::host::{
     Advice, Below, Crowd, Customer, Effect, Host, Machine, Method, Outcome, SentBack, Shares, Stopping,
 };
@@ -112,6 +112,13 @@
         Decide::start(host, now_us, seed, machine, crowd, methods, below, advice, shares, self.drain_grace_us)
     }
 
+    /// A module that goes on from what another wrote down.
+    pub fn resume<H: Host>(&self, host: H, kept: Kept) -> Result<Decide<H>, String> {
+        let (machine, crowd, below, advice) = (self.machine, self.crowd, self.below, self.advice);
+        let (methods, shares) = (self.methods.clone(), self.shares.clone());
+        Decide::resume(host, machine, crowd, methods, below, advice, shares, self.drain_grace_us, kept)
+    }
+
     pub fn method(&self, name: &str) -> Option<usize> {
         self.method_names.iter().position(|n| n == name)
     }
