The keeper's word on who may act is decided apart from processes and sockets

Need: which of two programs may act, and which may be ended, is the part of a hand-over that must not go wrong; it stood among sockets and processes.

Change: moving/warden.rs decides it without I/O; the keeper asks it. The node's status is that of the program that acted.

--- a/crates/ochrewalk-node/src/ending.rs
+++ b/crates/ochrewalk-node/src/ending.rs
@@ -1,4 +1,4 @@
-//! How a connection ends, and how a call. Every way is one value of one type, whoever is at the other side, and
+//! Decides what the end of a connection, or of a call, proves. Every way is one value of one type, whoever is at the other side, and
 //! what it proves of a call that was under way is said in this file alone.
 
 use ochrewalk::host::Outcome;
--- a/crates/ochrewalk-node/src/keys.rs
+++ b/crates/ochrewalk-node/src/keys.rs
@@ -1,4 +1,4 @@
-//! Remembered tokens: which RPC holds each, what became of it, and which repeats wait for that.
+//! Decides what a token stands for: which RPC holds it, what became of that, and which repeats wait for it.
 
 use crate::moving::records::KeptToken;
 use ochrewalk::host::RpcId;
--- a/crates/ochrewalk-node/src/moving/keeper.rs
+++ b/crates/ochrewalk-node/src/moving/keeper.rs
@@ -2,6 +2,7 @@
 //! the program that serves, starts another beside it when asked to, hands on signals, and says which of the two may
 //! act. It serves nothing itself, so that little can go wrong with it.
 
+use super::warden::{Warden, Wish};
 use super::wire::{inherit, lines, send_line};
 use rustix::net::sockopt::socket_peercred;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -95,21 +96,12 @@
     line: UnixStream,
 }
 
-/// An upgrade that is under way.
-struct Attempt {
-    from: u64,
-    to: u64,
-    /// Who waits to hear of it.
-    asker: UnixStream,
-    ended_one: bool,
-}
-
 struct Keeper {
     workers: BTreeMap<u64, Worker>,
     next: u64,
-    /// Who may act; nobody while state passes from one to the other.
-    acts: Option<u64>,
-    attempt: Option<Attempt>,
+    warden: Warden,
+    /// Who waits to hear of the attempt under way.
+    asker: Option<UnixStream>,
     last_status: Option<ExitStatus>,
     to_self: Sender<Event>,
 }
@@ -130,9 +122,11 @@
         listener.incoming().flatten().for_each(|stream| drop(on_asked.send(Event::Asked(stream))));
     });
     let (workers, last_status) = (BTreeMap::new(), None);
-    let mut keeper = Keeper { workers, next: 0, acts: None, attempt: None, last_status, to_self };
+    let mut keeper =
+        Keeper { workers, next: 0, warden: Warden::default(), asker: None, last_status, to_self };
     let own = std::env::current_exe().map_err(|err| err.to_string())?;
-    keeper.acts = Some(keeper.start(&own, None).map_err(|err| format!("{}: {err}", own.display()))?);
+    let first = keeper.start(&own, None).map_err(|err| format!("{}: {err}", own.display()))?;
+    keeper.warden.first(first);
     for event in events {
         keeper.handle(event);
         if keeper.workers.is_empty() {
@@ -199,23 +193,15 @@
     fn said(&mut self, number: u64, line: &str) {
         match line {
             "still?" | "on?" | "begin?" => {
-                let may = self.acts.is_none() || self.acts == Some(number);
-                if may {
-                    self.acts = if line == "still?" { None } else { Some(number) };
-                }
+                let wish = if line == "still?" { Wish::Still } else { Wish::Act };
+                let may = self.warden.may(number, wish);
                 if let Some(worker) = self.workers.get(&number) {
                     let _ = send_line(&worker.line, if may { "yes" } else { "no" }, None);
                 }
             }
             "end other" => {
-                // Only while neither acts, and one of them at the most: the other may be the last one alive.
-                let Some(attempt) = self.attempt.as_mut().filter(|a| !a.ended_one && self.acts.is_none())
-                else {
-                    return;
-                };
-                attempt.ended_one = true;
-                let other = if number == attempt.from { attempt.to } else { attempt.from };
-                if let Some(worker) = self.workers.get(&other) {
+                if let Some(worker) = self.warden.end_other(number).and_then(|other| self.workers.get(&other))
+                {
                     send_signal(worker.pid, signal_hook::consts::SIGKILL);
                 }
             }
@@ -229,10 +215,11 @@
 
     /// An attempt has come to its end.
     fn over(&mut self, how: &str) {
-        let Some(mut attempt) = self.attempt.take() else { return };
-        let _ = writeln!(attempt.asker, "{how}");
+        if let Some(mut asker) = self.asker.take() {
+            let _ = writeln!(asker, "{how}");
+        }
         // Guards against a new program that hangs: nothing is left of an attempt that failed.
-        if let (Some(worker), true) = (self.workers.get(&attempt.to), self.acts == Some(attempt.from)) {
+        if let Some(worker) = self.warden.over().and_then(|left| self.workers.get(&left)) {
             send_signal(worker.pid, signal_hook::consts::SIGKILL);
         }
     }
@@ -240,21 +227,12 @@
     fn ended(&mut self, number: u64, status: Option<ExitStatus>) {
         self.workers.remove(&number);
         // The node's end is that of the one that acted: one that has handed over ends well beside it.
-        let acted = self.acts == Some(number);
-        if acted {
-            self.acts = None;
-        }
-        if acted || self.last_status.is_none() {
+        if self.warden.ended(number) || self.last_status.is_none() {
             self.last_status = status;
         }
-        let attempt = self.attempt.as_ref().map(|a| (a.from, a.to));
-        match attempt {
-            // The one that serves hears of it by itself, and says what it makes of it.
-            Some((_, to)) if to == number => {}
-            Some((from, _)) if from == number => {
-                self.over("the running program ended in the middle; the new one takes over");
-            }
-            _ => {}
+        // That the new one has ended the one that serves hears by itself.
+        if self.warden.is_giver(number) {
+            self.over("the running program ended in the middle; the new one takes over");
         }
     }
 
@@ -278,7 +256,7 @@
             let _ = writeln!(stream, "refused: write upgrade PROGRAM");
             return;
         };
-        let Some(from) = self.acts.filter(|_| self.attempt.is_none()) else {
+        let Some(from) = self.warden.giver() else {
             let _ = writeln!(stream, "refused: another upgrade is under way");
             return;
         };
@@ -293,7 +271,8 @@
         let to = self.start(program, Some(&takes))?;
         // Only the two of them hold an end from here on: so the end of either is heard by the other.
         drop(takes);
-        self.attempt = Some(Attempt { from, to, asker, ended_one: false });
+        self.warden.begin(from, to);
+        self.asker = Some(asker);
         let running = self.workers.get(&from).ok_or(std::io::ErrorKind::NotFound)?;
         send_line(&running.line, "give", Some(gives.as_fd()))
     }
--- a/crates/ochrewalk-node/src/moving/mod.rs
+++ b/crates/ochrewalk-node/src/moving/mod.rs
@@ -6,6 +6,7 @@
 pub mod keeper;
 pub mod records;
 pub mod take;
+pub mod warden;
 pub mod wire;
 
 use std::sync::atomic::{AtomicBool, Ordering};
