Both fronts take connections in by one loop

Need: accepting, looking for room and pausing without descriptors stood twice, line by line, for JSON-RPC and AJP.

Change: net/front.rs has the loop and its constants once; a front says who may connect, whether there is room, and serves. Behaviour stays; the line on a full table has the same words by both.

--- a/crates/ochrewalk-node/src/net/ajp_front.rs
+++ b/crates/ochrewalk-node/src/net/ajp_front.rs
@@ -1,13 +1,14 @@
 //! Callers' connections by AJP: accepted, read, answered, ended. What may come when is the life's in `ochrewalk-ajp`,
 //! what a request stands for the judge's in `ochrewalk-fronts`; from there on an RPC is as any other.
 
-use super::link::{accept, adopt, carry, Finish, Outbox, Reader};
+use super::front::{Front, ENDING};
+use super::link::{adopt, carry, Finish, Outbox, Reader};
 use crate::core::{Asked, Core};
-use crate::ending::{out_of_room, Ending};
+use crate::ending::Ending;
 use crate::moving::records::{KeptAjp, KeptAjps, KeptAsks, Whereabouts};
 use crate::seam::{Answer, Asker};
 use base64::prelude::{Engine, BASE64_STANDARD};
-use may::net::{TcpListener, TcpStream};
+use may::net::TcpStream;
 use ochrewalk::host::RpcId;
 use ochrewalk_ajp::answerer::{Acts, Bounds, End, Life, Plain, Refusal, State};
 use ochrewalk_ajp::reply::{self, Head};
@@ -17,7 +18,7 @@
 use ochrewalk_fronts::room::{self, Standing, Verdict, Worth};
 use socket2::SockRef;
 use std::collections::{HashMap, HashSet};
-use std::net::Shutdown;
+use std::net::{IpAddr, Shutdown};
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -30,11 +31,6 @@
 const CLOSE_US: u64 = 1_000_000;
 const MOST_FAULTS: u32 = 8;
 const SWEEP: Duration = Duration::from_millis(100);
-/// Connections that may be ending beyond the table's bound; how often, and how long, a new one waits for that.
-const ENDING: usize = 8;
-const ROOM_TRIES: u32 = 20;
-const ROOM_WAIT: Duration = Duration::from_millis(1);
-const NO_ROOM: Duration = Duration::from_millis(50);
 
 /// Says that an RPC never ran, so that it may go elsewhere whatever its kind.
 pub const NEVER_RAN: &str = "x-ochrewalk-never-ran";
@@ -105,50 +101,6 @@
         *self.open.lock().unwrap_or_else(|broken| broken.into_inner()) = Arc::new(open);
     }
 
-    /// Accepts until [`AjpFront::shut`].
-    pub fn accept(self: &Arc<Self>, listener: &TcpListener) {
-        match listener.inner().try_clone() {
-            Ok(second) => self.lock().listener = Some(second),
-            Err(err) => tracing::error!(part = "ajp", "cannot clone the listener: {err}"),
-        }
-        loop {
-            let accepted = accept(listener);
-            if accepted.is_err() && self.lock().listener.is_none() {
-                return;
-            }
-            match accepted {
-                Ok((stream, from)) => {
-                    if !self.rules().guests.may_connect(from.ip()) {
-                        tracing::warn!(part = "ajp", "{} may not connect", from.ip());
-                        continue;
-                    }
-                    let room = (0..ROOM_TRIES).any(|tried| {
-                        if tried > 0 {
-                            may::coroutine::sleep(ROOM_WAIT);
-                        }
-                        self.make_room()
-                    });
-                    if !room {
-                        tracing::warn!(
-                            part = "ajp",
-                            "{} connections open, none of them idle: a new one is closed",
-                            self.most
-                        );
-                        continue;
-                    }
-                    let (number, connection) = self.enter();
-                    let front = self.clone();
-                    may::go!(move || front.serve(&stream, number, &connection));
-                }
-                Err(err) => {
-                    tracing::warn!(part = "ajp", "cannot accept: {err}");
-                    let pause = if out_of_room(&err) { NO_ROOM } else { Duration::from_millis(1) };
-                    may::coroutine::sleep(pause);
-                }
-            }
-        }
-    }
-
     /// Has those looked at whose silence may mean something by now.
     pub fn sweep(&self) {
         loop {
@@ -342,33 +294,6 @@
         (number, connection)
     }
 
-    /// Whether one more may be served. AJP has one call on a connection at a time, so that its callers need many;
-    /// they have a table of their own.
-    fn make_room(&self) -> bool {
-        let table = self.lock();
-        if table.of.len() < self.most {
-            return true;
-        }
-        let standing = |(number, connection): (&u64, &Arc<Connection>)| {
-            let state = connection.lock();
-            let worth = Worth { good: state.good, used_us: state.used_us };
-            let worth = state.life.idle_since_us().map(|_| worth);
-            Standing { number: *number, going: state.going, worth }
-        };
-        let all: Vec<Standing> = table.of.iter().map(standing).collect();
-        let (number, room) = match room::look(self.most, ENDING, &all) {
-            Verdict::Room => return true,
-            Verdict::Full => return false,
-            Verdict::RoomFor(number) => (number, true),
-            Verdict::Ask(number) => (number, false),
-        };
-        let goes = table.of[&number].clone();
-        drop(table);
-        goes.lock().going = true;
-        goes.outbox.nudge();
-        room
-    }
-
     fn serve(self: &Arc<Self>, stream: &TcpStream, number: u64, connection: &Arc<Connection>) {
         let mut reader = Inbound { front: self, connection };
         let ending = match stream.set_nodelay(true) {
@@ -455,6 +380,58 @@
     }
 }
 
+impl Front for AjpFront {
+    const PART: &'static str = "ajp";
+
+    fn keep_listener(&self, listener: std::net::TcpListener) {
+        self.lock().listener = Some(listener);
+    }
+
+    fn is_shut(&self) -> bool {
+        self.lock().listener.is_none()
+    }
+
+    fn most(&self) -> usize {
+        self.most
+    }
+
+    fn may_connect(&self, from: IpAddr) -> bool {
+        self.rules().guests.may_connect(from)
+    }
+
+    /// Guards against a table full of those that say nothing, or asked once and stay, which would keep callers out.
+    fn make_room(&self) -> bool {
+        let table = self.lock();
+        if table.of.len() < self.most {
+            return true;
+        }
+        let standing = |(number, connection): (&u64, &Arc<Connection>)| {
+            let state = connection.lock();
+            let worth = Worth { good: state.good, used_us: state.used_us };
+            let worth = state.life.idle_since_us().map(|_| worth);
+            Standing { number: *number, going: state.going, worth }
+        };
+        let all: Vec<Standing> = table.of.iter().map(standing).collect();
+        let (number, room) = match room::look(self.most, ENDING, &all) {
+            Verdict::Room => return true,
+            Verdict::Full => return false,
+            Verdict::RoomFor(number) => (number, true),
+            Verdict::Ask(number) => (number, false),
+        };
+        let goes = table.of[&number].clone();
+        drop(table);
+        goes.lock().going = true;
+        goes.outbox.nudge();
+        room
+    }
+
+    fn welcome(self: &Arc<Self>, stream: TcpStream) {
+        let (number, connection) = self.enter();
+        let front = self.clone();
+        may::go!(move || front.serve(&stream, number, &connection));
+    }
+}
+
 fn kept_asks(asks: &Asks, ts_ms: u64) -> KeptAsks {
     match asks {
         Asks::Health => KeptAsks { health: true, ts_ms, ..KeptAsks::default() },
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -1,14 +1,15 @@
 //! Dispatchers' connections: accepted, read, answered and, when they carry nothing or this server leaves,
 //! asked to end.
 
-use super::link::{accept, adopt, carry, Finish, Outbox, Reader};
+use super::front::{Front, ENDING};
+use super::link::{adopt, carry, Finish, Outbox, Reader};
 use crate::core::{Asked, Core};
-use crate::ending::{out_of_room, Ending};
+use crate::ending::Ending;
 use crate::gate::Posture;
 use crate::moving::records::{KeptDispatcher, KeptDispatchers, KeptOpen, Whereabouts};
 use crate::seam::{Answer, Asker};
 use crate::wire::jsonrpc::{self, Message, Which};
-use may::net::{TcpListener, TcpStream};
+use may::net::TcpStream;
 use ochrewalk::host::RpcId;
 use ochrewalk_fronts::room::{self, Standing, Verdict, Worth};
 use socket2::SockRef;
@@ -36,13 +37,6 @@
 const CROWDED_CLOSE_US: u64 = 300_000;
 /// How long a dispatcher may take to close a connection that it was asked to end.
 const TO_CLOSE_US: u64 = 3_000_000;
-/// No descriptor is free: others may be soon.
-const NO_ROOM: Duration = Duration::from_millis(50);
-/// Connections that may be ending beyond the table's bound, to make room; and how often, and how long, a new one
-/// waits for their ends.
-const ENDING: usize = 8;
-const ROOM_TRIES: u32 = 20;
-const ROOM_WAIT: Duration = Duration::from_millis(1);
 /// RPCs of a sender of faults that are still answered, each pushed back unseen: as many as a proper dispatcher
 /// may have under way. What comes after them is not read.
 const AFTER_FAULTS: u32 = 32;
@@ -96,46 +90,6 @@
         Dispatchers { core, most, open: Mutex::default() }
     }
 
-    /// Accepts until [`Dispatchers::shut`].
-    pub fn accept(self: &Arc<Self>, listener: &TcpListener) {
-        match listener.inner().try_clone() {
-            Ok(second) => self.lock().listener = Some(second),
-            Err(err) => tracing::error!(part = "json-rpc", "cannot clone the listener: {err}"),
-        }
-        loop {
-            let accepted = accept(listener);
-            if accepted.is_err() && self.lock().listener.is_none() {
-                return;
-            }
-            match accepted {
-                Ok((stream, _)) => {
-                    let room = (0..ROOM_TRIES).any(|tried| {
-                        if tried > 0 {
-                            may::coroutine::sleep(ROOM_WAIT);
-                        }
-                        self.make_room()
-                    });
-                    if !room {
-                        tracing::warn!(
-                            part = "json-rpc",
-                            "{} connections open, none idle: a new one is closed",
-                            self.most
-                        );
-                        continue;
-                    }
-                    let (number, connection) = self.enter();
-                    let all = self.clone();
-                    may::go!(move || all.serve(&stream, number, &connection));
-                }
-                Err(err) => {
-                    tracing::warn!(part = "json-rpc", "cannot accept: {err}");
-                    let pause = if out_of_room(&err) { NO_ROOM } else { Duration::from_millis(1) };
-                    may::coroutine::sleep(pause);
-                }
-            }
-        }
-    }
-
     /// A new connection takes its place in the table at once: guards against many that are accepted before the
     /// first of them is looked at.
     fn enter(&self) -> (u64, Arc<Connection>) {
@@ -152,34 +106,6 @@
         (number, connection)
     }
 
-    /// Whether one more may be served. Guards against a table full of those that say nothing, or asked once and
-    /// stay, which would keep callers out.
-    fn make_room(&self) -> bool {
-        let open = self.lock();
-        let standing = |(number, connection): (&u64, &Arc<Connection>)| {
-            let state = connection.lock();
-            let worth = Worth { good: state.good, used_us: state.used_us };
-            let worth = state.open.is_empty().then_some(worth);
-            Standing { number: *number, going: state.going, worth }
-        };
-        // Most of the time nobody has to be looked at.
-        if open.of.len() < self.most {
-            return true;
-        }
-        let all: Vec<Standing> = open.of.iter().map(standing).collect();
-        let (number, room) = match room::look(self.most, ENDING, &all) {
-            Verdict::Room => return true,
-            Verdict::Full => return false,
-            Verdict::RoomFor(number) => (number, true),
-            Verdict::Ask(number) => (number, false),
-        };
-        let goes = open.of[&number].clone();
-        drop(open);
-        goes.lock().going = true;
-        goes.outbox.finish(Finish::Silent);
-        room
-    }
-
     /// Ends connections that say nothing, asks those to end that have carried nothing for as long as the module
     /// says, and, where the table fills, those longest unused.
     pub fn sweep(&self) {
@@ -323,6 +249,55 @@
     }
 }
 
+impl Front for Dispatchers {
+    const PART: &'static str = "json-rpc";
+
+    fn keep_listener(&self, listener: std::net::TcpListener) {
+        self.lock().listener = Some(listener);
+    }
+
+    fn is_shut(&self) -> bool {
+        self.lock().listener.is_none()
+    }
+
+    fn most(&self) -> usize {
+        self.most
+    }
+
+    /// Guards against a table full of those that say nothing, or asked once and stay, which would keep callers out.
+    fn make_room(&self) -> bool {
+        let open = self.lock();
+        let standing = |(number, connection): (&u64, &Arc<Connection>)| {
+            let state = connection.lock();
+            let worth = Worth { good: state.good, used_us: state.used_us };
+            let worth = state.open.is_empty().then_some(worth);
+            Standing { number: *number, going: state.going, worth }
+        };
+        // Most of the time nobody has to be looked at.
+        if open.of.len() < self.most {
+            return true;
+        }
+        let all: Vec<Standing> = open.of.iter().map(standing).collect();
+        let (number, room) = match room::look(self.most, ENDING, &all) {
+            Verdict::Room => return true,
+            Verdict::Full => return false,
+            Verdict::RoomFor(number) => (number, true),
+            Verdict::Ask(number) => (number, false),
+        };
+        let goes = open.of[&number].clone();
+        drop(open);
+        goes.lock().going = true;
+        goes.outbox.finish(Finish::Silent);
+        room
+    }
+
+    fn welcome(self: &Arc<Self>, stream: TcpStream) {
+        let (number, connection) = self.enter();
+        let front = self.clone();
+        may::go!(move || front.serve(&stream, number, &connection));
+    }
+}
+
 /// Who asked, by JSON-RPC.
 struct Caller {
     core: Arc<Core>,
--- a/crates/ochrewalk-node/src/net/mod.rs
+++ b/crates/ochrewalk-node/src/net/mod.rs
@@ -6,4 +6,5 @@
 pub mod directory;
 pub mod dispatchers;
 pub mod executor;
+pub mod front;
 pub mod link;
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -17,6 +17,7 @@
 use crate::net::below::Below;
 use crate::net::dispatchers::{self, Dispatchers};
 use crate::net::executor::{rows, Executor};
+use crate::net::front::accept_all;
 use crate::net::{directory, link::adopt};
 use crate::seam::{Answer, Asker, Beneath};
 use may::net::TcpListener;
@@ -444,7 +445,7 @@
         tracing::info!(part = "ajp", "node {name} listens");
         let of = front.clone();
         may::go!(move || of.sweep());
-        may::go!(move || front.accept(&listener));
+        may::go!(move || accept_all(&front, &listener));
     }
     if let Some(by_ajp) = by_ajp {
         may::go!(move || by_ajp.watch());
@@ -490,7 +491,7 @@
     let of = node.dispatchers.clone();
     may::go!(move || of.sweep());
     let of = node.dispatchers.clone();
-    may::go!(move || of.accept(&listener));
+    may::go!(move || accept_all(&of, &listener));
     (node, report_now)
 }
 
