--- a/crates/ochrewalk-handover/src/giver.rs
+++ b/crates/ochrewalk-handover/src/giver.rs
@@ -193,7 +193,7 @@
             ));
         }
         if greet.digest != self.holding.digest {
-            return Err("its files set other things; reload or restart for those".into());
+            return Err("its files set what only a start can change".into());
         }
         match &self.holding.unfit {
             Some(why) => Err(why.clone()),
--- a/crates/ochrewalk-handover/tests/steps.rs
+++ b/crates/ochrewalk-handover/tests/steps.rs
@@ -175,7 +175,7 @@
     for (message, unfit, why) in [
         (greet(2, 3, 7), None, "it speaks versions 2 to 3, this program 1 to 1"),
         (greet(0, 0, 7), None, "it speaks versions 0 to 0, this program 1 to 1"),
-        (greet(1, 1, 8), None, "its files set other things; reload or restart for those"),
+        (greet(1, 1, 8), None, "its files set what only a start can change"),
         (greet(1, 1, 7), Some("70 MB in use, 96 allowed"), "70 MB in use, 96 allowed"),
     ] {
         let (mut giver, mut deeds) = (giver(unfit), Deeds::default());
--- a/crates/ochrewalk-lab/src/changes.rs
+++ b/crates/ochrewalk-lab/src/changes.rs
@@ -4,8 +4,10 @@
 use crate::book::{Book, End, Entry};
 use crate::executor::{Executor, Work};
 use crate::json::Caller;
+use crate::ledger::{Act, Ledger};
 use crate::load::{json_end, wait_healthy};
 use crate::node::{self, Node};
+use crate::relays::{Fare, Relay};
 use crate::unix_ms;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use rustix::process::Signal;
@@ -13,7 +15,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Receiver;
 use std::sync::Mutex;
@@ -28,16 +30,38 @@
 const METHODS: [&str; 2] = ["look", "sale"];
 const WORK_US: u64 = 2_000;
 
-/// What goes wrong with the conductor or nodes while it goes on.
+/// What goes wrong with the conductor, nodes or the links between them while it goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
     None,
     /// The conductor is killed again and again, and begun anew.
     ConductorKilled,
+    /// It is killed once half of the nodes are changed, and nobody begins another.
+    ConductorGone,
+    /// Another one, with a record of its own, begins once some are changed.
+    TwoConductors,
     /// Nodes are stopped for 2 s, one after the other.
     NodesStopped,
     /// All executors take five times as long for 5 s.
     AllSlow,
+    /// A third of the nodes cannot be heard for some seconds once they are changed: longer than a trial lasts.
+    LinksSilent,
+    /// Links lose answers, or break before them, now and then.
+    LinksBreak,
+    /// The file of the old program is replaced once some are changed.
+    OldReplaced,
+}
+
+/// What is changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subject {
+    Program,
+    /// A figure of the operators' file that does no harm.
+    Settings,
+    /// One that makes calls below fail.
+    HarmfulSettings,
+    /// One that cannot be read.
+    UnusableSettings,
 }
 
 #[derive(Clone, Debug)]
@@ -46,6 +70,7 @@
     /// Calls a second of each node.
     pub rate: f64,
     pub seed: u64,
+    pub subject: Subject,
     /// What the new program does wrong, by the name that it knows it by.
     pub flaw: String,
     pub trouble: Trouble,
@@ -53,6 +78,8 @@
     pub lines: String,
     /// How long the change may take.
     pub most: Duration,
+    /// Where the conductor's log is left.
+    pub log: Option<PathBuf>,
     pub apart: u8,
 }
 
@@ -78,7 +105,11 @@
     node: Mutex<Node>,
     executor: Executor,
     json_at: SocketAddr,
+    /// Where the conductor reaches its keeper.
     control: PathBuf,
+    relay: Relay,
+    /// Its operators' file, and the one to change to.
+    settings: [PathBuf; 2],
 }
 
 /// Plays a change from one program to another.
@@ -91,38 +122,55 @@
     outcome
 }
 
-fn settings() -> Value {
+fn settings(calls: bool) -> Value {
     let method = |name: &str, idempotency: &str| {
         json!({"name": name, "idempotency": idempotency, "worth": 1.0, "on-time-ns": ON_TIME.as_nanos() as u64,
                "deadline-ns": DEADLINE.as_nanos() as u64, "window-ns": 20_000_000_000u64})
     };
     json!({
         "categories": [method(METHODS[0], "free"), method(METHODS[1], "guarded")],
-        "extra": {"below": "silent", "cores": 4, "memory-kb": 90_000.0, "run-mem-factor": 4.0, "key-kb": 0.1,
+        "extra": {"below": if calls { "tier" } else { "silent" }, "cores": 4, "memory-kb": 90_000.0, "run-mem-factor": 4.0, "key-kb": 0.1,
                   "signal": "weight", "stop-mode": "drop", "gauges": ["cpu_busy", "runnable"],
-                  "calls-by-class": [false, false], "callers": 8, "keepalive-max-ns": 30_000_000_000u64},
+                  "calls-by-class": [false, calls], "callers": 8, "keepalive-max-ns": 30_000_000_000u64},
         "policy-limits": {"retry-after": true, "max-retry-after-ns": 1_000_000_000}, "servers": 1,
         "rules": {"cold-from": 0.3, "drain-grace-ns": 300_000_000, "fall-multiple": 8.0,
                   "warm-within-ns": 60_000_000_000u64}
     })
 }
 
-fn start(old: &Path, plan: &Plan, folder: &Path) -> Result<Vec<Stand>, String> {
+fn start(old: &Path, plan: &Plan, folder: &Path, ledger: SocketAddr) -> Result<Vec<Stand>, String> {
     let io = |err: std::io::Error| err.to_string();
     let directory = node::directory().map_err(io)?;
-    let work = Work { core_us: WORK_US, calls: false, drawn: false, over: DEADLINE };
-    let works: HashMap<String, Work> = METHODS.iter().map(|name| (name.to_string(), work)).collect();
+    let calls = plan.subject != Subject::Program;
+    let work =
+        |method: usize| Work { core_us: WORK_US, calls: calls && method == 1, drawn: false, over: DEADLINE };
+    let works: HashMap<String, Work> =
+        METHODS.iter().enumerate().map(|(at, name)| (name.to_string(), work(at))).collect();
     let mut stands = Vec::new();
     for at in 0..plan.nodes {
         let executor = Executor::start(4.0, works.clone()).map_err(io)?;
-        let json_at = node::free("127.0.0.1").map_err(io)?;
-        let control = folder.join(format!("n{at}"));
-        let mut config = node::config(json_at, executor.at, directory, settings());
+        // An address of its own, whose port no other socket is given by chance.
+        let run = 64 + (std::process::id() % 11) as u8 * 16 + plan.apart % 16;
+        let json_at = SocketAddr::from(([127, run, (at / 200) as u8, (at % 200) as u8 + 1], 7_003));
+        let (keeper, control) = (folder.join(format!("k{at}")), folder.join(format!("n{at}")));
+        let mut config = node::config(json_at, executor.at, directory, settings(calls));
         config["limits"]["memory_mb"] = 512.into();
-        let operators = format!("upgrade control {}\n", control.display());
+        let mut operators = format!("upgrade control {}\n", keeper.display());
+        if calls {
+            operators += &format!("below ajp {ledger}\nbelow secret good\n");
+        }
         let environment = [("OCHREWALK_FLAW", plan.flaw.clone())];
         let node = Node::spawn_with(old, &config, &operators, "error", &environment)?;
-        stands.push(Stand { node: Mutex::new(node), executor, json_at, control });
+        let settings = [format!("old-n{at}"), format!("new-n{at}")].map(|name| folder.join(name));
+        let newer = match plan.subject {
+            Subject::HarmfulSettings => operators.replace("secret good", "secret bad"),
+            Subject::UnusableSettings => operators + "below pong 3\n",
+            _ => operators + "below pong 300ms\n",
+        };
+        std::fs::copy(node.operators(), &settings[0]).map_err(io)?;
+        std::fs::write(&settings[1], newer).map_err(io)?;
+        let relay = Relay::start(&control, keeper).map_err(io)?;
+        stands.push(Stand { node: Mutex::new(node), executor, json_at, control, relay, settings });
     }
     for stand in &stands {
         lock(&stand.node).wait()?;
@@ -132,19 +180,15 @@
 }
 
 fn in_folder(old: &Path, new: &Path, plan: &Plan, folder: &Path) -> Result<Outcome, String> {
-    let stands = start(old, plan, folder)?;
+    let any = "127.0.0.27:0".parse().map_err(|_| "an address")?;
+    let ledger = Ledger::start(any, Duration::from_secs(5), |came| match came.secret.as_deref() {
+        Some("good") => Act::good(b"kept"),
+        _ => Act::Answer { status: 403, never_ran: true, body: Vec::new(), after: Duration::ZERO },
+    });
+    let ledger = ledger.map_err(|err| err.to_string())?;
+    let stands = start(old, plan, folder, ledger.at)?;
     let file = folder.join("plan");
-    let mut text = format!(
-        "old {}\nnew {}\nrecord {}\n{}",
-        old.display(),
-        new.display(),
-        folder.join("record").display(),
-        plan.lines
-    );
-    for (at, stand) in stands.iter().enumerate() {
-        text += &format!("node n{at} {} z{}\n", stand.control.display(), at % 2);
-    }
-    std::fs::write(&file, text).map_err(|err| err.to_string())?;
+    write_plan(&file, "record", old, new, plan, &stands)?;
     // Counts of some seconds are needed before a stage can be compared.
     let over = AtomicBool::new(false);
     let from = Instant::now();
@@ -159,7 +203,7 @@
             .collect();
         let watches = scope.spawn(|| watch(&stands, plan, &over));
         std::thread::sleep(ms(1_500));
-        let outcome = conduct(old, &file, plan);
+        let outcome = conduct(old, new, &file, plan, &stands);
         over.store(true, Ordering::Relaxed);
         let _ = watches.join();
         (outcome, calls.into_iter().map(|calls| calls.join().unwrap_or_default()).collect::<Vec<_>>())
@@ -173,10 +217,34 @@
     }
     outcome.served_share = served as f64 / outcome.calls.max(1) as f64;
     read_log(&folder.join("record.log"), plan.nodes, &mut outcome);
+    if let Some(to) = &plan.log {
+        let _ = std::fs::copy(folder.join("record.log"), to);
+    }
     outcome.left_changed = left(old, &file);
     Ok(outcome)
 }
 
+/// A plan of this change, with a record of that name beside it.
+fn write_plan(
+    file: &Path,
+    record: &str,
+    old: &Path,
+    new: &Path,
+    plan: &Plan,
+    stands: &[Stand],
+) -> Result<(), String> {
+    let folder = file.parent().unwrap_or(Path::new("/"));
+    let ends = match plan.subject {
+        Subject::Program => format!("old {}\nnew {}\n", old.display(), new.display()),
+        _ => format!("old-settings {0}/old-{{node}}\nnew-settings {0}/new-{{node}}\n", folder.display()),
+    };
+    let mut text = format!("{ends}record {}\n{}", folder.join(record).display(), plan.lines);
+    for (at, stand) in stands.iter().enumerate() {
+        text += &format!("node n{at} {} z{}\n", stand.control.display(), at % 2);
+    }
+    std::fs::write(file, text).map_err(|err| err.to_string())
+}
+
 fn lock<T>(of: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     of.lock().unwrap_or_else(|broken| broken.into_inner())
 }
@@ -263,6 +331,20 @@
                 }
                 Some(_) => {}
             },
+            Trouble::LinksSilent => {
+                let is_silent = (ms(5_000)..ms(11_000)).contains(&from.elapsed());
+                let fare = if is_silent { Fare::Silent } else { Fare::Passes };
+                stands.iter().step_by(3).for_each(|stand| stand.relay.set(fare));
+            }
+            Trouble::LinksBreak => {
+                // One link at a time, another every half second.
+                let turn = from.elapsed().as_millis() as usize / 500;
+                for (at, stand) in stands.iter().enumerate() {
+                    let is_now = turn % stands.len() == at && turn < 4 * stands.len();
+                    let fare = if turn.is_multiple_of(2) { Fare::Breaks } else { Fare::Mute };
+                    stand.relay.set(if is_now { fare } else { Fare::Passes });
+                }
+            }
             Trouble::AllSlow => {
                 let is_slow = (ms(4_000)..ms(9_000)).contains(&from.elapsed());
                 let slower = if is_slow { 100.0 } else { 1.0 };
@@ -287,21 +369,65 @@
     }
 }
 
-/// The conductor as a process, killed and begun anew where that is the trouble.
-fn conduct(program: &Path, file: &Path, plan: &Plan) -> Outcome {
-    let mut outcome = Outcome::default();
+/// A conductor as a process.
+fn begin(program: &Path, file: &Path) -> Option<Child> {
+    let mut command = Command::new(program);
+    command.arg("rollout").arg("run").arg(file);
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().ok()
+}
+
+/// What it said at its end, and how that is called.
+fn ended(child: Child) -> Option<(String, &'static str)> {
+    let output = child.wait_with_output().ok()?;
+    let said = String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).trim_end().to_string();
+    let end = match output.status.code() {
+        Some(0) => "done",
+        Some(3) => "waiting",
+        Some(4) => "back",
+        _ => "failed",
+    };
+    Some((said, end))
+}
+
+/// The conductor, killed and begun anew, or joined by another, where that is the trouble.
+fn conduct(program: &Path, new: &Path, file: &Path, plan: &Plan, stands: &[Stand]) -> Outcome {
+    let mut outcome = Outcome { end: "no end in time".into(), ..Outcome::default() };
     let mut rng = fastrand::Rng::with_seed(plan.seed ^ 77);
     let last = Instant::now() + plan.most;
+    let some_changed = |least: usize| {
+        while Instant::now() < last && left(program, file) < least {
+            std::thread::sleep(ms(200));
+        }
+    };
     while Instant::now() < last {
-        let mut command = Command::new(program);
-        command.arg("rollout").arg("run").arg(file);
-        let Ok(mut child) =
-            command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()
-        else {
-            break;
+        let Some(mut child) = begin(program, file) else { break };
+        let mut second = None;
+        let until = match plan.trouble {
+            Trouble::ConductorKilled if outcome.kills < 12 => {
+                (Instant::now() + ms(rng.u64(100..2_500))).min(last)
+            }
+            Trouble::ConductorGone => {
+                some_changed(plan.nodes / 2);
+                Instant::now()
+            }
+            Trouble::TwoConductors => {
+                some_changed(1);
+                let other = file.with_extension("two");
+                // Its plan goes by the same two programs.
+                if write_plan(&other, "record2", program, new, plan, stands).is_ok() {
+                    second = begin(program, &other);
+                }
+                last
+            }
+            Trouble::OldReplaced => {
+                some_changed(1);
+                for stand in stands {
+                    let _ = std::fs::write(&stand.settings[0], "upgrade control /elsewhere\n");
+                }
+                last
+            }
+            _ => last,
         };
-        let kills = plan.trouble == Trouble::ConductorKilled && outcome.kills < 12;
-        let until = if kills { (Instant::now() + ms(rng.u64(100..2_500))).min(last) } else { last };
         while Instant::now() < until && child.try_wait().is_ok_and(|ended| ended.is_none()) {
             std::thread::sleep(ms(10));
         }
@@ -309,21 +435,30 @@
             let _ = child.kill();
             let _ = child.wait();
             outcome.kills += 1;
+            if plan.trouble == Trouble::ConductorGone {
+                // What is on trial goes back by itself.
+                while Instant::now() < last && left(program, file) > 0 {
+                    std::thread::sleep(ms(100));
+                }
+                outcome.end = "gone".into();
+                break;
+            }
+            continue;
+        }
+        let Some((said, end)) = ended(child) else { break };
+        if end == "failed" && !file.with_file_name("record").exists() {
+            // Nothing was begun, as not all nodes could be heard: an operator asks again.
+            std::thread::sleep(ms(200));
             continue;
         }
-        let Ok(output) = child.wait_with_output() else { break };
-        outcome.said =
-            String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).trim_end().to_string();
-        outcome.end = match output.status.code() {
-            Some(0) => "done",
-            Some(3) => "waiting",
-            Some(4) => "back",
-            _ => "failed",
+        (outcome.said, outcome.end) = (said, end.into());
+        if let Some((said, end)) = second.and_then(ended) {
+            // The first was replaced: how the change ended is the other one's to say.
+            outcome.said += &format!("; the second: {said}");
+            outcome.end = end.into();
         }
-        .into();
-        return outcome;
+        break;
     }
-    outcome.end = "no end in time".into();
     outcome
 }
 
@@ -347,7 +482,8 @@
         if let Some(node) = what["answer"].as_str() {
             open.remove(node);
         }
-        if what["phase"].as_str().is_some_and(|phase| phase == "Asking") {
+        // The orders of one that was killed are answered to nobody.
+        if what["begun"].is_u64() {
             open.clear();
         }
         let new = what["nodes"]
--- a/crates/ochrewalk-lab/src/fleet.rs
+++ b/crates/ochrewalk-lab/src/fleet.rs
@@ -212,8 +212,8 @@
             nodes.push(Node::spawn(program, &config, &operators, plan.log)?);
         }
         for (of, count) in [(1, all_places), (0, plan.nodes)] {
-            let tier = if of == 1 { &places } else { &nodes };
-            for (at, node) in tier.iter().enumerate().take(count) {
+            let tier = if of == 1 { &mut places } else { &mut nodes };
+            for (at, node) in tier.iter_mut().enumerate().take(count) {
                 node.wait()?;
                 wait_healthy(plan.address(of, at, 7001))?;
             }
--- a/crates/ochrewalk-lab/src/lib.rs
+++ b/crates/ochrewalk-lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod node;
 pub mod plot;
+pub mod relays;
 pub mod rollouts;
 pub mod spreads;
 pub mod upgrades;
--- a/crates/ochrewalk-lab/src/load.rs
+++ b/crates/ochrewalk-lab/src/load.rs
@@ -195,7 +195,7 @@
     let ajp = node::free("127.0.0.1").map_err(io)?;
     let config = node::config(listen, executor.at, node::directory().map_err(io)?, settings());
     let operators = operators(ajp, ledger.at) + more;
-    let node = Node::spawn_with(program, &config, &operators, plan.log, environment)?;
+    let mut node = Node::spawn_with(program, &config, &operators, plan.log, environment)?;
     node.wait()?;
     wait_healthy(listen)?;
     let (from, over) = (node.cpu_us(), AtomicBool::new(false));
--- a/crates/ochrewalk-lab/src/main.rs
+++ b/crates/ochrewalk-lab/src/main.rs
@@ -81,15 +81,22 @@
         rate: f64,
         #[arg(long, default_value_t = 1)]
         seed: u64,
-        /// crash-at-start, crash-later, crash-on-hand-over, hang-on-hand-over, slow, slow-later, leak
+        /// crash-at-start, crash-later, crash-on-hand-over, hang-on-hand-over, deaf, slow, slow-later, leak
         #[arg(long)]
         flaw: Option<String>,
-        /// none, conductor-killed, nodes-stopped, all-slow
+        /// What is changed: program, settings, harmful-settings, unusable-settings
+        #[arg(long, default_value = "program")]
+        subject: String,
+        /// none, conductor-killed, conductor-gone, two-conductors, links-silent, links-break, old-replaced, nodes-stopped,
+        /// all-slow
         #[arg(long, default_value = "none")]
         faults: String,
         /// Seconds that it may take
         #[arg(long, default_value_t = 300)]
         most: u64,
+        /// Where the conductor's log is left
+        #[arg(long, value_name = "FILE")]
+        log: Option<std::path::PathBuf>,
     },
     /// How evenly nodes load places, on real processes with links between them; the last line is JSON
     Spread {
@@ -186,11 +193,13 @@
             let every = Duration::from_millis(every);
             upgrades::Asked { seconds, seed, every, load, fail, log: line.log_of_node() }.run(&program()?)
         }
-        Command::Rollout { nodes, rate, seed, flaw, faults, most } => {
+        Command::Rollout { nodes, rate, seed, flaw, subject, faults, most, log } => {
+            let subject = rollouts::SUBJECTS.iter().find(|(name, _)| *name == subject);
+            let (_, subject) = *subject.ok_or("nothing to change is known by that name")?;
             let trouble = rollouts::TROUBLES.iter().find(|(name, _)| *name == faults);
             let (_, trouble) = *trouble.ok_or("no fault is known by that name")?;
             let (nodes, most) = (nodes as usize, Duration::from_secs(most));
-            rollouts::Asked { nodes, rate, seed, flaw, trouble, most }.run(&program()?)
+            rollouts::Asked { nodes, rate, seed, flaw, subject, trouble, most, log }.run(&program()?)
         }
         Command::Demo => {
             let program = program()?;
--- a/crates/ochrewalk-lab/src/node.rs
+++ b/crates/ochrewalk-lab/src/node.rs
@@ -64,7 +64,7 @@
 impl Node {
     /// Starts it with the platform's file and the operators' own, and waits until it listens.
     pub fn start(program: &Path, config: &Value, operators: &str, log: &str) -> Result<Node, String> {
-        let node = Node::spawn(program, config, operators, log)?;
+        let mut node = Node::spawn(program, config, operators, log)?;
         node.wait()?;
         Ok(node)
     }
@@ -104,11 +104,14 @@
     }
 
     /// Until it listens.
-    pub fn wait(&self) -> Result<(), String> {
+    pub fn wait(&mut self) -> Result<(), String> {
         for _ in 0..1_000 {
             if TcpStream::connect_timeout(&self.listen, Duration::from_millis(200)).is_ok() {
                 return Ok(());
             }
+            if !self.is_running() {
+                return Err(format!("the node at {} has ended before it listened", self.listen));
+            }
             std::thread::sleep(Duration::from_millis(10));
         }
         Err(format!("the node at {} does not listen", self.listen))
@@ -133,6 +136,11 @@
         Ok(())
     }
 
+    /// The operators' file that it was started with.
+    pub fn operators(&self) -> &Path {
+        &self.files[1]
+    }
+
     pub fn tell(&self, signal: Signal) {
         if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
             let _ = kill_process(pid, signal);
--- a/crates/ochrewalk-node/examples/flawed.rs
+++ b/crates/ochrewalk-node/examples/flawed.rs
@@ -31,6 +31,11 @@
         "hang-on-hand-over" => std::env::set_var("OCHREWALK_TAKE_FAILS", "hang:ready"),
         // Not before the runtime has its one worker.
         "slow" => later(seconds(1), slow),
+        "deaf" => later(seconds(1), || {
+            drop(may::go!(|| loop {
+                std::thread::sleep(AWAY);
+            }))
+        }),
         "slow-later" => later(seconds(8), slow),
         "leak" => later(Duration::ZERO, leak),
         _ => {}
--- a/crates/ochrewalk-node/src/main.rs
+++ b/crates/ochrewalk-node/src/main.rs
@@ -40,6 +40,9 @@
         /// The operators' own file
         #[arg(long, env = "OCHREWALK_OPERATORS", value_name = "FILE")]
         operators: Option<PathBuf>,
+        /// The operators' own file that is in force: what differs, and what it takes to bring it into force
+        #[arg(long, value_name = "FILE", requires = "operators")]
+        against: Option<PathBuf>,
     },
     /// Have another program take over from the running one, with all that it holds
     Upgrade {
@@ -110,6 +113,14 @@
     Ok(status)
 }
 
+/// What differs between two operators' files, a line each.
+fn differences(before: &Path, after: &Path) -> Result<String, String> {
+    let read =
+        |file: &Path| std::fs::read_to_string(file).map_err(|err| format!("{}: {err}", file.display()));
+    let found = ochrewalk_operators::changes(&read(before)?, &read(after)?);
+    Ok(found.iter().map(|change| format!("{change}\n")).collect())
+}
+
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Command::Version => {
@@ -126,9 +137,9 @@
         Command::Places { control } => {
             ochrewalk_node::net::status::ask(&control).map(|table| print!("{table}"))
         }
-        Command::Check { config, operators } => {
+        Command::Check { config, operators, against } => {
             let files = Files { node: config, operators };
-            files.read().map(|(placement, operators)| {
+            files.read().and_then(|(placement, operators)| {
                 let (name, listen) = (&placement.name, placement.listen);
                 println!("{}: good: node {name} would listen on {listen}", files.node.display());
                 if let Some(file) = &files.operators {
@@ -136,7 +147,11 @@
                         operators.ajp.map_or("no AJP in front".into(), |f| format!("AJP on {}", f.listen));
                     let places = operators.below.map_or(0, |below| below.places.len());
                     println!("{}: good: {front}, {places} places below by AJP", file.display());
+                    if let Some(before) = &against {
+                        print!("{}", differences(before, file)?);
+                    }
                 }
+                Ok(())
             })
         }
         Command::Serve { config, operators, log, log_format } => {
--- a/crates/ochrewalk-node/src/moving/give.rs
+++ b/crates/ochrewalk-node/src/moving/give.rs
@@ -2,8 +2,8 @@
 
 use super::keeper::Line;
 use super::records::{self, KeptCall, KeptNode, KeptRpc, KeptRpcs};
+use super::stand_still;
 use super::wire::{Heard, Wire};
-use super::{stand_still, stands_still};
 use crate::node::Node;
 use ochrewalk_handover::giver::{Acts, Giver, Holding, Limits};
 use ochrewalk_handover::messages::{Message, Part, MOST_DESCRIPTORS};
@@ -19,6 +19,8 @@
 /// How long calls on connections that cannot move are waited for, and all to come to rest.
 const UNMOVABLE: Duration = Duration::from_millis(150);
 const TO_REST: Duration = Duration::from_millis(250);
+/// How long the runtime's worker may take for all of that. One that is held by something else hears nobody.
+const BY_WORKER: Duration = Duration::from_secs(1);
 /// Bytes of one part.
 const PART: usize = 256 * 1024;
 
@@ -102,6 +104,42 @@
     Holding { digest, sections, bytes: resident, descriptors: descriptors as u32, unfit }
 }
 
+type Written = Result<Vec<Section>, &'static str>;
+
+/// What passes between the thread that hands over and the coroutine that writes all of it down: whoever is first, a
+/// state written down or the end of patience, decides for both.
+#[derive(Default)]
+struct Standstill {
+    state: Mutex<(bool, Option<Written>)>,
+    changed: Condvar,
+}
+
+impl Standstill {
+    fn lock(&self) -> std::sync::MutexGuard<'_, (bool, Option<Written>)> {
+        self.state.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    fn is_wanted(&self) -> bool {
+        !self.lock().0
+    }
+
+    /// Whether somebody still waited for it.
+    fn came(&self, written: Written) -> bool {
+        let mut state = self.lock();
+        state.1 = Some(written);
+        self.changed.notify_one();
+        !state.0
+    }
+
+    /// None where nothing has come in that time: nothing is wanted from then on.
+    fn wait(&self, patience: Duration) -> Option<Written> {
+        let waited = self.changed.wait_timeout_while(self.lock(), patience, |state| state.1.is_none());
+        let mut state = waited.unwrap_or_else(|broken| broken.into_inner()).0;
+        state.0 = true;
+        state.1.take()
+    }
+}
+
 struct Side<'a> {
     node: &'a Arc<Node>,
     line: &'a Line,
@@ -126,17 +164,23 @@
             self.failed = Some("the keeper does not answer".into());
             return 0;
         }
-        let (to, snapshot) = channel();
-        let node = self.node.clone();
-        may::go!(move || drop(to.send(write_down(&node))));
-        let sections = match snapshot.recv() {
-            Ok(Ok(sections)) => sections,
-            Ok(Err(why)) => {
+        let standstill = Arc::new(Standstill::default());
+        let (node, told) = (self.node.clone(), standstill.clone());
+        may::go!(move || {
+            if let Some(written) = write_down(&node, &told) {
+                if !told.came(written) {
+                    go_on(&node);
+                }
+            }
+        });
+        let sections = match standstill.wait(BY_WORKER) {
+            Some(Ok(sections)) => sections,
+            Some(Err(why)) => {
                 self.failed = Some(why.into());
                 return 0;
             }
-            Err(_) => {
-                self.failed = Some("its state cannot be written down".into());
+            None => {
+                self.failed = Some("the running program hears nobody".into());
                 return 0;
             }
         };
@@ -203,34 +247,48 @@
     }
 }
 
-/// Stands still and writes all of it down, in a coroutine: nothing else runs between the first and the last look.
-fn write_down(node: &Node) -> Result<Vec<Section>, &'static str> {
+/// Stands still and writes all of it down, in a coroutine: nothing else runs between the first and the last look. None
+/// where nobody waits for it any more, and all goes on.
+///
+/// The thread that waits may give up at any moment, has all go on then, and may come again with another attempt, whose
+/// coroutine runs only while this one sleeps. So what is set here after it gave up is taken back before the next sleep,
+/// and nothing is touched after a sleep in which it gave up.
+fn write_down(node: &Node, told: &Standstill) -> Option<Written> {
     let core = &node.core;
     let clock = core.clock;
     let until = |wait: Duration| clock.now_us() + wait.as_micros() as u64;
-    let nap = || may::coroutine::sleep(Duration::from_millis(1));
+    let sleep = || {
+        if !told.is_wanted() {
+            go_on(node);
+            return None;
+        }
+        may::coroutine::sleep(Duration::from_millis(1));
+        told.is_wanted().then_some(())
+    };
+    if !told.is_wanted() {
+        return None;
+    }
     if let Some(below) = &core.below {
         below.hold(true);
         let by_us = until(UNMOVABLE);
         while below.is_unmovable() && clock.now_us() < by_us {
-            nap();
+            sleep()?;
         }
     }
     stand_still(true);
     let by_us = until(TO_REST);
     loop {
-        debug_assert!(stands_still());
         let json = node.dispatchers.keep();
         let ajp = node.ajp.as_ref().map(|front| front.keep());
         if let (true, Some(json), Some(ajp)) =
             (core.gate.is_at_rest(), json, ajp.map_or(Some(None), |kept| kept.map(Some)))
         {
-            return Ok(sections(node, json, ajp));
+            return Some(Ok(sections(node, json, ajp)));
         }
         if clock.now_us() >= by_us {
-            return Err("it does not come to rest");
+            return Some(Err("it does not come to rest"));
         }
-        nap();
+        sleep()?;
     }
 }
 
--- a/crates/ochrewalk-node/src/moving/keeper.rs
+++ b/crates/ochrewalk-node/src/moving/keeper.rs
@@ -2,11 +2,11 @@
 //! the program that serves, starts another beside it when asked to, hands on signals, and says which of the two may
 //! act. It serves nothing itself, so that little can go wrong with it.
 
-use super::orders::{self, Orders, Serving, Wanted};
+use super::orders::{self, Deed, Image, Ordered, Orders, Serving};
 use super::warden::{Warden, Wish};
 use super::wire::{inherit, lines, send_line};
 use ochrewalk_rollout::messages::{self, Request};
-use ochrewalk_rollout::{Mark, Outcome};
+use ochrewalk_rollout::Outcome;
 use rustix::net::sockopt::socket_peercred;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::collections::BTreeMap;
@@ -16,14 +16,17 @@
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus};
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::Mutex;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// What a program that was started by a keeper is told: the descriptor of its line to the keeper, and of the stream to
 /// the program that it is to succeed.
 const KEPT: &str = "OCHREWALK_KEPT";
 const TAKES: &str = "OCHREWALK_TAKES";
+/// And the operators' file that it goes by, where that is not the one that the node was started with.
+const FILE: &str = "OCHREWALK_KEPT_OPERATORS";
 /// How long whoever asks on the control socket may take to say what for.
 const ASKING: Duration = Duration::from_secs(2);
 /// How long the outcome of an upgrade is waited for by whoever asked.
@@ -45,6 +48,8 @@
     pub line: Line,
     pub takes: Option<UnixStream>,
     pub gives: Receiver<OwnedFd>,
+    /// The operators' file to go by, where it is another one.
+    pub operators: Option<PathBuf>,
 }
 
 /// What this process was started with. Once only.
@@ -59,6 +64,7 @@
     };
     let stream = descriptor(KEPT)?;
     let takes = descriptor(TAKES);
+    let operators = std::env::var_os(FILE).map(PathBuf::from);
     let ((answer, answers), (give, gives)) = (channel(), channel());
     let reads = stream.try_clone().ok()?;
     std::thread::spawn(move || {
@@ -71,7 +77,7 @@
         // The keeper has ended, and for the platform so has this node.
         let _ = signal_hook::low_level::raise(SIGTERM);
     });
-    Some(Kept { line: Line { stream, answers: Mutex::new(answers) }, takes, gives })
+    Some(Kept { line: Line { stream, answers: Mutex::new(answers) }, takes, gives, operators })
 }
 
 impl Line {
@@ -92,6 +98,8 @@
     Ended(u64, Option<ExitStatus>),
     Asked(UnixStream),
     Signal(i32),
+    /// One that was told to leave should have ended by now.
+    Overdue(u64),
 }
 
 struct Worker {
@@ -103,7 +111,16 @@
 /// Who waits to hear of an attempt, and in which words.
 enum Asker {
     Plain(UnixStream),
-    Conductor(UnixStream, Mark),
+    Conductor(UnixStream, Ordered),
+    /// A trial that is over.
+    Trial,
+}
+
+/// What is begun once the program that serves has ended, as it cannot hand over.
+struct Anew {
+    image: Image,
+    before: (Image, u64),
+    asker: Asker,
 }
 
 struct Keeper {
@@ -113,15 +130,18 @@
     /// Who waits to hear of the attempt under way.
     asker: Option<Asker>,
     orders: Orders,
+    anew: Option<Anew>,
+    /// How long a program that is told to leave may take.
+    leaving: Duration,
     /// Whose counts are told: the next one's only from the end of an attempt on, so that none are told twice.
     told_of: u64,
     last_status: Option<ExitStatus>,
     to_self: Sender<Event>,
 }
 
-/// Keeps programs that serve until none is left; its status is that of the last one. An error comes back before
-/// anything is started.
-pub fn keep(control: &Path) -> Result<ExitStatus, String> {
+/// Keeps programs that serve until none is left; its status is that of the last one. One that is told to leave may take
+/// so long. An error comes back before anything is started.
+pub fn keep(control: &Path, leaving: Duration) -> Result<ExitStatus, String> {
     let (to_self, events) = channel();
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
         .map_err(|err| format!("cannot wait for signals: {err}"))?;
@@ -141,18 +161,26 @@
         warden: Warden::default(),
         asker: None,
         orders: Orders::default(),
+        anew: None,
+        leaving,
         told_of: 0,
         last_status,
         to_self,
     };
     let own = std::env::current_exe().map_err(|err| err.to_string())?;
-    let first = keeper.start(&own, None).map_err(|err| format!("{}: {err}", own.display()))?;
+    let image = Image { program: own.clone(), operators: None };
+    let first = keeper.start(&image, None).map_err(|err| format!("{}: {err}", own.display()))?;
     keeper.warden.first(first);
     keeper.told_of = first;
-    for event in events {
-        keeper.handle(event);
-        if keeper.workers.is_empty() {
-            break;
+    while !keeper.workers.is_empty() {
+        let event = match keeper.orders.next() {
+            Some(within) => events.recv_timeout(within),
+            None => events.recv().map_err(|_| RecvTimeoutError::Disconnected),
+        };
+        match event {
+            Ok(event) => keeper.handle(event),
+            Err(RecvTimeoutError::Timeout) => keeper.look_at_trial(),
+            Err(RecvTimeoutError::Disconnected) => break,
         }
     }
     let _ = std::fs::remove_file(control);
@@ -180,12 +208,16 @@
 }
 
 impl Keeper {
-    fn start(&mut self, program: &Path, takes: Option<&UnixStream>) -> std::io::Result<u64> {
+    fn start(&mut self, image: &Image, takes: Option<&UnixStream>) -> std::io::Result<u64> {
         let (ours, theirs) = UnixStream::pair()?;
         let theirs = inherit(theirs.as_fd())?;
         let takes = takes.map(|stream| inherit(stream.as_fd())).transpose()?;
-        let mut command = Command::new(program);
+        let mut command = Command::new(&image.program);
         command.args(std::env::args_os().skip(1)).env(KEPT, theirs.as_raw_fd().to_string());
+        match &image.operators {
+            Some(file) => command.env(FILE, file),
+            None => command.env_remove(FILE),
+        };
         match &takes {
             Some(takes) => command.env(TAKES, takes.as_raw_fd().to_string()),
             None => command.env_remove(TAKES),
@@ -193,26 +225,41 @@
         let child = command.spawn()?;
         self.next += 1;
         let number = self.next;
-        let serving = Serving::of(program, child.id());
+        let serving = Serving::of(image.clone(), child.id());
         self.workers.insert(number, Worker { pid: child.id(), line: ours.try_clone()?, serving });
         let on_said = self.to_self.clone();
-        std::thread::spawn(move || {
+        let said = std::thread::spawn(move || {
             lines(&ours, |line, _| drop(on_said.send(Event::Said(number, line.into()))));
         });
         let on_end = self.to_self.clone();
-        std::thread::spawn(move || wait(child, number, &on_end));
+        std::thread::spawn(move || wait(child, said, number, &on_end));
         Ok(number)
     }
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Signal(signal) => self.workers.values().for_each(|worker| send_signal(worker.pid, signal)),
+            Event::Signal(signal) => self.signal(signal),
+            Event::Overdue(number) => {
+                if let Some(worker) = self.workers.get(&number) {
+                    send_signal(worker.pid, signal_hook::consts::SIGKILL);
+                }
+            }
             Event::Asked(stream) => self.asked(stream),
             Event::Ended(number, status) => self.ended(number, status),
             Event::Said(number, line) => self.said(number, &line),
         }
     }
 
+    fn signal(&mut self, signal: i32) {
+        if signal != SIGHUP {
+            // The node leaves: nothing is begun anew in the place of the one that ends.
+            if let Some(anew) = self.anew.take() {
+                self.tell(anew.asker, Some(anew.before), Err("the node was told to leave".into()));
+            }
+        }
+        self.workers.values().for_each(|worker| send_signal(worker.pid, signal));
+    }
+
     fn said(&mut self, number: u64, line: &str) {
         match line {
             "still?" | "on?" | "begin?" => {
@@ -242,14 +289,10 @@
 
     /// An attempt has come to its end.
     fn over(&mut self, how: &str) {
-        match self.asker.take() {
-            Some(Asker::Plain(mut stream)) => drop(writeln!(stream, "{how}")),
-            Some(Asker::Conductor(mut stream, mark)) => {
-                let is_done = how == "handed over";
-                let outcome = if is_done { Outcome::Done } else { Outcome::Failed(how.into()) };
-                orders::say(&mut stream, self.orders.ended(mark, outcome));
-            }
-            None => {}
+        let before = self.workers.get(&self.told_of).map(|worker| worker.known());
+        if let Some(asker) = self.asker.take() {
+            let is_done = how == "handed over";
+            self.tell(asker, before, if is_done { Ok(how) } else { Err(how.into()) });
         }
         self.follow();
         // Guards against a new program that hangs: nothing is left of an attempt that failed.
@@ -258,6 +301,36 @@
         }
     }
 
+    /// Tells whoever asked what came of it. `before` is what ran until then.
+    fn tell(&mut self, asker: Asker, before: Option<(Image, u64)>, how: Result<&str, String>) {
+        match (asker, how) {
+            (Asker::Plain(mut stream), Ok(how)) => {
+                // Who asks for a program by hand wants it for good.
+                self.orders.is_for_good();
+                let _ = writeln!(stream, "{how}");
+            }
+            (Asker::Plain(mut stream), Err(why)) => drop(writeln!(stream, "{why}")),
+            (Asker::Conductor(mut stream, ordered), how) => {
+                let outcome = how.map_or_else(Outcome::Failed, |_| Outcome::Done);
+                orders::say(&mut stream, self.orders.ended(ordered, before, outcome));
+            }
+            (Asker::Trial, how) => self.orders.returned(how.is_ok()),
+        }
+    }
+
+    /// A trial may be over.
+    fn look_at_trial(&mut self) {
+        let Some((image, anew)) = self.orders.due() else { return };
+        let begun = match self.warden.giver().filter(|_| self.anew.is_none()) {
+            Some(from) if anew => self.begin_anew(from, image, Asker::Trial),
+            Some(from) => self.begin(from, &image, Asker::Trial),
+            None => Err(std::io::ErrorKind::ResourceBusy.into()),
+        };
+        if begun.is_err() {
+            self.orders.returned(false);
+        }
+    }
+
     /// From here on the one that acts is told of, on top of what the one before has counted.
     fn follow(&mut self) {
         let Some(acting) = self.warden.acting().filter(|acting| *acting != self.told_of) else { return };
@@ -270,9 +343,15 @@
     fn ended(&mut self, number: u64, status: Option<ExitStatus>) {
         self.workers.remove(&number);
         // The node's end is that of the one that acted: one that has handed over ends well beside it.
-        if self.warden.ended(number) || self.last_status.is_none() {
+        let acted = self.warden.ended(number);
+        if acted || self.last_status.is_none() {
             self.last_status = status;
         }
+        if acted {
+            if let Some(anew) = self.anew.take() {
+                return self.go_on_anew(anew);
+            }
+        }
         // That the new one has ended the one that serves hears by itself.
         if self.warden.is_giver(number) {
             self.over("the running program ended in the middle; the new one takes over");
@@ -300,12 +379,14 @@
             let _ = writeln!(stream, "refused: write upgrade PROGRAM");
             return;
         };
-        let Some(from) = self.warden.giver() else {
+        let Some(from) = self.warden.giver().filter(|_| self.anew.is_none()) else {
             let _ = writeln!(stream, "refused: another upgrade is under way");
             return;
         };
+        let operators = self.workers.get(&from).and_then(|worker| worker.serving.image.operators.clone());
+        let image = Image { program: program.into(), operators };
         let asker = stream.try_clone().map(Asker::Plain);
-        if let Err(why) = asker.and_then(|asker| self.begin(from, Path::new(program), asker)) {
+        if let Err(why) = asker.and_then(|asker| self.begin(from, &image, asker)) {
             let _ = writeln!(stream, "refused: {program}: {why}");
         }
     }
@@ -317,24 +398,28 @@
             self.follow();
         }
         let serving = self.workers.get(&self.told_of).map(|worker| &worker.serving);
-        match self.orders.asked(&request, serving, self.warden.giver().is_none()) {
-            Wanted::Answer(said) => orders::say(&mut stream, said),
-            Wanted::Change(program, mark) => {
-                let begun = match (self.warden.giver(), stream.try_clone()) {
-                    (Some(from), Ok(asker)) => self.begin(from, &program, Asker::Conductor(asker, mark)),
-                    _ => Err(std::io::Error::other("another upgrade is under way")),
+        let from = self.warden.giver().filter(|_| self.anew.is_none());
+        match self.orders.asked(&request, serving, from.is_none()) {
+            Deed::Answer(said) => orders::say(&mut stream, said),
+            Deed::Change(image, ordered) => {
+                let begun = match (from, stream.try_clone()) {
+                    (Some(from), Ok(asker)) if ordered.anew => {
+                        self.begin_anew(from, image.clone(), Asker::Conductor(asker, ordered))
+                    }
+                    (Some(from), Ok(asker)) => self.begin(from, &image, Asker::Conductor(asker, ordered)),
+                    _ => Err(std::io::ErrorKind::ResourceBusy.into()),
                 };
                 if let Err(why) = begun {
-                    let why = format!("{}: {why}", program.display());
-                    orders::say(&mut stream, self.orders.ended(mark, Outcome::Failed(why)));
+                    let why = format!("{}: {why}", image.program.display());
+                    orders::say(&mut stream, self.orders.ended(ordered, None, Outcome::Failed(why)));
                 }
             }
         }
     }
 
-    fn begin(&mut self, from: u64, program: &Path, asker: Asker) -> std::io::Result<()> {
+    fn begin(&mut self, from: u64, image: &Image, asker: Asker) -> std::io::Result<()> {
         let (gives, takes) = UnixStream::pair()?;
-        let to = self.start(program, Some(&takes))?;
+        let to = self.start(image, Some(&takes))?;
         // Only the two of them hold an end from here on: so the end of either is heard by the other.
         drop(takes);
         self.warden.begin(from, to);
@@ -342,6 +427,40 @@
         let running = self.workers.get(&from).ok_or(std::io::ErrorKind::NotFound)?;
         send_line(&running.line, "give", Some(gives.as_fd()))
     }
+
+    /// The program that serves leaves, as after any notice to; the next one begins once it has ended.
+    fn begin_anew(&mut self, from: u64, image: Image, asker: Asker) -> std::io::Result<()> {
+        let running = self.workers.get(&from).ok_or(std::io::ErrorKind::NotFound)?;
+        send_signal(running.pid, SIGTERM);
+        self.anew = Some(Anew { image, before: running.known(), asker });
+        // Guards against one that hears no signal either.
+        let (overdue, leaving) = (self.to_self.clone(), self.leaving);
+        std::thread::spawn(move || {
+            std::thread::sleep(leaving);
+            let _ = overdue.send(Event::Overdue(from));
+        });
+        Ok(())
+    }
+
+    /// What was served has ended.
+    fn go_on_anew(&mut self, Anew { image, before, asker }: Anew) {
+        let how = match self.start(&image, None) {
+            Ok(number) => {
+                self.warden.first(number);
+                self.follow();
+                Ok("begun anew")
+            }
+            Err(why) => Err(format!("{}: {why}", image.program.display())),
+        };
+        self.tell(asker, Some(before), how);
+    }
+}
+
+impl Worker {
+    /// What it runs, and the print of its program.
+    fn known(&self) -> (Image, u64) {
+        (self.serving.image.clone(), self.serving.print)
+    }
 }
 
 /// Whether the other end is the same user, or root.
@@ -350,8 +469,11 @@
     socket_peercred(stream).is_ok_and(|peer| peer.uid == own || peer.uid.is_root())
 }
 
-fn wait(mut child: Child, number: u64, on_end: &Sender<Event>) {
+fn wait(mut child: Child, said: JoinHandle<()>, number: u64, on_end: &Sender<Event>) {
     let status = child.wait().ok();
+    // Guards against an end that is heard before the last words: a program that has handed over would seem to have ended
+    // in the middle of it.
+    let _ = said.join();
     let _ = on_end.send(Event::Ended(number, status));
 }
 
--- a/crates/ochrewalk-node/src/moving/orders.rs
+++ b/crates/ochrewalk-node/src/moving/orders.rs
@@ -1,9 +1,9 @@
 //! A keeper's side of a rolling change: how its node stands, and the orders that it takes.
 
 use ochrewalk_rollout::messages::{
-    self, MethodTally, OrderTold, Request, Response, Said, Stands, Tally, VERSION,
+    self, MethodTally, OrderTold, Request, Response, Said, Stands, Tally, Wanted, VERSION,
 };
-use ochrewalk_rollout::{Admitted, Fence, Mark, Outcome};
+use ochrewalk_rollout::{Admitted, Due, Fence, Mark, Outcome, Trial};
 use prost::Message as _;
 use std::io::{Read, Write};
 use std::os::unix::net::UnixStream;
@@ -15,9 +15,9 @@
 /// A program that has told nothing for so long is not well.
 const FRESH: Duration = Duration::from_secs(3);
 
-/// A print of a program: its length, and a sum of what it holds.
-pub fn print_of(program: &Path) -> std::io::Result<u64> {
-    let mut file = std::fs::File::open(program)?;
+/// A print of a file: its length, and a sum of what it holds.
+pub fn print_of(file: &Path) -> std::io::Result<u64> {
+    let mut file = std::fs::File::open(file)?;
     let (mut sum, mut length, mut chunk) = (crc32fast::Hasher::new(), 0u64, vec![0; 1 << 20]);
     loop {
         match file.read(&mut chunk)? {
@@ -30,18 +30,26 @@
     }
 }
 
+/// What a node runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Image {
+    pub program: PathBuf,
+    /// The operators' file that it goes by, where that is not the one that the node was started with.
+    pub operators: Option<PathBuf>,
+}
+
 /// What a program that serves is known by, and what it told last.
 pub struct Serving {
-    pub path: PathBuf,
+    pub image: Image,
     pub print: u64,
     tally: Option<(Instant, Tally)>,
 }
 
 impl Serving {
     /// Of the running process itself, as its file may be another by now.
-    pub fn of(path: &Path, pid: u32) -> Serving {
+    pub fn of(image: Image, pid: u32) -> Serving {
         let print = print_of(Path::new(&format!("/proc/{pid}/exe"))).unwrap_or(0);
-        Serving { path: path.into(), print, tally: None }
+        Serving { image, print, tally: None }
     }
 
     pub fn told(&mut self, line: &str) {
@@ -55,6 +63,12 @@
     fn is_well(&self) -> bool {
         self.tally.as_ref().is_some_and(|(at, tally)| at.elapsed() < FRESH && tally.is_healthy)
     }
+
+    /// Whether it runs that, whatever else it goes by.
+    fn is(&self, wanted: &Wanted) -> bool {
+        let settings = self.tally.as_ref().map_or(0, |(_, tally)| tally.settings);
+        wanted.print == if wanted.is_settings { settings } else { self.print }
+    }
 }
 
 /// As a line that a program tells its keeper.
@@ -66,71 +80,150 @@
 /// What the keeper remembers of changes.
 pub struct Orders {
     fence: Fence,
+    trial: Trial,
+    /// What ran before the trial began, and its program's print.
+    back_to: Option<(Image, u64)>,
+    begun: Instant,
     start: u64,
     /// Counts of programs that served before the one that does.
     before: Vec<MethodTally>,
 }
 
 /// What is to be done with a request.
-pub enum Wanted {
+pub enum Deed {
     /// Nothing more: this is the answer.
     Answer(Said),
-    /// That program takes over; the answer follows.
-    Change(PathBuf, Mark),
+    /// That takes over; the answer follows.
+    Change(Image, Ordered),
+}
+
+/// An order that is being carried out.
+#[derive(Clone, Copy, Debug)]
+pub struct Ordered {
+    mark: Mark,
+    lease_us: u64,
+    pub anew: bool,
 }
 
 impl Default for Orders {
     fn default() -> Orders {
-        Orders { fence: Fence::default(), start: fastrand::u64(1..), before: Vec::new() }
+        Orders {
+            fence: Fence::default(),
+            trial: Trial::default(),
+            back_to: None,
+            begun: Instant::now(),
+            start: fastrand::u64(1..),
+            before: Vec::new(),
+        }
     }
 }
 
 impl Orders {
-    /// One message of an owner's: what to do.
-    pub fn asked(&mut self, request: &Request, serving: Option<&Serving>, is_changing: bool) -> Wanted {
+    fn now_us(&self) -> u64 {
+        self.begun.elapsed().as_micros() as u64
+    }
+
+    /// One message of an owner's: what to do. While something is changing no order is begun.
+    pub fn asked(&mut self, request: &Request, serving: Option<&Serving>, is_changing: bool) -> Deed {
         if request.version != VERSION {
-            return Wanted::Answer(Said::Refused(format!("messages of version {VERSION} are known here")));
+            return Deed::Answer(Said::Refused(format!("messages of version {VERSION} are known here")));
         }
+        self.fence.heard(request.conductor);
+        self.trial.heard(self.now_us(), request.conductor, self.fence.highest().conductor);
         match (&request.order, serving) {
-            (None, Some(serving)) => Wanted::Answer(Said::Stands(self.stands(serving, is_changing))),
-            (None, None) => Wanted::Answer(Said::Refused("no program serves".into())),
-            (Some(order), serving) => self.order(order, serving),
+            (None, Some(serving)) => Deed::Answer(Said::Stands(self.stands(serving, is_changing))),
+            (None, None) => Deed::Answer(Said::Refused("no program serves".into())),
+            (Some(order), serving) => self.order(order, serving, is_changing),
         }
     }
 
-    fn order(&mut self, order: &OrderTold, serving: Option<&Serving>) -> Wanted {
+    fn order(&mut self, order: &OrderTold, serving: Option<&Serving>, is_changing: bool) -> Deed {
         let mark = order.mark();
+        if is_changing && mark > self.fence.highest() {
+            return Deed::Answer(Said::Busy("another upgrade is under way".into()));
+        }
         match self.fence.admit(mark) {
-            Admitted::Stale(highest) => return Wanted::Answer(Said::Stale(highest.into())),
-            Admitted::Again(outcome) => return Wanted::Answer(Said::Ended(outcome.into())),
-            Admitted::UnderWay => return Wanted::Answer(Said::Refused("it is being carried out".into())),
+            Admitted::Stale(highest) => return Deed::Answer(Said::Stale(highest.into())),
+            Admitted::Again(outcome) => return Deed::Answer(Said::Ended(outcome.into())),
+            Admitted::UnderWay => return Deed::Answer(Said::Busy("it is being carried out".into())),
             Admitted::Act => {}
         }
-        // What runs already is there.
-        if serving.is_some_and(|serving| serving.print == order.print) {
-            return Wanted::Answer(self.ended(mark, Outcome::Done));
+        let ordered = Ordered { mark, lease_us: order.lease_ms * 1_000, anew: order.anew };
+        let (Some(wanted), Some(serving)) = (&order.wanted, serving) else {
+            let why = "nothing is wanted, or no program serves";
+            return Deed::Answer(self.ended(ordered, None, Outcome::Failed(why.into())));
+        };
+        // What runs already is there, for good or for the same trial.
+        if serving.is(wanted) {
+            return Deed::Answer(self.ended(ordered, None, Outcome::Done));
         }
-        // Guards against a file that was replaced since the plan was made.
-        let path = PathBuf::from(&order.path);
-        let wrong = match print_of(&path) {
-            Err(err) => Some(format!("{}: {err}", path.display())),
-            Ok(print) if print != order.print => {
-                Some(format!("{} is not the plan's file any more", path.display()))
-            }
-            Ok(_) => None,
+        let path = PathBuf::from(&wanted.path);
+        let (image, program) = if wanted.is_settings {
+            let program = serving.image.program.clone();
+            (Image { program: program.clone(), operators: Some(path.clone()) }, (program, serving.print))
+        } else {
+            let operators = serving.image.operators.clone();
+            (Image { program: path.clone(), operators }, (path.clone(), wanted.print))
         };
+        // Guards against files that were replaced since the plan was made, or since the program was started.
+        let wrong =
+            [(path, wanted.print), program].into_iter().find_map(|(path, print)| is_other(&path, print));
         match wrong {
-            Some(why) => Wanted::Answer(self.ended(mark, Outcome::Failed(why))),
-            None => Wanted::Change(path, mark),
+            Some(why) => Deed::Answer(self.ended(ordered, None, Outcome::Failed(why))),
+            None => Deed::Change(image, ordered),
         }
     }
 
-    /// An order has come to its end: the answer to it.
-    pub fn ended(&mut self, mark: Mark, outcome: Outcome) -> Said {
-        self.fence.ended(mark, outcome.clone());
+    /// An order has come to its end: the answer to it. `before` is what ran until then, where that has changed.
+    pub fn ended(&mut self, ordered: Ordered, before: Option<(Image, u64)>, outcome: Outcome) -> Said {
+        match (&outcome, ordered.lease_us) {
+            (Outcome::Done, 0) => self.is_for_good(),
+            // What has run before, for good, does not come on trial by being asked for again.
+            (Outcome::Done, lease_us) if before.is_some() || self.trial.is_on() => {
+                self.back_to = self.back_to.take().or(before);
+                self.trial.began(self.now_us(), lease_us);
+            }
+            _ => {}
+        }
+        self.fence.ended(ordered.mark, outcome.clone());
         Said::Ended(outcome.into())
     }
 
+    /// What runs now stays.
+    pub fn is_for_good(&mut self) {
+        self.trial.is_for_good();
+        self.back_to = None;
+    }
+
+    /// What a trial that is over needs now, and what is to run again.
+    pub fn due(&mut self) -> Option<(Image, bool)> {
+        let due = self.trial.due(self.now_us());
+        let (image, print) = self.back_to.as_ref()?;
+        match due {
+            Due::Nothing => None,
+            Due::HandBack => Some((image.clone(), false)),
+            // Guards the node: what is on trial still serves, and what ran before is not there any more.
+            Due::Anew if is_other(&image.program, *print).is_some() => {
+                self.returned(false);
+                None
+            }
+            Due::Anew => Some((image.clone(), true)),
+        }
+    }
+
+    /// What a trial needed has come to its end.
+    pub fn returned(&mut self, is_done: bool) {
+        self.trial.returned(self.now_us(), is_done);
+        if is_done {
+            self.back_to = None;
+        }
+    }
+
+    /// For how long nothing is due.
+    pub fn next(&self) -> Option<Duration> {
+        self.trial.next_us().map(|us| Duration::from_micros(us.saturating_sub(self.now_us())))
+    }
+
     /// A program that served is followed by another, whose counts begin at nothing.
     pub fn followed(&mut self, serving: &Serving) {
         if let Some((_, tally)) = &serving.tally {
@@ -159,15 +252,25 @@
             .map(|(_, tally)| Tally { methods: self.summed(&tally.methods), ..tally.clone() });
         Stands {
             print: serving.print,
-            path: serving.path.display().to_string(),
+            path: serving.image.program.display().to_string(),
             highest: Some(self.fence.highest().into()),
             is_well: serving.is_well() && !is_changing,
             start: self.start,
             tally,
+            on_trial: self.trial.is_on(),
         }
     }
 }
 
+/// Why a file does not hold what it should, if so.
+fn is_other(path: &Path, print: u64) -> Option<String> {
+    match print_of(path) {
+        Err(err) => Some(format!("{}: {err}", path.display())),
+        Ok(found) if found != print => Some(format!("{} is another file by now", path.display())),
+        Ok(_) => None,
+    }
+}
+
 pub fn say(stream: &mut UnixStream, said: Said) {
     let _ = stream.write_all(&messages::write(&Response { version: VERSION, said: Some(said) }));
 }
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -9,7 +9,7 @@
 use crate::logger::Logs;
 use crate::moving::give::{self, Handing};
 use crate::moving::keeper::{self, Kept};
-use crate::moving::orders::tally_line;
+use crate::moving::orders::{print_of, tally_line};
 use crate::moving::records::{KeptBelow, KeptCall, KeptRpc, Whereabouts};
 use crate::moving::take::{self, Begin, Taken};
 use crate::moving::wire::Wire;
@@ -25,7 +25,7 @@
 use may::sync::mpsc::{channel, Sender};
 use ochrewalk::deployment::Placement;
 use ochrewalk::host::{Below as Called, Effect, RpcId, Stopping};
-use ochrewalk_operators::Operators;
+use ochrewalk_operators::{changes, Needs, Operators};
 use ochrewalk_rollout::messages::Tally;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use siphasher::sip::SipHasher13;
@@ -34,8 +34,9 @@
 use std::net::SocketAddr;
 use std::os::fd::{FromRawFd, IntoRawFd, OwnedFd};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Words of a coroutine's stack: 128 KiB, of which only what is used takes memory.
 const STACK_WORDS: usize = 0x4000;
@@ -52,8 +53,13 @@
 /// A file that cannot be used on SIGHUP may be only half written: it is read so many times, so far apart.
 const READINGS: u32 = 20;
 const BETWEEN_READINGS: Duration = Duration::from_millis(100);
-/// How often the keeper is told what was counted.
-const BETWEEN_TALLIES: Duration = Duration::from_millis(400);
+/// How often the keeper is told what was counted: well within a conductor's moment, so that counts of nodes that tell
+/// theirs at different times can be compared.
+const BETWEEN_TALLIES: Duration = Duration::from_millis(100);
+/// A worker that has run no coroutine for so long hears nobody.
+const HELD: Duration = Duration::from_secs(2);
+/// Beyond `stop_ms`, what the keeper waits for a program that was told to leave.
+const AFTER_STOP: Duration = Duration::from_secs(1);
 /// Fewer connections than this make no front.
 const LEAST_DISPATCHERS: usize = 8;
 /// Of `stop_ms`, what is kept for the last answers to be written, and for the process to end.
@@ -70,10 +76,12 @@
     /// Where the directory is.
     directory: Mutex<SocketAddr>,
     pub dispatchers: Arc<Dispatchers>,
-    /// The limits of its file, and a digest of what both files say.
+    /// The limits of its file, and a digest of what of both files cannot change while it runs.
     pub memory_bytes: usize,
     pub descriptors: usize,
     pub digest: u64,
+    /// A print of the operators' file that it goes by, 0 where there is none or parts of it wait.
+    settings: AtomicU64,
 }
 
 /// The files that a node goes by: the platform's, and the operators' own where there is one.
@@ -91,15 +99,20 @@
         Ok((placement, operators.unwrap_or_default()))
     }
 
-    /// A digest of what both say: two programs that go by the same files have the same.
-    fn digest(&self) -> Result<u64, String> {
+    /// A digest of what cannot change while a node runs: of two programs that have the same one may follow the other.
+    fn digest(&self, operators: &Operators) -> Result<u64, String> {
         let mut print = SipHasher13::new();
-        for file in std::iter::once(&self.node).chain(&self.operators) {
-            let text = std::fs::read(file).map_err(|err| format!("{}: {err}", file.display()))?;
-            text.hash(&mut print);
-        }
+        let text = std::fs::read(&self.node).map_err(|err| format!("{}: {err}", self.node.display()))?;
+        (Placement::lasting(&text)?, operators.lasting()).hash(&mut print);
         Ok(print.finish())
     }
+
+    /// The operators' own as it stands there, and its print.
+    fn operators_text(&self) -> (String, u64) {
+        let text = self.operators.as_ref().and_then(|file| std::fs::read_to_string(file).ok());
+        let print = self.operators.as_ref().and_then(|file| print_of(file).ok());
+        (text.unwrap_or_default(), print.unwrap_or(0))
+    }
 }
 
 fn read_operators(file: &Path, placement: &Placement) -> Result<Operators, String> {
@@ -153,6 +166,10 @@
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
         .map_err(|err| format!("cannot wait for signals: {err}"))?;
     let mut kept = keeper::kept();
+    let mut files = files.clone();
+    if let Some(file) = kept.as_mut().and_then(|kept| kept.operators.take()) {
+        files.operators = Some(file);
+    }
     let takes = kept.as_mut().and_then(|kept| kept.takes.take()).map(Wire::new);
     let (mut placement, operators) = files.read().inspect_err(|why| {
         if let Some(wire) = &takes {
@@ -160,7 +177,7 @@
         }
     })?;
     if let (None, Some(control)) = (&kept, &operators.upgrade_control) {
-        let status = keeper::keep(control)?;
+        let status = keeper::keep(control, Duration::from_millis(placement.stop_ms) + AFTER_STOP)?;
         std::process::exit(status.code().unwrap_or(70));
     }
     crate::logger::start(logs);
@@ -170,7 +187,8 @@
         .set_stack_size(STACK_WORDS)
         .set_pool_capacity(POOLED_STACKS)
         .set_worker_pin(false);
-    let digest = files.digest()?;
+    let digest = files.digest(&operators)?;
+    let (mut operators_text, settings) = files.operators_text();
     let mut told_to_end = None;
     let taken = match (takes, &kept) {
         (Some(wire), Some(kept)) => {
@@ -201,13 +219,18 @@
         None => build(&placement, operators, digest, None)?,
     };
     let (node, report_now) = begin(built, &placement);
+    node.settings.store(settings, Ordering::Relaxed);
     let handing = Arc::new(Handing::default());
     if let Some(Kept { line, gives, .. }) = kept {
         let line = Arc::new(line);
         let (of, told) = (node.clone(), line.clone());
-        std::thread::spawn(move || loop {
-            told.say(&tally_line(&tally(&of)));
-            std::thread::sleep(BETWEEN_TALLIES);
+        std::thread::spawn(move || {
+            let mut pulse = Pulse::default();
+            loop {
+                let hears = pulse.is_felt();
+                told.say(&tally_line(&tally(&of, hears)));
+                std::thread::sleep(BETWEEN_TALLIES);
+            }
         });
         let (node, handing) = (node.clone(), handing.clone());
         std::thread::spawn(move || {
@@ -237,8 +260,8 @@
             readings = READINGS;
         }
         if readings > 0 {
-            readings =
-                if reload(&node, &report_now, files, &mut placement, readings) { 0 } else { readings - 1 };
+            let done = reload(&node, &report_now, &files, &mut placement, &mut operators_text, readings);
+            readings = if done { 0 } else { readings - 1 };
         }
     };
     let stop_ms = placement.stop_ms;
@@ -255,13 +278,37 @@
     std::process::exit(0)
 }
 
+/// Whether the runtime's worker still runs coroutines: one is sent through it again and again.
+struct Pulse {
+    passed: Arc<AtomicBool>,
+    sent: Instant,
+}
+
+impl Default for Pulse {
+    fn default() -> Pulse {
+        Pulse { passed: Arc::new(AtomicBool::new(true)), sent: Instant::now() }
+    }
+}
+
+impl Pulse {
+    fn is_felt(&mut self) -> bool {
+        if self.passed.swap(false, Ordering::Relaxed) {
+            self.sent = Instant::now();
+            let passed = self.passed.clone();
+            may::go!(move || passed.store(true, Ordering::Relaxed));
+        }
+        self.sent.elapsed() < HELD
+    }
+}
+
 /// What the keeper is told of this program, for whoever conducts a change.
-fn tally(node: &Node) -> Tally {
+fn tally(node: &Node, hears: bool) -> Tally {
     let Core { gate, tally, deployment, .. } = &*node.core;
     let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let resident = pages.split(' ').nth(1).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
-    let is_healthy = gate.posture().healthy == Some(true);
-    Tally { is_healthy, memory_kb: resident * 4, methods: tally.told(&deployment.method_names) }
+    let is_healthy = hears && gate.posture().healthy == Some(true);
+    let (methods, settings) = (tally.told(&deployment.method_names), node.settings.load(Ordering::Relaxed));
+    Tally { is_healthy, memory_kb: resident * 4, methods, settings }
 }
 
 /// Reads the file again and takes over what may change. False where it can't be used and is worth another try.
@@ -270,8 +317,10 @@
     report_now: &Sender<()>,
     files: &Files,
     placement: &mut Placement,
+    operators_text: &mut String,
     readings: u32,
 ) -> bool {
+    let (text, print) = files.operators_text();
     let (left_alone, operators) = match files.read() {
         Ok((newer, operators)) => (placement.take_over(newer), operators),
         Err(why) => {
@@ -288,6 +337,16 @@
     for key in left_alone {
         tracing::warn!("SIGHUP: {key} has changed; it takes effect with the next start only");
     }
+    // What is in force stays the measure until all of the newer file is.
+    let waiting: Vec<_> =
+        changes(operators_text, &text).into_iter().filter(|change| change.needs != Needs::Reload).collect();
+    for change in &waiting {
+        tracing::warn!("SIGHUP: {change}: not in force yet");
+    }
+    node.settings.store(if waiting.is_empty() { print } else { 0 }, Ordering::Relaxed);
+    if waiting.is_empty() {
+        *operators_text = text;
+    }
     if let (Some(front), Some(newer)) = (&node.ajp, operators.ajp) {
         // Who may connect and what requests stand for; the rest takes effect with the next start.
         front.change(Open { guests: newer.guests, rules: newer.rules });
@@ -440,6 +499,7 @@
         memory_bytes,
         descriptors,
         digest,
+        settings: AtomicU64::new(0),
     });
     let name = placement.name.clone();
     Ok(Built { node, name, stirred, listener: json_listener, ajp_listener, status, resumed })
--- a/crates/ochrewalk-node/src/rollout.rs
+++ b/crates/ochrewalk-node/src/rollout.rs
@@ -3,13 +3,14 @@
 
 use crate::moving::keeper::is_owner;
 use crate::moving::orders::{ask, print_of};
-use ochrewalk_operators::Rollout as Plan;
-use ochrewalk_rollout::messages::{self, program, OrderTold, Request, Response, Said, Stands, VERSION};
+use ochrewalk_operators::{changes, Needs, Rollout as Plan, Subject};
+use ochrewalk_rollout::messages::{self, program, OrderTold, Request, Response, Said, Stands, Wanted};
 use ochrewalk_rollout::{
-    Acts, Conductor, Course, Judge, Kept, Mark, Measures, Moment, NodeCounts, Order, Outcome, Phase, Program,
-    Report, Verdict, Word,
+    Acts, Conductor, Course, Habits, Judge, Kept, Mark, Measures, Moment, NodeCounts, Order, Outcome, Phase,
+    Program, Report, Verdict, Word,
 };
 use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Write};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
@@ -19,6 +20,8 @@
 /// How long a node may take to say how it stands, and to carry out an order.
 const ASKING: Duration = Duration::from_millis(800);
 const ORDERED: Duration = Duration::from_secs(20);
+/// How soon one that is busy, or said nothing, is asked again.
+const AGAIN: Duration = Duration::from_millis(500);
 
 /// Moments that are looked at before a change begins.
 const BEFORE: u32 = 8;
@@ -49,26 +52,72 @@
         .map_err(|faults| faults.iter().map(|f| f.to_string()).collect::<Vec<_>>().join("\n"))
 }
 
-/// Prints of the plan's programs.
-#[derive(Clone, Copy, Debug)]
+/// Prints of the plan's two files, by node.
+#[derive(Clone, Debug)]
 struct Prints {
-    old: u64,
-    new: u64,
+    subject: Subject,
+    of: Vec<[u64; 2]>,
 }
 
 impl Prints {
     fn of(plan: &Plan) -> Result<Prints, String> {
-        let print = |path: &Path| print_of(path).map_err(|err| format!("{}: {err}", path.display()));
-        let prints = Prints { old: print(&plan.old)?, new: print(&plan.new)? };
-        if prints.old == prints.new {
-            return Err("both programs of the plan hold the same".into());
+        // Most often all nodes have the same files.
+        let mut known: BTreeMap<PathBuf, u64> = BTreeMap::new();
+        let mut print = |path: PathBuf| -> Result<u64, String> {
+            match known.get(&path) {
+                Some(print) => Ok(*print),
+                None => {
+                    let print = print_of(&path).map_err(|err| format!("{}: {err}", path.display()))?;
+                    known.insert(path, print);
+                    Ok(print)
+                }
+            }
+        };
+        let mut of = Vec::new();
+        for node in &plan.nodes {
+            let [old, new] = [print(plan.file(node, false))?, print(plan.file(node, true))?];
+            if old == new {
+                return Err(format!("both files of the plan hold the same for {}", node.name));
+            }
+            of.push([old, new]);
+        }
+        Ok(Prints { subject: plan.subject, of })
+    }
+
+    /// Which of the two a node runs, if one of them.
+    fn side(&self, node: usize, stands: &Stands) -> Option<Program> {
+        let print = if self.subject == Subject::Program { stands.print } else { stands.settings() };
+        let [old, new] = self.of[node];
+        program(print, old, new)
+    }
+}
+
+/// What changes with the settings of a plan, a line each; an error where no running node can take it over.
+fn differences(plan: &Plan) -> Result<String, String> {
+    if plan.subject == Subject::Program {
+        return Ok(String::new());
+    }
+    let (mut may, mut never) = (BTreeSet::new(), BTreeSet::new());
+    for node in &plan.nodes {
+        let read = |is_new: bool| {
+            let path = plan.file(node, is_new);
+            std::fs::read_to_string(&path).map_err(|err| format!("{}: {err}", path.display()))
+        };
+        for change in changes(&read(false)?, &read(true)?) {
+            let of = if change.needs == Needs::Start { &mut never } else { &mut may };
+            of.insert(format!("{change}\n"));
         }
-        Ok(prints)
+    }
+    match (never.is_empty(), may.is_empty()) {
+        (false, _) => Err(Vec::from_iter(never).concat().trim_end().into()),
+        (true, true) => Err("both files of the plan mean the same".into()),
+        (true, false) => Ok(Vec::from_iter(may).concat()),
     }
 }
 
-fn stands(control: &Path) -> Result<Stands, String> {
-    match ask(control, &Request { version: VERSION, order: None }, ASKING) {
+/// How a node stands, asked by the conductor of that number; 0 for one who only looks on.
+fn stands(control: &Path, conductor: u64) -> Result<Stands, String> {
+    match ask(control, &Request::stands(conductor), ASKING) {
         Ok(Response { said: Some(Said::Stands(stands)), .. }) => Ok(stands),
         Ok(Response { said: Some(Said::Refused(why)), .. }) => Err(why),
         Ok(Response { version, .. }) => Err(format!("an answer of version {version} that is not known here")),
@@ -77,9 +126,10 @@
 }
 
 /// All nodes at once, each asked on its own.
-fn ask_all(plan: &Plan) -> Vec<Result<Stands, String>> {
+fn ask_all(plan: &Plan, conductor: u64) -> Vec<Result<Stands, String>> {
     std::thread::scope(|scope| {
-        let asked: Vec<_> = plan.nodes.iter().map(|node| scope.spawn(|| stands(&node.control))).collect();
+        let asked: Vec<_> =
+            plan.nodes.iter().map(|node| scope.spawn(move || stands(&node.control, conductor))).collect();
         let died = |_| Err("asking has panicked".to_string());
         asked.into_iter().map(|asked| asked.join().unwrap_or_else(died)).collect()
     })
@@ -88,24 +138,24 @@
 /// How every node stands, a line each, and what stands in the way of a change.
 pub fn check(plan: &Plan) -> Result<String, String> {
     let prints = Prints::of(plan)?;
+    let mut text = differences(plan)?;
     let mut faults = Vec::new();
-    for (node, stands) in plan.nodes.iter().zip(ask_all(plan)) {
+    for (at, (node, stands)) in plan.nodes.iter().zip(ask_all(plan, 0)).enumerate() {
         let wrong = match stands {
             Err(why) => Some(why),
-            Ok(stands) if program(stands.print, prints.old, prints.new).is_none() => {
-                Some(format!("it runs {}, which is neither program of the plan", stands.path))
-            }
+            Ok(stands) if prints.side(at, &stands).is_none() => Some(match plan.subject {
+                Subject::Program => format!("it runs {}, which is neither program of the plan", stands.path),
+                Subject::Settings => "it goes by neither file of the plan".into(),
+            }),
             Ok(stands) if !stands.is_well => Some("it is not well".into()),
             Ok(_) => None,
         };
         faults.extend(wrong.map(|why| format!("{}: {why}", node.name)));
     }
     if faults.is_empty() {
-        return Ok(format!(
-            "{} nodes, {} stages: all answer and are well",
-            plan.nodes.len(),
-            plan.stages.len()
-        ));
+        let (nodes, stages) = (plan.nodes.len(), plan.stages.len());
+        text += &format!("{nodes} nodes, {stages} stages: all answer and are well");
+        return Ok(text);
     }
     Err(faults.join("\n"))
 }
@@ -114,13 +164,14 @@
 pub fn status(plan: &Plan) -> Result<String, String> {
     let prints = Prints::of(plan).ok();
     let mut text = tell(plan, "status").unwrap_or_else(|_| "no conductor runs\n".into());
-    for (node, stands) in plan.nodes.iter().zip(ask_all(plan)) {
+    for (at, (node, stands)) in plan.nodes.iter().zip(ask_all(plan, 0)).enumerate() {
         let how = match &stands {
             Err(why) => format!("says nothing: {why}"),
             Ok(stands) => {
-                let program = prints.and_then(|prints| program(stands.print, prints.old, prints.new));
-                let word = program.map_or("another", |p| if p == Program::Old { "old" } else { "new" });
-                format!("{word:<8} {}", if stands.is_well { "well" } else { "not well" })
+                let side = prints.as_ref().and_then(|prints| prints.side(at, stands));
+                let word = side.map_or("another", |p| if p == Program::Old { "old" } else { "new" });
+                let trial = if stands.on_trial { ", on trial" } else { "" };
+                format!("{word:<8} {}{trial}", if stands.is_well { "well" } else { "not well" })
             }
         };
         text += &format!("{:<16} {:<10} {how}\n", node.name, node.zone);
@@ -227,25 +278,15 @@
             return;
         }
         let is_new = order.to == Program::New;
-        self.say(json!({"order": self.plan.nodes[node].name, "to": if is_new { "new" } else { "old" }}));
-        let (path, print) =
-            if is_new { (&self.plan.new, self.prints.new) } else { (&self.plan.old, self.prints.old) };
-        let told = OrderTold::new(&order, path.display().to_string(), print);
+        let to = if is_new { "new" } else { "old" };
+        self.say(json!({"order": self.plan.nodes[node].name, "to": to, "how": format!("{:?}", order.how)}));
+        let path = self.plan.file(&self.plan.nodes[node], is_new).display().to_string();
+        let print = self.prints.of[node][usize::from(is_new)];
+        let wanted = Wanted { is_settings: self.plan.subject == Subject::Settings, path, print };
+        let request = Request::order(OrderTold::new(&order, wanted, self.plan.trial_us / 1_000));
         let (control, tell) = (self.plan.nodes[node].control.clone(), self.tell.clone());
         std::thread::spawn(move || {
-            let request = Request { version: VERSION, order: Some(told) };
-            let word = match ask(&control, &request, ORDERED) {
-                Ok(Response { said: Some(Said::Ended(ended)), .. }) => Word::Ended(ended.into()),
-                Ok(Response { said: Some(Said::Stale(mark)), .. }) => Word::Stale(mark.into()),
-                Ok(Response { said: Some(Said::Refused(why)), .. }) if !why.contains("carried out") => {
-                    Word::Ended(Outcome::Failed(why))
-                }
-                // It may be under way, or lost.
-                _ => {
-                    std::thread::sleep(Duration::from_millis(500));
-                    Word::Nothing
-                }
-            };
+            let word = give_order(&control, &request);
             let _ = tell.send(Heard::Answered { node, mark: order.mark, word });
         });
     }
@@ -255,6 +296,28 @@
     }
 }
 
+/// Sends an order until the node says what came of it, or for as long as one may take.
+fn give_order(control: &Path, request: &Request) -> Word {
+    let by = Instant::now() + ORDERED;
+    loop {
+        let word = match ask(control, request, ORDERED) {
+            Ok(Response { said: Some(Said::Ended(ended)), .. }) => Word::Ended(ended.into()),
+            Ok(Response { said: Some(Said::Stale(mark)), .. }) => Word::Stale(mark.into()),
+            Ok(Response { said: Some(Said::Refused(why)), .. }) => Word::Ended(Outcome::Failed(why)),
+            Ok(Response { said: Some(Said::Busy(_)), .. }) if Instant::now() < by => {
+                std::thread::sleep(AGAIN);
+                continue;
+            }
+            // It may be under way, or lost.
+            _ => {
+                std::thread::sleep(AGAIN);
+                Word::Nothing
+            }
+        };
+        return word;
+    }
+}
+
 /// A node as it was seen before.
 #[derive(Default)]
 struct Before {
@@ -280,7 +343,9 @@
     // Above any that an earlier one has had, whatever became of the clock; and no other's that begins now.
     let now_us = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
     let number = now_us.max(kept.as_ref().map_or(0, |kept| kept.conductor) + 1);
-    let mut conductor = Conductor::new(course, kept, number);
+    let habits = Habits { on_trial: plan.trial_us > 0, begins_anew: plan.begins_anew };
+    hands.say(json!({"begun": number}));
+    let mut conductor = Conductor::new(course, habits, kept, number);
     let end = conduct(&mut conductor, &mut hands, &heard, wish);
     let _ = std::fs::remove_file(socket(plan));
     let end = end?;
@@ -318,16 +383,16 @@
     let (mut wish, mut last, mut moved_at) = (wish, String::new(), Instant::now());
     // What each node usually answers, before the first of them is changed.
     for _ in 0..if conductor.kept().changed.is_empty() { BEFORE } else { 0 } {
-        let all = ask_all(plan);
+        let all = ask_all(plan, conductor.kept().conductor);
         let before = look(conductor, plan, &all, &mut nodes);
         judge.get_or_insert_with(|| Judge::new(measures, methods(&all))).look(&before);
         std::thread::sleep(moment);
     }
     loop {
         let next = Instant::now() + moment;
-        let all = ask_all(plan);
+        let all = ask_all(plan, conductor.kept().conductor);
         for (node, stands) in all.iter().enumerate() {
-            let report = stands.as_ref().ok().and_then(|stands| report(stands, &hands.prints));
+            let report = stands.as_ref().ok().and_then(|stands| report(node, stands, &hands.prints));
             conductor.report(node, report.as_ref(), hands);
         }
         if wish == Wish::Back && conductor.phase() != &Phase::Asking {
@@ -342,7 +407,10 @@
         }
         let judge = judge.get_or_insert_with(|| Judge::new(measures, methods(&all)));
         let moment = look(conductor, plan, &all, &mut nodes);
-        if matches!(conductor.phase(), Phase::Forward { .. } | Phase::Judged { .. }) && moment.changed > 0 {
+        let is_judged =
+            matches!(conductor.phase(), Phase::Forward { .. } | Phase::Judged { .. } | Phase::Confirming);
+        if is_judged && moment.changed > 0 {
+            hands.say(seen(&moment, plan, &methods(&all)));
             let verdict = judge.look(&moment);
             if !matches!(verdict, Verdict::Wait) {
                 hands.say(json!({"verdict": format!("{verdict:?}")}));
@@ -394,9 +462,9 @@
 }
 
 /// What a node's word means to the conductor; nothing where it runs neither program of the plan.
-fn report(stands: &Stands, prints: &Prints) -> Option<Report> {
+fn report(node: usize, stands: &Stands, prints: &Prints) -> Option<Report> {
     let highest = stands.highest.map_or(Mark::default(), Mark::from);
-    let program = program(stands.print, prints.old, prints.new)?;
+    let program = prints.side(node, stands)?;
     Some(Report { program, is_well: stands.is_well, highest })
 }
 
@@ -409,6 +477,29 @@
     names
 }
 
+/// A moment as it is logged: by side the methods' calls, missed and failed, and the memory of the largest node; and
+/// each node's calls, if it spoke.
+fn seen(moment: &Moment, plan: &Plan, methods: &[String]) -> serde_json::Value {
+    let side = |is_changed: bool| {
+        let of = || moment.nodes.iter().filter(move |node| node.is_changed == is_changed);
+        let sum = |method: usize| {
+            of().filter_map(|node| node.methods.get(method)).fold(
+                [0; 3],
+                |[calls, missed, failed], counts| {
+                    [calls + counts.calls, missed + counts.missed, failed + counts.failed]
+                },
+            )
+        };
+        let sums: Vec<[u32; 3]> = (0..methods.len()).map(sum).collect();
+        json!({"nodes": of().count(), "methods": sums, "memory_kb": of().map(|n| n.memory_kb).max()})
+    };
+    let mut calls = vec![None; plan.nodes.len()];
+    for node in &moment.nodes {
+        calls[node.node] = Some(node.methods.iter().map(|counts| counts.calls).sum::<u32>());
+    }
+    json!({"moment": {"methods": methods, "old": side(false), "new": side(true), "calls": calls}})
+}
+
 /// Old, new and others.
 fn sides(conductor: &Conductor) -> String {
     let count = |program| conductor.seen().iter().filter(|seen| seen.program == program).count();
--- a/crates/ochrewalk-node/tests/upgrade.rs
+++ b/crates/ochrewalk-node/tests/upgrade.rs
@@ -191,8 +191,11 @@
     let asked = std::thread::spawn(move || {
         program(&["upgrade", "--control", control.to_str().unwrap(), "--program", own]).output().unwrap()
     });
-    std::thread::sleep(Duration::from_millis(300));
-    kept.stand.signal("-HUP");
+    // Before the attempt has begun a signal is none of its business: until it is over there may be more of them.
+    while !asked.is_finished() {
+        kept.stand.signal("-HUP");
+        std::thread::sleep(Duration::from_millis(50));
+    }
     let said = String::from_utf8(asked.join().unwrap().stderr).unwrap();
     assert!(said.contains("the running program got a signal"), "{said}");
     let mut json = kept.stand.caller();
@@ -220,10 +223,13 @@
     assert!(ask(&[b'x'; 9_000]).starts_with("refused: write"));
     // Another program ends without a word of ours.
     assert_eq!(ask(b"upgrade /bin/true\n"), "the new program ended\n");
-    // Files that set other things, and files that cannot be used.
+    // Files that set what no running node can change, and files that cannot be used.
     let text = std::fs::read_to_string(&kept.stand.operators).unwrap();
+    std::fs::write(&kept.stand.operators, text.replace(":8009", ":8010")).unwrap();
+    assert_eq!(kept.upgrade(), "its files set what only a start can change");
+    // What else they set comes into force with the hand-over.
     std::fs::write(&kept.stand.operators, format!("{text}ajp idle 30s\n")).unwrap();
-    assert_eq!(kept.upgrade(), "its files set other things; reload or restart for those");
+    assert_eq!(kept.upgrade(), "handed over");
     std::fs::write(&kept.stand.operators, "ajp idle 3\n").unwrap();
     let how = kept.upgrade();
     assert!(how.starts_with("the new program refused: ") && how.contains("3 has no unit"), "{how}");
--- a/crates/ochrewalk-operators/src/lib.rs
+++ b/crates/ochrewalk-operators/src/lib.rs
@@ -10,12 +10,14 @@
 //! assert_eq!(faults[0].to_string(), "my.conf:3: lok is no method here; did you mean look?");
 //! ```
 
+mod changes;
 mod plan;
 mod read;
 mod units;
 mod words;
 
-pub use plan::{Plan as Rollout, PlannedNode};
+pub use changes::{changes, Change, Needs};
+pub use plan::{Plan as Rollout, PlannedNode, Subject};
 pub use read::{read, Fault, Node};
 
 use ochrewalk_fronts::guests::Guests;
@@ -33,6 +35,14 @@
     pub upgrade_control: Option<PathBuf>,
 }
 
+impl Operators {
+    /// What cannot be changed while the node runs, as text: programs that agree in it may follow one another.
+    pub fn lasting(&self) -> String {
+        let listens = self.ajp.as_ref().map(|front| front.listen);
+        format!("{listens:?} {:?} {}", self.upgrade_control, self.below.is_some())
+    }
+}
+
 /// The front that takes AJP.
 #[derive(Clone, Debug)]
 pub struct AjpFront {
--- a/crates/ochrewalk-operators/src/plan.rs
+++ b/crates/ochrewalk-operators/src/plan.rs
@@ -14,11 +14,24 @@
     pub zone: String,
 }
 
-/// A rolling change of the program.
+/// What a rolling change changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subject {
+    Program,
+    /// The operators' file that nodes go by.
+    Settings,
+}
+
+/// A rolling change of the program or of settings, never of both.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
+    pub subject: Subject,
     pub old: PathBuf,
     pub new: PathBuf,
+    /// How long a changed node stays so after each word of the conductor's, until the change is done; 0 for no trial.
+    pub trial_us: u64,
+    /// A node that cannot hand back what it runs is begun anew.
+    pub begins_anew: bool,
     pub nodes: Vec<PlannedNode>,
     /// How many nodes are changed at the end of each stage; the last one has all.
     pub stages: Vec<usize>,
@@ -40,9 +53,13 @@
 }
 
 /// Directives, and how many words follow each.
-const DIRECTIVES: [(&str, &str); 13] = [
+const DIRECTIVES: [(&str, &str); 17] = [
     ("old", "old PROGRAM"),
     ("new", "new PROGRAM"),
+    ("old-settings", "old-settings FILE"),
+    ("new-settings", "new-settings FILE"),
+    ("trial", "trial TIME"),
+    ("stuck", "stuck restart|wait"),
     ("node", "node NAME CONTROL ZONE"),
     ("stage", "stage NUMBER|SHARE%"),
     ("most-out", "most-out NUMBER"),
@@ -56,6 +73,14 @@
     ("patience", "patience TIME"),
 ];
 
+impl Plan {
+    /// The file of a node on either side: `{node}` in its path stands for the node's name.
+    pub fn file(&self, node: &PlannedNode, is_new: bool) -> PathBuf {
+        let path = if is_new { &self.new } else { &self.old };
+        PathBuf::from(path.to_string_lossy().replace("{node}", &node.name))
+    }
+}
+
 enum Stage {
     Number(usize),
     Share(f64),
@@ -70,6 +95,7 @@
     stages: Vec<(usize, Stage)>,
     most_out: Option<usize>,
     harm: Option<f64>,
+    waits_where_stuck: bool,
 }
 
 impl Plan {
@@ -117,7 +143,9 @@
         self.stood.entry(name.into()).or_insert(line);
         let word = &given[0];
         match name {
-            "old" | "new" | "record" => drop(self.paths.insert(name.into(), absolute(word)?)),
+            "old" | "new" | "old-settings" | "new-settings" | "record" => {
+                drop(self.paths.insert(name.into(), absolute(word)?))
+            }
             "node" => {
                 let node =
                     PlannedNode { name: word.clone(), control: socket(&given[1])?, zone: given[2].clone() };
@@ -139,6 +167,13 @@
                 };
                 self.stages.push((line, stage));
             }
+            "stuck" => {
+                self.waits_where_stuck = match word.as_str() {
+                    "restart" => false,
+                    "wait" => true,
+                    _ => return wrong(format!("stuck {word}"), "write stuck restart or stuck wait"),
+                }
+            }
             "most-out" => self.most_out = Some(whole(word, 1, 1_000_000)?),
             "harm" => {
                 let harm = word.parse::<f64>().ok().filter(|harm| (0.001..=0.5).contains(harm));
@@ -149,6 +184,8 @@
                     )
                 })?);
             }
+            // Nodes tell their counts ten times a second.
+            "moment" => drop(self.times.insert(name.into(), time(word, 200_000, 60_000_000)?)),
             _ => drop(self.times.insert(name.into(), time(word, 50_000, 86_400_000_000)?)),
         }
         Ok(())
@@ -159,8 +196,20 @@
             Err((0, (format!("no {what} is named"), format!("add a line: {usage}"))))
         };
         let path = |name: &str| self.paths.get(name).cloned();
-        let (Some(old), Some(new)) = (path("old"), path("new")) else {
-            return missing("program", "old PROGRAM, new PROGRAM");
+        let pair = |old: &str, new: &str| Some((path(old)?, path(new)?));
+        let stood = |names: [&str; 2]| names.iter().find_map(|name| self.stood.get(*name).copied());
+        let (programs, settings) = (["old", "new"], ["old-settings", "new-settings"]);
+        if let (Some(_), Some(line)) = (stood(programs), stood(settings)) {
+            let what = "a change of the program and of settings at once".to_string();
+            return Err((line, (what, "make two plans, one after the other".into())));
+        }
+        let (subject, (old, new)) = match (pair("old", "new"), pair("old-settings", "new-settings")) {
+            (Some(pair), _) => (Subject::Program, pair),
+            (_, Some(pair)) => (Subject::Settings, pair),
+            _ if stood(settings).is_some() => {
+                return missing("second file of settings", "old-settings FILE, new-settings FILE")
+            }
+            _ => return missing("program", "old PROGRAM, new PROGRAM"),
         };
         let Some(record) = path("record") else { return missing("record", "record PATH") };
         if self.nodes.is_empty() {
@@ -211,14 +260,25 @@
                 ("a stage's longest time is shorter than its least".into(), "write most over least".into()),
             ));
         }
+        let moment_us = get("moment", 1_000_000);
+        // Settings are always on trial: whoever is cut off by them could not be told to go back.
+        let trial_us = get("trial", if subject == Subject::Settings { 30_000_000 } else { 0 });
+        if trial_us > 0 && trial_us < 4 * moment_us {
+            let line = self.stood.get("trial").or(self.stood.get("moment")).copied().unwrap_or(0);
+            let what = "a trial of less than four moments ends with a few lost words".to_string();
+            return Err((line, (what, "write a longer trial, or shorter moments".into())));
+        }
         Ok(Plan {
+            subject,
             old,
             new,
+            trial_us,
+            begins_anew: !self.waits_where_stuck,
             nodes: self.nodes,
             stages,
             most_out,
             record,
-            moment_us: get("moment", 1_000_000),
+            moment_us,
             harm: self.harm.unwrap_or(0.05),
             least_us,
             most_us,
--- a/crates/ochrewalk-operators/src/read.rs
+++ b/crates/ochrewalk-operators/src/read.rs
@@ -1,5 +1,6 @@
 //! Directives: each line's words into what they set, checked one by one and then together.
 
+use crate::changes::Needs;
 use crate::{units, words, AjpBelow, AjpFront, Operators, PlaceBelow};
 use ipnet::IpNet;
 use ochrewalk_ajp::packet::{LARGEST_PACKET, USUAL_PACKET};
@@ -54,34 +55,47 @@
     Err((what.into(), right.into()))
 }
 
-/// A directive: its words, what they are, whether it may stand more than once.
-struct Directive {
+/// A directive: its words, what they are, whether it may stand more than once, and what a change of it needs.
+pub(crate) struct Directive {
     section: &'static str,
     name: &'static str,
     usage: &'static str,
     repeats: bool,
+    pub(crate) needs: Needs,
+}
+
+impl Directive {
+    const fn by(self, needs: Needs) -> Directive {
+        Directive { needs, ..self }
+    }
 }
 
 const fn once(section: &'static str, name: &'static str, usage: &'static str) -> Directive {
-    Directive { section, name, usage, repeats: false }
+    Directive { section, name, usage, repeats: false, needs: Needs::HandOver }
 }
 
 const fn many(section: &'static str, name: &'static str, usage: &'static str) -> Directive {
-    Directive { section, name, usage, repeats: true }
+    Directive { section, name, usage, repeats: true, needs: Needs::Reload }
+}
+
+/// The directive that a line's words begin with.
+pub(crate) fn directive(words: &[String]) -> Option<&'static Directive> {
+    let (section, name) = (words[0].as_str(), words.get(1).map_or("", |w| w.as_str()));
+    DIRECTIVES.iter().find(|d| d.section == section && (d.name == name || section == "host"))
 }
 
 const DIRECTIVES: [Directive; 37] = [
     many("host", "", "host NAME ADDRESS"),
-    once("ajp", "listen", "ajp listen ADDRESS:PORT"),
+    once("ajp", "listen", "ajp listen ADDRESS:PORT").by(Needs::Start),
     many("ajp", "allow", "ajp allow NETWORK"),
     many("ajp", "deny", "ajp deny NETWORK"),
-    once("ajp", "secret", "ajp secret WORD"),
-    once("ajp", "secret-file", "ajp secret-file PATH"),
+    once("ajp", "secret", "ajp secret WORD").by(Needs::Reload),
+    once("ajp", "secret-file", "ajp secret-file PATH").by(Needs::Reload),
     once("ajp", "packet", "ajp packet SIZE"),
     once("ajp", "connections", "ajp connections NUMBER"),
     once("ajp", "idle", "ajp idle TIME"),
-    once("ajp", "memory", "ajp memory KB"),
-    once("ajp", "health", "ajp health PATH"),
+    once("ajp", "memory", "ajp memory KB").by(Needs::Reload),
+    once("ajp", "health", "ajp health PATH").by(Needs::Reload),
     many("ajp", "header", "ajp header id|token|left|memory NAME"),
     many("ajp", "route", "ajp route HTTP-METHOD PATH METHOD"),
     many("below", "ajp", "below ajp ADDRESS:PORT"),
@@ -101,13 +115,13 @@
     once("below", "repeats", "below repeats SHARE"),
     many("below", "weight", "below weight ADDRESS:PORT NUMBER"),
     many("below", "zone", "below zone ADDRESS:PORT ZONE"),
-    once("below", "here", "below here ZONE"),
+    once("below", "here", "below here ZONE").by(Needs::Reload),
     once("below", "way", "below way WAY"),
     once("below", "reach", "below reach PLACES"),
     once("below", "number", "below number NUMBER COUNT"),
     once("below", "warm", "below warm TIME"),
     once("below", "status", "below status PATH"),
-    once("upgrade", "control", "upgrade control PATH"),
+    once("upgrade", "control", "upgrade control PATH").by(Needs::Start),
 ];
 
 /// Reads the file's text. `file` names it in faults.
@@ -212,8 +226,7 @@
     fn line(&mut self, line: usize, words: &[String]) -> Result<(), Wrong> {
         let section = &*words[0];
         let name = words.get(1).map_or("", |w| w.as_str());
-        let stands = |d: &&Directive| d.section == section && (d.name == name || section == "host");
-        let Some(directive) = DIRECTIVES.iter().find(stands) else { return Err(unknown(section, name)) };
+        let Some(directive) = directive(words) else { return Err(unknown(section, name)) };
         let given = &words[if section == "host" { 1 } else { 2 }..];
         let takes = directive.usage.split(' ').count() - (words.len() - given.len());
         if given.len() != takes {
--- a/crates/ochrewalk-rollout/src/course.rs
+++ b/crates/ochrewalk-rollout/src/course.rs
@@ -11,6 +11,8 @@
     pub program: Option<Program>,
     /// It answers, and serves.
     pub is_well: bool,
+    /// It says how it stands.
+    pub answers: bool,
     /// An order is on its way, or being carried out.
     pub is_ordered: bool,
     /// When it was changed among the others; 0 where it was not.
@@ -99,16 +101,31 @@
         (0..seen.len()).filter(may).min_by_key(|node| (share(*node), *node))
     }
 
-    /// The next node to change back, if one may be now.
+    /// The next node to change back, if one may be now. One that answers and is not well goes first: it is out of service
+    /// already, and may be so by what it runs.
     pub fn back(&self, seen: &[Seen]) -> Option<usize> {
-        if self.room(seen) == 0 {
-            return None;
-        }
-        let may = |node: &usize| {
-            let of = &seen[*node];
-            of.is_well && !of.is_ordered && of.program == Some(Program::New)
+        let newest = |is_well: bool| {
+            let may = |node: &usize| {
+                let of = &seen[*node];
+                of.answers && of.is_well == is_well && !of.is_ordered && of.program == Some(Program::New)
+            };
+            (0..seen.len()).filter(may).max_by_key(|node| (seen[*node].changed, *node))
         };
-        (0..seen.len()).filter(may).max_by_key(|node| (seen[*node].changed, *node))
+        let ordered = seen.iter().filter(|node| node.is_ordered).count();
+        let ill = newest(false).filter(|_| ordered < self.most_out);
+        ill.or_else(|| newest(true).filter(|_| self.room(seen) > 0))
+    }
+
+    /// The next node to be told that what it runs is for good, of those that were not told yet.
+    pub fn confirm(&self, seen: &[Seen], is_told: impl Fn(usize) -> bool) -> Option<usize> {
+        let may = |node: &usize| seen[*node].is_well && !seen[*node].is_ordered && !is_told(*node);
+        (0..seen.len()).find(may).filter(|_| self.room(seen) > 0)
+    }
+
+    /// Whether fewer run the new program than the stage asks for: some have gone back by themselves, or were started anew.
+    pub fn has_shrunk(&self, seen: &[Seen], stage: usize) -> bool {
+        let is_old = |node: &&Seen| node.program == Some(Program::Old) && node.is_well;
+        self.zones.len() - seen.iter().filter(is_old).count() < self.target(stage)
     }
 
     /// Whether all that the stage asks for are changed, and well.
--- a/crates/ochrewalk-rollout/src/fence.rs
+++ b/crates/ochrewalk-rollout/src/fence.rs
@@ -62,6 +62,21 @@
         }
     }
 
+    /// A conductor has asked how the node stands: orders of earlier ones that are still on their way come too late.
+    ///
+    /// ```
+    /// use ochrewalk_rollout::{Admitted, Fence, Mark};
+    /// let mut fence = Fence::default();
+    /// fence.heard(4);
+    /// assert!(matches!(fence.admit(Mark { conductor: 3, order: 9 }), Admitted::Stale(_)));
+    /// assert_eq!(fence.admit(Mark { conductor: 4, order: 1 }), Admitted::Act);
+    /// ```
+    pub fn heard(&mut self, conductor: u64) {
+        if conductor > self.highest.conductor {
+            (self.highest, self.outcome) = (Mark { conductor, order: 0 }, None);
+        }
+    }
+
     /// An order that was admitted has come to its end; late ones are passed over.
     pub fn ended(&mut self, mark: Mark, outcome: Outcome) {
         if mark == self.highest {
--- a/crates/ochrewalk-rollout/src/judge.rs
+++ b/crates/ochrewalk-rollout/src/judge.rs
@@ -116,10 +116,13 @@
     flows: BTreeMap<usize, Flow>,
 }
 
-/// What a node answers beside the others: as usual while it was unchanged, and what it then should and did.
+/// What a node answers beside the mean of the others: while it was unchanged, and what it then should and did. Sums, as
+/// nodes tell their counts at moments of their own: in one moment a node may seem to have none, and twice as many in the
+/// next.
 #[derive(Clone, Copy, Debug, Default)]
 struct Flow {
-    usual: Option<f64>,
+    before: f64,
+    mean_before: f64,
     expected: f64,
     answered: f64,
 }
@@ -234,17 +237,18 @@
     fn deaf(&mut self, moment: &Moment) -> Option<String> {
         let calls = |node: &NodeCounts| node.methods.iter().map(|c| f64::from(c.calls)).sum::<f64>();
         let others: Vec<f64> = moment.nodes.iter().filter(|n| !n.is_changed).map(calls).collect();
-        let mean = others.iter().sum::<f64>() / others.len().max(1) as f64;
-        if mean <= 0.0 {
+        if others.is_empty() {
             return None;
         }
+        let mean = others.iter().sum::<f64>() / others.len() as f64;
         for node in &moment.nodes {
             let flow = self.flows.entry(node.node).or_default();
             if !node.is_changed {
-                let usual = flow.usual.get_or_insert(calls(node) / mean);
-                *usual += (calls(node) / mean - *usual) * PACE;
+                flow.before = flow.before * FLOW_FADES + calls(node);
+                flow.mean_before = flow.mean_before * FLOW_FADES + mean;
                 (flow.expected, flow.answered) = (0.0, 0.0);
-            } else if let (Some(usual), false) = (flow.usual, node.is_cold) {
+            } else if flow.mean_before > 0.0 && !node.is_cold {
+                let usual = flow.before / flow.mean_before;
                 flow.expected = flow.expected * FLOW_FADES + usual * mean;
                 flow.answered = flow.answered * FLOW_FADES + calls(node);
                 if flow.expected >= EXPECTED && flow.answered < flow.expected * ANSWERS {
--- a/crates/ochrewalk-rollout/src/messages.rs
+++ b/crates/ochrewalk-rollout/src/messages.rs
@@ -1,11 +1,13 @@
 //! What a conductor and a node say to one another, and what a conductor keeps, in protobuf. A node answers a version that
 //! it does not know with its own, so that an older one says so rather than guess.
 
-use crate::{Counts, Kept, Mark, Order, Outcome, Program};
+use crate::{Counts, How, Kept, Mark, Order, Outcome, Program};
 use prost::{Message as _, Oneof};
 
-/// The version spoken here.
-pub const VERSION: u32 = 1;
+/// The version spoken here. The first one knew neither trials nor settings.
+pub const VERSION: u32 = 2;
+/// The version of what a conductor keeps.
+const KEPT_VERSION: u32 = 1;
 /// The longest message.
 pub const LONGEST: usize = 64 * 1024;
 
@@ -16,19 +18,48 @@
     /// What is asked; none for how the node stands.
     #[prost(message, optional, tag = "2")]
     pub order: Option<OrderTold>,
+    /// The number of the conductor that asks, which keeps what is on trial there; 0 for one who only looks on.
+    #[prost(uint64, tag = "3")]
+    pub conductor: u64,
+}
+
+impl Request {
+    /// How does the node stand?
+    pub fn stands(conductor: u64) -> Request {
+        Request { version: VERSION, order: None, conductor }
+    }
+
+    pub fn order(order: OrderTold) -> Request {
+        Request { version: VERSION, conductor: order.conductor, order: Some(order) }
+    }
 }
 
-/// Run that program.
+/// Run that.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct OrderTold {
     #[prost(uint64, tag = "1")]
     pub conductor: u64,
     #[prost(uint64, tag = "2")]
     pub order: u64,
-    #[prost(string, tag = "3")]
+    #[prost(message, optional, tag = "3")]
+    pub wanted: Option<Wanted>,
+    /// How long it stays after each word of the conductor's, in milliseconds; 0 for good.
+    #[prost(uint64, tag = "4")]
+    pub lease_ms: u64,
+    /// The one that runs leaves, or is ended, and this one is begun anew.
+    #[prost(bool, tag = "5")]
+    pub anew: bool,
+}
+
+/// A program to run with what else the node has, or an operators' file to go by with the program that runs.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Wanted {
+    #[prost(bool, tag = "1")]
+    pub is_settings: bool,
+    #[prost(string, tag = "2")]
     pub path: String,
     /// A print of what the file has to hold.
-    #[prost(uint64, tag = "4")]
+    #[prost(uint64, tag = "3")]
     pub print: u64,
 }
 
@@ -36,7 +67,7 @@
 pub struct Response {
     #[prost(uint32, tag = "1")]
     pub version: u32,
-    #[prost(oneof = "Said", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "Said", tags = "2, 3, 4, 5, 6")]
     pub said: Option<Said>,
 }
 
@@ -51,6 +82,9 @@
     /// Why nothing was done with it, in plain words.
     #[prost(string, tag = "5")]
     Refused(String),
+    /// Something else is under way, or the order itself still is: ask again.
+    #[prost(string, tag = "6")]
+    Busy(String),
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -85,6 +119,16 @@
     pub start: u64,
     #[prost(message, optional, tag = "6")]
     pub tally: Option<Tally>,
+    /// What it runs goes back by itself unless it hears of its conductor.
+    #[prost(bool, tag = "7")]
+    pub on_trial: bool,
+}
+
+impl Stands {
+    /// A print of the operators' file that the program goes by; 0 where it has none, or has not said so yet.
+    pub fn settings(&self) -> u64 {
+        self.tally.as_ref().map_or(0, |tally| tally.settings)
+    }
 }
 
 /// What the program that serves has counted since the node's start.
@@ -96,6 +140,9 @@
     pub memory_kb: u64,
     #[prost(message, repeated, tag = "3")]
     pub methods: Vec<MethodTally>,
+    /// A print of the operators' file that it goes by; 0 where it has none.
+    #[prost(uint64, tag = "4")]
+    pub settings: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -138,8 +185,15 @@
 }
 
 impl OrderTold {
-    pub fn new(order: &Order, path: String, print: u64) -> OrderTold {
-        OrderTold { conductor: order.mark.conductor, order: order.mark.order, path, print }
+    /// `lease_ms` is how long a trial lasts after each word.
+    pub fn new(order: &Order, wanted: Wanted, lease_ms: u64) -> OrderTold {
+        OrderTold {
+            conductor: order.mark.conductor,
+            order: order.mark.order,
+            wanted: Some(wanted),
+            lease_ms: if order.how == How::OnTrial { lease_ms } else { 0 },
+            anew: order.how == How::Anew,
+        }
     }
 
     pub fn mark(&self) -> Mark {
@@ -188,14 +242,14 @@
 pub fn write_kept(kept: &Kept) -> Vec<u8> {
     let Kept { conductor, stage, back, changed, is_over } = kept.clone();
     let changed = changed.into_iter().map(|node| node as u64).collect();
-    KeptTold { version: VERSION, conductor, stage: stage as u64, back, changed, is_over }.encode_to_vec()
+    KeptTold { version: KEPT_VERSION, conductor, stage: stage as u64, back, changed, is_over }.encode_to_vec()
 }
 
 /// An error says what is wrong with it.
 pub fn read_kept(bytes: &[u8]) -> Result<Kept, String> {
     let told = KeptTold::decode(bytes).map_err(|err| format!("no record of a change: {err}"))?;
-    if told.version != VERSION {
-        return Err(format!("a record of version {}, {VERSION} is known here", told.version));
+    if told.version != KEPT_VERSION {
+        return Err(format!("a record of version {}, {KEPT_VERSION} is known here", told.version));
     }
     let KeptTold { conductor, stage, back, changed, is_over, .. } = told;
     let changed = changed.into_iter().map(|node| node as usize).collect();
@@ -248,7 +302,7 @@
         let bytes = write_kept(&kept);
         assert_eq!(read_kept(&bytes), Ok(kept.clone()));
         assert!(read_kept(&bytes[..bytes.len() - 1]).is_err());
-        let newer = KeptTold { version: 2, ..KeptTold::decode(&bytes[..]).unwrap() };
+        let newer = KeptTold { version: KEPT_VERSION + 1, ..KeptTold::decode(&bytes[..]).unwrap() };
         assert!(read_kept(&newer.encode_to_vec()).unwrap_err().contains("version 2"));
     }
 
@@ -263,8 +317,8 @@
 
     #[test]
     fn a_stream_gives_whole_messages_or_an_error() {
-        let request =
-            Request { version: 1, order: Some(OrderTold { path: "/a".into(), ..OrderTold::default() }) };
+        let wanted = Wanted { is_settings: true, path: "/a".into(), print: 7 };
+        let request = Request::order(OrderTold { wanted: Some(wanted), ..OrderTold::default() });
         let bytes = write(&request);
         assert_eq!(read::<Request>(&mut &bytes[..]).unwrap(), request);
         assert!(read::<Request>(&mut &bytes[..bytes.len() - 1]).is_err());
--- a/crates/ochrewalk-rollout/tests/conductor.rs
+++ b/crates/ochrewalk-rollout/tests/conductor.rs
@@ -1,7 +1,8 @@
 //! The course of a whole change, by table.
 
 use ochrewalk_rollout::{
-    Acts, Conductor, Course, Kept, Mark, Order, Outcome, Phase, Program, Reason, Report, Verdict, Word,
+    Acts, Conductor, Course, Habits, How, Kept, Mark, Order, Outcome, Phase, Program, Reason, Report,
+    Verdict, Word,
 };
 
 #[derive(Default)]
@@ -17,7 +18,12 @@
         self.kept = Some(kept.clone());
     }
     fn order(&mut self, node: usize, order: Order) {
-        self.said.push(format!("{node} {:?}", order.to));
+        let how = match order.how {
+            How::ForGood => "",
+            How::OnTrial => " on trial",
+            How::Anew => " anew",
+        };
+        self.said.push(format!("{node} {:?}{how}", order.to));
         self.orders.push((node, order));
     }
     fn judge(&mut self, stage: usize) {
@@ -39,9 +45,16 @@
     Report { program, is_well: true, highest: Mark { conductor, order: 0 } }
 }
 
+const PLAIN: Habits = Habits { on_trial: false, begins_anew: false };
+const ON_TRIAL: Habits = Habits { on_trial: true, begins_anew: false };
+
 /// All nodes answer that they run the old program.
 fn begun(kept: Option<Kept>) -> (Conductor, Told) {
-    let (mut conductor, mut told) = (Conductor::new(course(), kept, 1), Told::default());
+    begun_with(PLAIN, kept)
+}
+
+fn begun_with(habits: Habits, kept: Option<Kept>) -> (Conductor, Told) {
+    let (mut conductor, mut told) = (Conductor::new(course(), habits, kept, 1), Told::default());
     for node in 0..4 {
         conductor.report(node, Some(&report(Program::Old, 0)), &mut told);
     }
@@ -146,7 +159,7 @@
     conductor.back(&mut told);
     assert_eq!(conductor.phase(), &Phase::Replaced);
     // One that begins takes a number above all that nodes know.
-    let (mut later, mut told) = (Conductor::new(course(), None, 1), Told::default());
+    let (mut later, mut told) = (Conductor::new(course(), PLAIN, None, 1), Told::default());
     for (node, highest) in [3, 7, 2, 0].into_iter().enumerate() {
         later.report(node, Some(&report(Program::Old, highest)), &mut told);
     }
@@ -163,7 +176,7 @@
     conductor.verdict(Verdict::Good, &mut told);
     let kept = told.kept.clone().unwrap();
     assert_eq!((kept.stage, &kept.changed[..]), (1, &[0, 2, 1][..]));
-    let (mut next, mut told) = (Conductor::new(course(), Some(kept), 2), Told::default());
+    let (mut next, mut told) = (Conductor::new(course(), PLAIN, Some(kept), 2), Told::default());
     // One of the two orders was carried out.
     for (node, program) in [Program::New, Program::Old, Program::New, Program::Old].into_iter().enumerate() {
         next.report(node, Some(&report(program, 1)), &mut told);
@@ -172,7 +185,7 @@
     // While it goes back, too; and when it is over it is over.
     next.verdict(Verdict::Harm("slow".into()), &mut told);
     let kept = told.kept.clone().unwrap();
-    let (mut next, mut told) = (Conductor::new(course(), Some(kept), 3), Told::default());
+    let (mut next, mut told) = (Conductor::new(course(), PLAIN, Some(kept), 3), Told::default());
     for node in 0..4 {
         next.report(node, Some(&report([Program::Old, Program::New][node % 2], 2)), &mut told);
     }
@@ -185,7 +198,7 @@
 
 #[test]
 fn a_fleet_that_is_ill_makes_it_wait_and_an_operator_pauses_goes_on_and_back() {
-    let (mut conductor, mut told) = (Conductor::new(course(), None, 1), Told::default());
+    let (mut conductor, mut told) = (Conductor::new(course(), PLAIN, None, 1), Told::default());
     for node in 0..4 {
         let well = Report { is_well: node > 1, ..report(Program::Old, 0) };
         conductor.report(node, Some(&well), &mut told);
@@ -208,3 +221,103 @@
     conductor.back(&mut told);
     assert!(matches!(conductor.phase(), Phase::Back { .. }));
 }
+
+/// A change on trial that was found good in all its stages.
+fn good_on_trial() -> (Conductor, Told) {
+    let (mut conductor, mut told) = begun_with(ON_TRIAL, None);
+    answer(&mut conductor, &mut told, done());
+    conductor.verdict(Verdict::Good, &mut told);
+    while !told.orders.is_empty() {
+        answer(&mut conductor, &mut told, done());
+    }
+    told.take();
+    conductor.verdict(Verdict::Good, &mut told);
+    (conductor, told)
+}
+
+#[test]
+fn what_is_on_trial_is_for_good_only_once_every_node_was_told() {
+    let (mut conductor, mut told) = begun_with(ON_TRIAL, None);
+    assert_eq!(told.take(), "keep, keep, 0 New on trial");
+    // One that goes back by itself while its stage is judged is changed again.
+    answer(&mut conductor, &mut told, done());
+    assert_eq!(told.take(), "judge 0");
+    conductor.report(0, Some(&report(Program::Old, 1)), &mut told);
+    assert_eq!(told.take(), "0 New on trial");
+    answer(&mut conductor, &mut told, done());
+    assert_eq!(told.take(), "judge 0");
+    // All are good: two at once are told, no more than may be out.
+    let (mut conductor, mut told) = good_on_trial();
+    assert_eq!((told.take().as_str(), conductor.phase()), ("keep, 0 New, 1 New", &Phase::Confirming));
+    answer(&mut conductor, &mut told, done());
+    // One that has gone back by itself, or was started anew since it was told, is told again.
+    conductor.report(0, Some(&report(Program::Old, 1)), &mut told);
+    assert_eq!(told.take(), "2 New");
+    while !told.orders.is_empty() {
+        answer(&mut conductor, &mut told, done());
+    }
+    assert_eq!((told.take().as_str(), conductor.phase()), ("0 New, 3 New, keep", &Phase::Done));
+    assert!(conductor.kept().is_over);
+}
+
+#[test]
+fn a_node_that_is_not_told_is_left_to_the_operator_and_the_next_conductor_goes_on_telling() {
+    let (mut conductor, mut told) = good_on_trial();
+    answer(&mut conductor, &mut told, Word::Ended(Outcome::Failed("busy".into())));
+    assert_eq!(conductor.phase(), &Phase::Waiting(Reason::LeftBehind { node: 0, why: "busy".into() }));
+    let (mut conductor, mut told) = good_on_trial();
+    for _ in 0..3 {
+        // The first of the two is asked again each time, the other one's turn comes between.
+        let (node, order) = told.orders.iter().copied().find(|(node, _)| *node == 0).unwrap();
+        told.orders.retain(|(node, _)| *node != 0);
+        conductor.answered(node, order.mark, Word::Nothing, &mut told);
+    }
+    assert!(matches!(conductor.phase(), Phase::Waiting(Reason::LeftBehind { node: 0, .. })));
+    let kept = told.kept.clone().unwrap();
+    assert_eq!((kept.stage, kept.is_over, &kept.back), (2, false, &None));
+    conductor.resume(&mut told);
+    assert_eq!(conductor.phase(), &Phase::Confirming);
+    // Killed there, another one neither judges nor changes anew.
+    let (mut next, mut told) = (Conductor::new(course(), ON_TRIAL, Some(kept), 2), Told::default());
+    for node in 0..4 {
+        next.report(node, Some(&report(Program::New, 1)), &mut told);
+    }
+    assert_eq!((told.take().as_str(), next.phase()), ("keep, 0 New, 1 New", &Phase::Confirming));
+    // A node that does not come back is named.
+    for node in 0..4 {
+        next.report(node, None, &mut told);
+    }
+    answer(&mut next, &mut told, done());
+    answer(&mut next, &mut told, done());
+    next.stuck();
+    assert!(matches!(next.phase(), Phase::Waiting(Reason::LeftBehind { node: 0, .. })));
+    // Late harm takes all back, those that were told as well.
+    let (mut conductor, mut told) = good_on_trial();
+    answer(&mut conductor, &mut told, done());
+    conductor.verdict(Verdict::Harm("late".into()), &mut told);
+    while !told.orders.is_empty() {
+        answer(&mut conductor, &mut told, done());
+    }
+    assert_eq!(conductor.phase(), &Phase::IsBack { why: "late".into() });
+}
+
+#[test]
+fn a_node_that_cannot_hand_back_is_begun_anew_where_the_plan_allows_it_and_once_only() {
+    let (mut conductor, mut told) = begun_with(Habits { begins_anew: true, on_trial: false }, None);
+    answer(&mut conductor, &mut told, done());
+    conductor.verdict(Verdict::Harm("deaf".into()), &mut told);
+    told.take();
+    answer(&mut conductor, &mut told, Word::Ended(Outcome::Failed("it does not come to rest".into())));
+    assert_eq!(told.take(), "0 Old anew");
+    let mut other = conductor.clone();
+    let marks: Vec<Mark> = told.orders.iter().map(|(_, order)| order.mark).collect();
+    answer(&mut conductor, &mut told, done());
+    assert_eq!(conductor.phase(), &Phase::IsBack { why: "deaf".into() });
+    other.answered(0, marks[0], Word::Ended(Outcome::Failed("no such file".into())), &mut told);
+    assert!(matches!(other.phase(), Phase::Waiting(Reason::LeftBehind { node: 0, .. })));
+    // A new program that does not come up is no reason to end the old one.
+    let (mut conductor, mut told) = begun_with(Habits { begins_anew: true, on_trial: false }, None);
+    told.take();
+    answer(&mut conductor, &mut told, Word::Ended(Outcome::Failed("it ended".into())));
+    assert_eq!(told.take(), "keep, keep");
+}
--- a/crates/ochrewalk-rollout/tests/course.rs
+++ b/crates/ochrewalk-rollout/tests/course.rs
@@ -4,7 +4,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-const OLD: Seen = Seen { program: Some(Program::Old), is_well: true, is_ordered: false, changed: 0 };
+const OLD: Seen =
+    Seen { program: Some(Program::Old), is_well: true, answers: true, is_ordered: false, changed: 0 };
 
 fn new(changed: u32) -> Seen {
     Seen { program: Some(Program::New), changed, ..OLD }
@@ -75,14 +76,25 @@
     ] {
         assert_eq!(course.next(&seen, 0), next, "{seen:?}");
     }
-    assert_eq!(course.back(&[new(1), Seen { is_well: false, ..new(2) }, ordered, OLD]), None);
-    assert_eq!(course.back(&[new(1), Seen { is_well: false, ..new(2) }, OLD, OLD]), Some(0));
+    // On the way back one that answers and is not well goes first, as it is out already; a silent one is waited for.
+    let silent = |changed| Seen { is_well: false, answers: false, ..new(changed) };
+    let ailing = |changed| Seen { is_well: false, ..new(changed) };
+    for (seen, next) in [
+        ([new(1), silent(2), ordered, OLD], None),
+        ([new(1), silent(2), OLD, OLD], Some(0)),
+        ([ailing(1), new(2), OLD, OLD], Some(0)),
+        ([ailing(1), ailing(2), ailing(3), new(4)], Some(2)),
+        ([ailing(1), ordered, ordered, OLD], None),
+    ] {
+        assert_eq!(course.back(&seen), next, "{seen:?}");
+    }
 }
 
 fn seen() -> impl Strategy<Value = Seen> {
-    (0u8..3, any::<bool>(), any::<bool>(), 0u32..9).prop_map(|(program, is_well, is_ordered, changed)| Seen {
+    (0u8..3, 0u8..3, any::<bool>(), 0u32..9).prop_map(|(program, health, is_ordered, changed)| Seen {
         program: [None, Some(Program::Old), Some(Program::New)][program as usize],
-        is_well,
+        is_well: health == 2,
+        answers: health > 0,
         is_ordered,
         changed,
     })
@@ -107,8 +119,10 @@
         let new = seen.iter().filter(|s| s.program == Some(Program::New) || s.is_ordered).count();
         for (next, from) in [(course.next(&seen, stage), Program::Old), (course.back(&seen), Program::New)] {
             if let Some(node) = next {
-                prop_assert!(out < most_out);
-                prop_assert!(seen[node].is_well && !seen[node].is_ordered);
+                // Who is out already is taken out by nobody.
+                prop_assert!(out < most_out || from == Program::New && !seen[node].is_well);
+                prop_assert!(seen[node].answers && !seen[node].is_ordered);
+                prop_assert!(seen.iter().filter(|s| s.is_ordered).count() < most_out);
                 prop_assert_eq!(seen[node].program, Some(from));
             }
         }
--- a/crates/ochrewalk-rollout/tests/explore.rs
+++ b/crates/ochrewalk-rollout/tests/explore.rs
@@ -2,8 +2,8 @@
 //! late as they like or lost, nodes that stop answering and come back.
 
 use ochrewalk_rollout::{
-    Acts, Admitted, Conductor, Course, Fence, Kept, Mark, Order, Outcome, Phase, Program, Report, Verdict,
-    Word,
+    Acts, Admitted, Conductor, Course, Fence, Habits, How, Kept, Mark, Order, Outcome, Phase, Program,
+    Report, Verdict, Word,
 };
 use stateright::{Checker, Model, Property};
 
@@ -12,6 +12,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Node {
     program: Program,
+    /// What it runs is on trial.
+    on_trial: bool,
     fence: Fence,
     /// What is being carried out.
     doing: Option<Order>,
@@ -32,6 +34,7 @@
     outages: u8,
     losses: u8,
     failures: u8,
+    lapses: u8,
     harms: u8,
     stucks: u8,
     began: u8,
@@ -48,11 +51,16 @@
     Asks(usize),
     OrderArrives(usize),
     OrderIsLost(usize),
-    NodeDoes { node: usize, well: bool },
+    NodeDoes {
+        node: usize,
+        well: bool,
+    },
     WordArrives(usize),
     WordIsLost(usize),
     NodeOut(usize),
     NodeBack(usize),
+    /// A node on trial has heard nothing for too long, and goes back.
+    Lapses(usize),
     Good(usize),
     Harm(usize),
     Stuck(usize),
@@ -81,6 +89,8 @@
     outages: u8,
     losses: u8,
     failures: u8,
+    lapses: u8,
+    habits: Habits,
     no_fence: bool,
 }
 
@@ -123,7 +133,13 @@
     type Action = Action;
 
     fn init_states(&self) -> Vec<World> {
-        let node = Node { program: Program::Old, fence: Fence::default(), doing: None, is_well: true };
+        let node = Node {
+            program: Program::Old,
+            on_trial: false,
+            fence: Fence::default(),
+            doing: None,
+            is_well: true,
+        };
         vec![World {
             nodes: vec![node; NODES],
             conductors: vec![None; self.conductors],
@@ -134,6 +150,7 @@
             outages: 0,
             losses: 0,
             failures: 0,
+            lapses: 0,
             harms: 0,
             stucks: 0,
             began: 0,
@@ -190,6 +207,9 @@
             if !of.is_well {
                 actions.push(Action::NodeBack(node));
             }
+            if of.on_trial && of.doing.is_none() && world.lapses < self.lapses {
+                actions.push(Action::Lapses(node));
+            }
         }
     }
 
@@ -198,8 +218,11 @@
         match action {
             Action::Begins(at) => {
                 world.began += 1;
-                let number = world.kept.as_ref().map_or(0, |kept| kept.conductor) + 1;
-                world.conductors[at] = Some(Conductor::new(course(), world.kept.clone(), number));
+                // Another's is never taken: in the program it is the moment, in microseconds.
+                let kept = world.kept.as_ref().map_or(0, |kept| kept.conductor);
+                let number = kept.max(u64::from(world.began) - 1) + 1;
+                world.conductors[at] =
+                    Some(Conductor::new(course(), self.habits, world.kept.clone(), number));
             }
             Action::Killed(at) => {
                 world.kills += 1;
@@ -207,6 +230,10 @@
             }
             Action::Asks(at) => {
                 for node in 0..NODES {
+                    let number = world.conductors[at].as_ref().map_or(0, |c| c.kept().conductor);
+                    if world.nodes[node].is_well && !self.no_fence {
+                        world.nodes[node].fence.heard(number);
+                    }
                     let report = world.report(node);
                     world.with(at, |conductor, deeds| conductor.report(node, report.as_ref(), deeds));
                 }
@@ -250,6 +277,7 @@
                 let outcome = if well { Outcome::Done } else { Outcome::Failed("it ended".into()) };
                 if well {
                     world.nodes[node].program = order.to;
+                    world.nodes[node].on_trial = order.how == How::OnTrial;
                 }
                 world.nodes[node].fence.ended(order.mark, outcome.clone());
                 for from in 0..self.conductors {
@@ -269,6 +297,10 @@
                 world.nodes[node].is_well = false;
             }
             Action::NodeBack(node) => world.nodes[node].is_well = true,
+            Action::Lapses(node) => {
+                world.lapses += 1;
+                (world.nodes[node].program, world.nodes[node].on_trial) = (Program::Old, false);
+            }
             Action::Good(at) => world.with(at, |conductor, deeds| conductor.verdict(Verdict::Good, deeds)),
             Action::Harm(at) => {
                 world.with(at, |conductor, deeds| conductor.verdict(Verdict::Harm("worse".into()), deeds))
@@ -302,6 +334,21 @@
                     }
                 })
             }),
+            Property::always(
+                "what is done or back is so at every node, and on trial nowhere",
+                |_, w: &World| {
+                    let is_all = |program| {
+                        let runs = |node: &Node| node.doing.map_or(node.program, |order| order.to) == program;
+                        w.nodes.iter().all(|node| runs(node) && !node.on_trial)
+                    };
+                    w.conductors.len() > 1
+                        || w.conductors.iter().flatten().all(|conductor| match conductor.phase() {
+                            Phase::Done => is_all(Program::New),
+                            Phase::IsBack { .. } => is_all(Program::Old),
+                            _ => true,
+                        })
+                },
+            ),
             Property::sometimes("a change is done", |_, w: &World| {
                 w.nodes.iter().all(|n| n.program == Program::New)
                     && w.conductors.iter().flatten().any(|c| c.phase() == &Phase::Done)
@@ -320,8 +367,16 @@
     model.checker().target_max_depth(depth).threads(4).spawn_bfs().join()
 }
 
-const ONE: Explored =
-    Explored { conductors: 1, kills: 1, outages: 1, losses: 1, failures: 1, no_fence: false };
+const ONE: Explored = Explored {
+    conductors: 1,
+    kills: 1,
+    outages: 1,
+    losses: 1,
+    failures: 1,
+    lapses: 0,
+    habits: Habits { on_trial: false, begins_anew: true },
+    no_fence: false,
+};
 
 #[test]
 fn one_conductor_killed_at_any_step_with_a_word_lost_a_node_out_and_a_change_that_fails() {
@@ -331,6 +386,24 @@
         "no more out of service by one conductor than the plan allows",
         "no order acts after a later one",
         "done is all changed, back is none changed",
+        "what is done or back is so at every node, and on trial nowhere",
+    ] {
+        checker.assert_no_discovery(name);
+    }
+    checker.assert_any_discovery("a change is done");
+    checker.assert_any_discovery("a change goes back");
+}
+
+#[test]
+fn nodes_on_trial_that_go_back_by_themselves_at_any_step_with_a_conductor_killed_and_a_word_lost() {
+    let habits = Habits { on_trial: true, begins_anew: true };
+    let model = Explored { outages: 0, failures: 0, lapses: 1, habits, ..ONE };
+    let checker = explore(model, 26);
+    println!("{} states", checker.unique_state_count());
+    for name in [
+        "no more out of service by one conductor than the plan allows",
+        "no order acts after a later one",
+        "what is done or back is so at every node, and on trial nowhere",
     ] {
         checker.assert_no_discovery(name);
     }
@@ -355,7 +428,8 @@
 
 #[test]
 fn without_the_fence_a_late_order_acts_and_the_trace_is_short() {
-    let model = Explored { conductors: 2, kills: 0, outages: 0, losses: 0, failures: 0, no_fence: true };
+    let model =
+        Explored { conductors: 2, kills: 0, outages: 0, losses: 0, failures: 0, no_fence: true, ..ONE };
     let checker = explore(model, 20);
     let trace = checker.discovery("no order acts after a later one").expect("it has to be found");
     println!("{} steps", trace.into_actions().len());
--- a/crates/ochrewalk-rollout/tests/judge.rs
+++ b/crates/ochrewalk-rollout/tests/judge.rs
@@ -39,15 +39,11 @@
     }
 
     fn poisson(&mut self, mean: f64) -> u32 {
-        let (mut count, mut left) = (0, (-mean).exp());
-        let mut at = self.rng.f64();
-        let least = left;
-        left = 1.0;
-        while at > least && count < 1_000 {
+        let (mut count, mut at) = (0, self.rng.f64());
+        while at > (-mean).exp() && count < 1_000 {
             count += 1;
             at *= self.rng.f64();
         }
-        let _ = left;
         count
     }
 
@@ -240,3 +236,33 @@
     let (mut judge, mut world) = (self::judge(), World::new(6, 6, 10.0, 6));
     assert_eq!(world.judged(&mut judge, 60), (Measures::default().least, Verdict::Good));
 }
+
+#[test]
+fn nodes_that_tell_their_counts_at_other_moments_than_the_rest_are_not_deaf() {
+    // All tell what they counted every second moment; those that were changed in the moments between.
+    for (answers, wanted) in [(1.0, None), (0.1, Some("node 1 answers hardly any calls"))] {
+        let (mut world, mut judge) = (World::new(8, 0, 10.0, 3), judge());
+        let mut said = Verdict::Wait;
+        for moment in 0..120 {
+            world.changed = if moment < 8 { 0 } else { 4 };
+            let mut now = world.moment();
+            for node in &mut now.nodes {
+                let tells = (moment + usize::from(node.is_changed)) % 2 == 0;
+                let share = if node.is_changed && node.node == 1 { answers } else { 1.0 };
+                let count = |n: u32| if tells { (f64::from(n) * 2.0 * share) as u32 } else { 0 };
+                for of in &mut node.methods {
+                    *of =
+                        Counts { calls: count(of.calls), missed: count(of.missed), failed: count(of.failed) };
+                }
+            }
+            said = judge.look(&now);
+            if matches!(said, Verdict::Harm(_)) {
+                break;
+            }
+        }
+        match wanted {
+            None => assert!(!matches!(said, Verdict::Harm(_)), "{said:?}"),
+            Some(why) => assert_eq!(said, Verdict::Harm(why.into())),
+        }
+    }
+}
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -240,6 +240,29 @@
         Placement::read(&text).map_err(|why| format!("{}: {why}", file.display()))
     }
 
+    /// What of a node's file cannot be changed while the node runs, as text: programs that agree in it may follow one
+    /// another. The other keys are those that [`Placement::take_over`] takes, and the seed.
+    ///
+    /// ```
+    /// use ochrewalk::deployment::Placement;
+    /// let of = |text: &str| Placement::lasting(text.as_bytes()).unwrap();
+    /// assert_eq!(of(r#"{"seed":"1","name":"n","store":"a"}"#), of(r#"{"name":"n","store":"b","stop_ms":2}"#));
+    /// assert_ne!(of(r#"{"name":"n","store":"a"}"#), of(r#"{"name":"n"}"#));
+    /// ```
+    pub fn lasting(text: &[u8]) -> Result<String, String> {
+        let mut value: Value =
+            serde_json::from_slice(text).map_err(|err| format!("config: not JSON: {err}"))?;
+        if let Some(fields) = value.as_object_mut() {
+            for key in ["executor", "lookup", "stop_ms", "seed"] {
+                fields.remove(key);
+            }
+            if let Some(store) = fields.get_mut("store") {
+                *store = Value::Bool(true);
+            }
+        }
+        Ok(value.to_string())
+    }
+
     /// Takes over from a newer file what may change while the node runs: the addresses of its peers and
     /// `stop_ms`. Gives the keys that have changed and wait for the next start. `seed` is new in any file.
     pub fn take_over(&mut self, newer: Placement) -> Vec<&'static str> {
