A reply that no gauges confirmed is settled by the run's next call, on the living link too

After the new JOIN three replies went out again ("repeat RETURN" three times, for calls 2, 3 and 4), and the executor, waiting for the fourth, took the second.

At fault: executor.rs, Notice::Callout, which left Outbox's written lines alone.

Change: a call out settles the start, replies and skips written before it (Outbox::settle). KILL and WAKE stay: a run that was stopped as it called out has not read them for sure. The test fails without it.

--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -288,8 +288,13 @@
                 let body = BASE64_STANDARD
                     .decode(text.as_bytes())
                     .map_err(|err| Ending::Malformed(format!("CALLOUT: {err}")))?;
-                // Guards against a reply that goes to a later call of its run: the run has gone on, so that what
-                // was in doubt of it had been read.
+                // Guards against a reply that goes to a later call of its run: the run has gone on, so that what was in
+                // doubt of it had been read, and so had what brought it here on the present link, should that break.
+                let brought_here = |line: &[u8]| {
+                    notices::named(line)
+                        .is_some_and(|(action, of)| of == uid && !["KILL", "WAKE"].contains(&action))
+                };
+                self.outbox.settle(brought_here);
                 self.lock().doubtful.retain(|line| notices::named(line).is_none_or(|(_, of)| of != uid));
                 self.news(&uid, Next::NeedsCall { pos, body });
             }
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -193,6 +193,13 @@
         });
     }
 
+    /// The peer has read those of the lines that were written.
+    pub fn settle(&self, is_read: impl Fn(&[u8]) -> bool) {
+        if let Some(written) = &mut self.lock().written {
+            written.retain(|line| !is_read(line));
+        }
+    }
+
     /// Takes what was written and not confirmed.
     pub fn take_written(&self) -> VecDeque<Vec<u8>> {
         self.change(|w| w.written.as_mut().map(std::mem::take).unwrap_or_default())
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -292,13 +292,17 @@
         panic!("the node does not get healthy");
     }
 
-    /// Reads until all of these words have come, answers no question for gauges, so that nothing is confirmed,
-    /// and breaks the connection.
-    pub fn break_after(mut self, words: &[&str]) {
+    /// Reads until all of these words have come and answers no question for gauges, so that nothing is confirmed.
+    pub fn hear_silently(&mut self, words: &[&str]) {
         let mut seen = String::new();
         while !words.iter().all(|words| seen.contains(words)) {
             assert!(self.input.read_line(&mut seen).unwrap() > 0, "the end came before {words:?}");
         }
+    }
+
+    /// The same, and breaks the connection.
+    pub fn break_after(mut self, words: &[&str]) {
+        self.hear_silently(words);
         self.stream.shutdown(Shutdown::Both).unwrap();
     }
 
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -447,6 +447,35 @@
     assert_eq!(caller.hear(), served(1));
 }
 
+#[test]
+fn of_replies_that_no_gauges_confirmed_only_the_last_one_is_in_doubt() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    caller.say(&rpc(1, "look"));
+    executor.hear_of(&exec(1, "look"));
+    // One call after the other, while no gauges are answered: each shows that the reply before it was read.
+    let mut below: Option<Peer> = None;
+    for (pos, body) in [(1, "A"), (2, "B"), (3, "C")] {
+        executor.say(&callout(pos, 1));
+        let link = below.get_or_insert_with(|| Peer::accept(&stand.below));
+        called(&stand, link, 1);
+        link.say(&format!("{} OK 1\r\n{body}\r", req(1)));
+        if pos < 3 {
+            executor.hear_silently(&["\"RETURN\""]);
+        }
+    }
+    executor.break_after(&["\"RETURN\""]);
+    let mut executor = stand.link();
+    executor.hear_of("JOIN");
+    executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":6000}"#);
+    // The run still waits for the third: it gets that one, once, and none before it.
+    assert!(executor.hear_of("RETURN").contains("\"Qw==\""));
+    executor.say(&exit(4, 1, "complete"));
+    assert_eq!(caller.hear(), served(1));
+    caller.say(&rpc(2, "look"));
+    assert_eq!(executor.hear(), exec(2, "look"), "nothing else was in doubt");
+}
+
 #[test]
 fn the_directory_hears_of_health_through_its_own_failures() {
     let stand = Stand::start();
