--- a/crates/ochrewalk-lab/src/changes.rs
+++ b/crates/ochrewalk-lab/src/changes.rs
@@ -486,10 +486,7 @@
         if what["begun"].is_u64() {
             open.clear();
         }
-        let new = what["nodes"]
-            .as_str()
-            .and_then(|sides| sides.split(", ").nth(1)?.split(' ').next()?.parse().ok());
-        outcome.changed = outcome.changed.max(new.unwrap_or(0.0) / nodes as f64);
+        outcome.changed = outcome.changed.max(what["nodes"][1].as_f64().unwrap_or(0.0) / nodes as f64);
     }
 }
 
--- a/crates/ochrewalk-lab/src/lib.rs
+++ b/crates/ochrewalk-lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod json;
+pub mod judged;
 pub mod ledger;
 pub mod load;
 pub mod node;
--- a/crates/ochrewalk-lab/src/main.rs
+++ b/crates/ochrewalk-lab/src/main.rs
@@ -98,6 +98,19 @@
         #[arg(long, value_name = "FILE")]
         log: Option<std::path::PathBuf>,
     },
+    /// How often judges of changes stop what does no harm, and how soon they find harm, in virtual time, as a table
+    Judge {
+        #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u64).range(10..=2_000))]
+        nodes: u64,
+        /// Changes of each kind
+        #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(10..=2_000))]
+        changes: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Where a plot is left
+        #[arg(long, value_name = "FILE")]
+        plot: Option<std::path::PathBuf>,
+    },
     /// How evenly nodes load places, on real processes with links between them; the last line is JSON
     Spread {
         #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(1..=1_000))]
@@ -201,6 +214,9 @@
             let (nodes, most) = (nodes as usize, Duration::from_secs(most));
             rollouts::Asked { nodes, rate, seed, flaw, subject, trouble, most, log }.run(&program()?)
         }
+        Command::Judge { nodes, changes, seed, plot } => {
+            ochrewalk_lab::judged::table(nodes as usize, changes, seed, plot.as_deref()).map(|()| true)
+        }
         Command::Demo => {
             let program = program()?;
             let plan = Plan {
--- a/crates/ochrewalk-node/src/rollout.rs
+++ b/crates/ochrewalk-node/src/rollout.rs
@@ -442,7 +442,9 @@
                         "back" => conductor.back(hands),
                         _ => {}
                     }
-                    let _ = writeln!(stream, "{:?}, {}", conductor.phase(), sides(conductor));
+                    let [old, new, other] = sides(conductor);
+                    let phase = conductor.phase();
+                    let _ = writeln!(stream, "{phase:?}, {old} old, {new} new, {other} unknown");
                 }
                 Err(RecvTimeoutError::Timeout) => break,
                 Err(RecvTimeoutError::Disconnected) => return Err("nobody can be heard any more".into()),
@@ -500,11 +502,10 @@
     json!({"moment": {"methods": methods, "old": side(false), "new": side(true), "calls": calls}})
 }
 
-/// Old, new and others.
-fn sides(conductor: &Conductor) -> String {
+/// Nodes that run the old, the new, and what is not known.
+fn sides(conductor: &Conductor) -> [usize; 3] {
     let count = |program| conductor.seen().iter().filter(|seen| seen.program == program).count();
-    let [old, new, other] = [Some(Program::Old), Some(Program::New), None].map(count);
-    format!("{old} old, {new} new, {other} unknown")
+    [Some(Program::Old), Some(Program::New), None].map(count)
 }
 
 /// What has come since the moment before.
--- a/crates/ochrewalk-rollout/tests/judge.rs
+++ b/crates/ochrewalk-rollout/tests/judge.rs
@@ -1,90 +1,7 @@
 //! The judge by table, and by many changes in virtual time: how often it stops what does no harm, and lets harm pass.
 
-use ochrewalk_rollout::{Counts, Judge, Measures, Moment, NodeCounts, Verdict};
-
-/// A fleet whose nodes miss by chance: what the judge is told of each second.
-struct World {
-    rng: fastrand::Rng,
-    nodes: usize,
-    changed: usize,
-    /// Calls a second of each node, by method.
-    rates: Vec<f64>,
-    missed: f64,
-    /// By how much nodes differ among themselves, as a share of `missed`.
-    differ: Vec<f64>,
-    /// More misses of changed nodes on the last method, from that second on.
-    harm: f64,
-    harm_from: u32,
-    /// More misses of all nodes.
-    trouble: f64,
-    second: u32,
-}
-
-impl World {
-    fn new(nodes: usize, changed: usize, rate: f64, seed: u64) -> World {
-        let mut rng = fastrand::Rng::with_seed(seed);
-        let differ = (0..nodes).map(|_| 0.8 + 0.4 * rng.f64()).collect();
-        World {
-            rng,
-            nodes,
-            changed,
-            rates: vec![rate * 0.7, rate * 0.3],
-            missed: 0.05,
-            differ,
-            harm: 0.0,
-            harm_from: 0,
-            trouble: 0.0,
-            second: 0,
-        }
-    }
-
-    fn poisson(&mut self, mean: f64) -> u32 {
-        let (mut count, mut at) = (0, self.rng.f64());
-        while at > (-mean).exp() && count < 1_000 {
-            count += 1;
-            at *= self.rng.f64();
-        }
-        count
-    }
-
-    fn moment(&mut self) -> Moment {
-        self.second += 1;
-        let mut nodes = Vec::new();
-        for node in 0..self.nodes {
-            let is_changed = node < self.changed;
-            let mut methods = Vec::new();
-            for method in 0..self.rates.len() {
-                let calls = self.poisson(self.rates[method]);
-                let harmed = is_changed && method + 1 == self.rates.len() && self.second >= self.harm_from;
-                let share =
-                    self.missed * self.differ[node] + self.trouble + if harmed { self.harm } else { 0.0 };
-                let missed = (0..calls).filter(|_| self.rng.f64() < share).count() as u32;
-                methods.push(Counts { calls, missed, failed: missed / 2 });
-            }
-            nodes.push(NodeCounts {
-                node,
-                zone: (node % 3) as u32,
-                is_changed,
-                methods,
-                memory_kb: 40_000,
-                ..NodeCounts::default()
-            });
-        }
-        Moment { nodes, changed: self.changed, others: self.nodes - self.changed }
-    }
-
-    /// Seconds until the judge says something else than to wait, and what.
-    fn judged(&mut self, judge: &mut Judge, most: u32) -> (u32, Verdict) {
-        for second in 1..=most {
-            let moment = self.moment();
-            match judge.look(&moment) {
-                Verdict::Wait | Verdict::Ill => {}
-                said => return (second, said),
-            }
-        }
-        (most, Verdict::Wait)
-    }
-}
+use ochrewalk_lab::judged::{changes, Case, Way, World};
+use ochrewalk_rollout::{Counts, Judge, Measures, Moment, Verdict};
 
 fn judge() -> Judge {
     Judge::new(Measures::default(), vec!["look".into(), "sale".into()])
@@ -120,6 +37,18 @@
     assert!(passed >= 590, "{passed}");
 }
 
+#[test]
+fn plainer_ways_stop_what_does_no_harm_and_this_one_does_not() {
+    for (case, way, wanted) in [
+        (Case::Trouble, Way::Sequential, 0..=0),
+        (Case::Trouble, Way::BeforeAfter, 20..=20),
+        (Case::Harm, Way::Sequential, 20..=20),
+    ] {
+        let stopped = changes(way, case, 60, 20, 5).iter().filter(|ended| ended.stopped).count();
+        assert!(wanted.contains(&stopped), "{way:?} {case:?}: {stopped} of 20");
+    }
+}
+
 #[test]
 fn trouble_that_strikes_all_makes_it_wait() {
     let mut judge = judge();
