--- a/crates/ochrewalk-handover/src/giver.rs
+++ b/crates/ochrewalk-handover/src/giver.rs
@@ -2,7 +2,7 @@
 //! still, when it lets go, and when it takes up again what it had given.
 
 use crate::messages::{Count, Greet, Message, Nothing, Offer, Refuse, Section};
-use crate::{NEWEST, OLDEST};
+use crate::{AHEAD, NEWEST, OLDEST};
 
 /// What is asked of the node that serves.
 pub trait Acts {
@@ -64,6 +64,8 @@
 pub struct Holding {
     pub digest: u64,
     pub sections: Vec<Section>,
+    /// Those that go ahead, to takers that know how to.
+    pub ahead: Vec<Section>,
     pub bytes: u64,
     pub descriptors: u32,
     /// Why it cannot be taken now, with the figures.
@@ -75,12 +77,15 @@
     state: State,
     limits: Limits,
     holding: Holding,
+    /// The taker knows what goes ahead.
+    goes_ahead: bool,
 }
 
 impl Giver {
     /// A taker was started.
     pub fn new(now_us: u64, limits: Limits, holding: Holding) -> Giver {
-        Giver { state: State::Waiting { until_us: now_us + limits.prepare_us }, limits, holding }
+        let state = State::Waiting { until_us: now_us + limits.prepare_us };
+        Giver { state, limits, holding, goes_ahead: false }
     }
 
     pub fn state(&self) -> State {
@@ -106,14 +111,16 @@
                     self.over(&why, acts);
                 }
                 Ok(version) => {
-                    let Holding { sections, bytes, descriptors, .. } = self.holding.clone();
+                    let Holding { mut sections, ahead, bytes, descriptors, .. } = self.holding.clone();
+                    self.goes_ahead = version >= AHEAD && !ahead.is_empty();
+                    sections.extend(ahead.into_iter().filter(|_| self.goes_ahead));
                     acts.send(Message::Offer(Offer { version, sections, bytes, descriptors }));
                     self.state = State::Offered { until_us };
                 }
             },
             (State::Offered { until_us }, Message::Prepare(_)) => {
                 self.state = State::Preparing { until_us };
-                let parts = acts.send_ahead();
+                let parts = if self.goes_ahead { acts.send_ahead() } else { 0 };
                 acts.send(Message::Ahead(Count { parts }));
             }
             (State::Preparing { .. }, Message::Ready(_)) => {
--- a/crates/ochrewalk-handover/src/lib.rs
+++ b/crates/ochrewalk-handover/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod messages;
 pub mod taker;
 
-/// The protocol's versions that this code speaks.
+/// The protocol's versions that this code speaks. From the second on something goes ahead of the standstill.
 pub const OLDEST: u32 = 1;
-pub const NEWEST: u32 = 1;
+pub const NEWEST: u32 = 2;
+const AHEAD: u32 = 2;
--- a/crates/ochrewalk-handover/src/taker.rs
+++ b/crates/ochrewalk-handover/src/taker.rs
@@ -98,6 +98,10 @@
             },
             (State::Prepared { .. } | State::Ready { .. }, Message::Part(part)) => {
                 self.parts += 1;
+                // What goes ahead may take long as a whole; the running program serves meanwhile.
+                if let State::Prepared { until_us } = &mut self.state {
+                    *until_us = (*until_us).max(now_us + self.limits.answer_us);
+                }
                 acts.keep(&part.section, &part.bytes, part.descriptors);
             }
             (State::Prepared { .. }, Message::Ahead(count)) if count.parts == self.parts => {
--- a/crates/ochrewalk-handover/tests/explore.rs
+++ b/crates/ochrewalk-handover/tests/explore.rs
@@ -119,7 +119,7 @@
 const TAKER: taker::Limits = taker::Limits { answer_us: 0, frozen_us: 0 };
 
 fn holding() -> Holding {
-    Holding { digest: 7, sections: vec![], bytes: 0, descriptors: 0, unfit: None }
+    Holding { digest: 7, sections: vec![], ahead: vec![], bytes: 0, descriptors: 0, unfit: None }
 }
 
 fn attempt(world: &mut World) {
--- a/crates/ochrewalk-handover/tests/steps.rs
+++ b/crates/ochrewalk-handover/tests/steps.rs
@@ -85,6 +85,7 @@
     let holding = Holding {
         digest: 7,
         sections: vec![section("rpcs", 1)],
+        ahead: vec![section("tokens", 1)],
         bytes: 50,
         descriptors: 5,
         unfit: unfit.map(String::from),
@@ -105,7 +106,7 @@
 #[test]
 fn the_giver_goes_step_by_step_and_goes_on_whatever_fails() {
     let steps = [
-        (greet(1, 9, 7), "offer 1"),
+        (greet(1, 9, 7), "offer 2"),
         (PREPARE, "ahead"),
         (READY, "frozen, last"),
         (COMMIT, "go"),
@@ -170,11 +171,47 @@
     }
 }
 
+#[test]
+fn what_goes_ahead_is_offered_to_takers_that_know_how_and_to_no_others() {
+    for (newest, sections) in [(1, 1), (2, 2)] {
+        let (mut giver, mut told) = (giver(None), Offers::default());
+        giver.message(0, &greet(1, newest, 7), &mut told);
+        giver.message(1, &PREPARE, &mut told);
+        assert_eq!((told.sections, told.ahead), (sections, newest == 2));
+    }
+}
+
+/// What is offered, and whether anything was sent ahead.
+#[derive(Default)]
+struct Offers {
+    sections: usize,
+    ahead: bool,
+}
+
+impl giver::Acts for Offers {
+    fn send(&mut self, message: Message) {
+        if let Message::Offer(offer) = message {
+            self.sections = offer.sections.len();
+        }
+    }
+    fn send_ahead(&mut self) -> u64 {
+        self.ahead = true;
+        0
+    }
+    fn freeze(&mut self) -> u64 {
+        0
+    }
+    fn thaw(&mut self) {}
+    fn end_peer(&mut self) {}
+    fn retire(&mut self) {}
+    fn tell(&mut self, _how: &str) {}
+}
+
 #[test]
 fn what_cannot_be_taken_is_refused_before_anything_stops() {
     for (message, unfit, why) in [
-        (greet(2, 3, 7), None, "it speaks versions 2 to 3, this program 1 to 1"),
-        (greet(0, 0, 7), None, "it speaks versions 0 to 0, this program 1 to 1"),
+        (greet(3, 4, 7), None, "it speaks versions 3 to 4, this program 1 to 2"),
+        (greet(0, 0, 7), None, "it speaks versions 0 to 0, this program 1 to 2"),
         (greet(1, 1, 8), None, "its files set what only a start can change"),
         (greet(1, 1, 7), Some("70 MB in use, 96 allowed"), "70 MB in use, 96 allowed"),
     ] {
--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -4,8 +4,8 @@
 
 use crate::clock::{since_us, whole_ms, Clock};
 use crate::ending::CallEnd;
-use crate::keys::{Keys, Known, Served, State};
-use crate::moving::records::KeptNode;
+use crate::keys::{Keys, Known, Lapse, Served, State};
+use crate::moving::records::{KeptNode, KeptToken};
 use crate::moving::stands_still;
 use crate::wire::notices::RunEnd;
 use may::sync::mpsc::{channel, Receiver, Sender};
@@ -220,7 +220,7 @@
 
 /// Before the executor is up there is no module, and nothing is taken.
 enum Inside {
-    Closed(Desk),
+    Closed(Box<Desk>),
     Open(Box<Decide<Desk>>),
 }
 
@@ -259,16 +259,27 @@
             shared: Vec::new(),
         };
         let ((stir, told), (earlier, moved)) = (channel(), channel());
-        let state = Mutex::new(Inside::Closed(desk));
+        let state = Mutex::new(Inside::Closed(Box::new(desk)));
         let unrest = Unrest::default();
         (Gate { clock, deployment, seed, state, stir, earlier, unrest }, Stirred { told, earlier: moved })
     }
 
-    /// Writes down the module, the tokens and what callers are told, for `node`'s part in a hand-over.
-    pub fn keep(&self, node: &mut KeptNode) {
+    /// The next tokens to go ahead of a hand-over, while all goes on; see [`Keys::keep_ahead`].
+    pub fn keep_ahead(&self, after: Option<&Lapse>, most: usize) -> Option<(Vec<KeptToken>, Lapse)> {
+        self.desk(|desk| desk.keys.keep_ahead(after, most))
+    }
+
+    /// A hand-over has come to nothing.
+    pub fn end_ahead(&self) {
+        self.desk(|desk| desk.keys.end_ahead());
+    }
+
+    /// Writes down the module, the tokens (those that have changed where the others went `ahead`) and what callers are
+    /// told, for `node`'s part in a hand-over.
+    pub fn keep(&self, node: &mut KeptNode, ahead: bool) {
         let mut state = self.lock();
         let (desk, module) = match &mut *state {
-            Inside::Closed(desk) => (desk, None),
+            Inside::Closed(desk) => (&mut **desk, None),
             Inside::Open(module) => {
                 let kept = module.keep();
                 (module.host(), Some(kept))
@@ -278,16 +289,19 @@
         let Posture { healthy, signal, idle_us } = desk.posture;
         (node.healthy, node.signal, node.idle_us) = (healthy, signal, idle_us);
         (node.wake_us, node.wake_token) = (desk.wake_us, desk.wake_token);
-        node.tokens = desk.keys.keep();
+        (node.tokens, node.gone) =
+            if ahead { desk.keys.keep_changed() } else { (desk.keys.keep(), Vec::new()) };
     }
 
-    /// Goes on with what another process wrote down. The RPCs that are open get their tickets.
+    /// Goes on with what another process wrote down, after the tokens that went ahead. The RPCs that are open get their
+    /// tickets.
     pub fn resume(
         clock: Clock,
         deployment: Deployment,
         seed: u64,
         most_bytes: usize,
         node: &mut KeptNode,
+        ahead: Keys,
         open: &[Incoming],
     ) -> Result<(Gate, Stirred, Vec<Ticket>), String> {
         let (gate, stirred) = Gate::new(clock, deployment.clone(), seed, most_bytes);
@@ -299,14 +313,16 @@
             let (healthy, signal, idle_us) = (node.healthy, node.signal, node.idle_us);
             desk.posture = Posture { healthy, signal, idle_us };
             (desk.wake_us, desk.wake_token) = (node.wake_us, node.wake_token);
-            desk.keys = Keys::resume(most_bytes, std::mem::take(&mut node.tokens));
+            desk.keys = ahead;
+            desk.keys.take(std::mem::take(&mut node.tokens), &node.gone);
+            desk.keys.limit(most_bytes);
             for (rpc, ticket) in open.iter().zip(&tickets) {
                 desk.open.insert(rpc.id.clone(), Open { post: ticket.post(), token: rpc.token.clone() });
             }
             if let Some(kept) = node.module.take() {
                 let placeholder =
-                    Desk { keys: Keys::new(0), open: HashMap::new(), shared: Vec::new(), ..*desk };
-                let desk = std::mem::replace(desk, placeholder);
+                    Desk { keys: Keys::new(0), open: HashMap::new(), shared: Vec::new(), ..**desk };
+                let desk = std::mem::replace(&mut **desk, placeholder);
                 *state = Inside::Open(Box::new(deployment.resume(desk, kept)?));
             }
         }
@@ -323,8 +339,8 @@
     pub fn open(&self, cold: bool, up_us: u64) {
         let mut state = self.lock();
         let Inside::Closed(desk) = &mut *state else { return };
-        let placeholder = Desk { keys: Keys::new(0), open: HashMap::new(), shared: Vec::new(), ..*desk };
-        let desk = std::mem::replace(desk, placeholder);
+        let placeholder = Desk { keys: Keys::new(0), open: HashMap::new(), shared: Vec::new(), ..**desk };
+        let desk = std::mem::replace(&mut **desk, placeholder);
         let mut deployment = self.deployment.clone();
         deployment.crowd.cold = cold;
         let started_us = self.clock.now_us().saturating_sub(up_us);
--- a/crates/ochrewalk-node/src/keys.rs
+++ b/crates/ochrewalk-node/src/keys.rs
@@ -2,7 +2,8 @@
 
 use crate::moving::records::KeptToken;
 use ochrewalk::host::RpcId;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::ops::Bound;
 use std::sync::Arc;
 
 /// A result as the executor gave it, shared by all that it serves.
@@ -44,18 +45,34 @@
     waiting: Vec<RpcId>,
 }
 
+/// A token by when it lapses, in Unix time.
+pub type Lapse = (u64, Arc<str>);
+
 /// Results count against a limit of bytes. Past it the oldest ones are let go, never the fact that their
 /// RPC ran.
 #[derive(Debug)]
 pub struct Keys {
     entries: HashMap<Arc<str>, Entry>,
+    /// All of them, and those with a result, the next to lapse first: neither a sweep nor a result that is let go
+    /// costs a look at all.
+    lapses: BTreeSet<Lapse>,
+    results: BTreeSet<Lapse>,
     bytes: usize,
     most_bytes: usize,
+    /// What has changed since all were begun to be written down ahead of a hand-over, if they were.
+    changed: Option<HashSet<Arc<str>>>,
 }
 
 impl Keys {
     pub fn new(most_bytes: usize) -> Keys {
-        Keys { entries: HashMap::new(), bytes: 0, most_bytes }
+        Keys {
+            entries: HashMap::new(),
+            lapses: BTreeSet::new(),
+            results: BTreeSet::new(),
+            bytes: 0,
+            most_bytes,
+            changed: None,
+        }
     }
 
     /// What is known of the token of a try that came at `ts_ms`. Guards against a stranger who has come to know
@@ -70,9 +87,33 @@
 
     /// `holder` has the token for that work until `until_ms`, in Unix time.
     pub fn remember(&mut self, token: Arc<str>, work: u64, holder: RpcId, until_ms: u64) {
-        let entry = Entry { holder, work, until_ms, state: State::Open, waiting: Vec::new() };
-        if let Some(old) = self.entries.insert(token, entry) {
-            self.bytes -= size(&old.state);
+        self.put(token, Entry { holder, work, until_ms, state: State::Open, waiting: Vec::new() });
+    }
+
+    fn put(&mut self, token: Arc<str>, entry: Entry) {
+        self.drop_entry(&token);
+        self.lapses.insert((entry.until_ms, token.clone()));
+        if size(&entry.state) > 0 {
+            self.bytes += size(&entry.state);
+            self.results.insert((entry.until_ms, token.clone()));
+        }
+        self.entries.insert(token.clone(), entry);
+        self.touch(&token);
+    }
+
+    fn drop_entry(&mut self, token: &str) -> Option<Entry> {
+        let (token, entry) = self.entries.remove_entry(token)?;
+        self.bytes -= size(&entry.state);
+        let lapse = (entry.until_ms, token.clone());
+        self.lapses.remove(&lapse);
+        self.results.remove(&lapse);
+        self.touch(&token);
+        Some(entry)
+    }
+
+    fn touch(&mut self, token: &Arc<str>) {
+        if let Some(changed) = &mut self.changed {
+            changed.insert(token.clone());
         }
     }
 
@@ -81,90 +122,131 @@
         if self.entries.get(token).is_none_or(|e| &*e.holder != holder) {
             return Vec::new();
         }
-        let old = self.entries.remove(token).expect("just seen");
-        self.bytes -= size(&old.state);
-        old.waiting
+        self.drop_entry(token).map_or(Vec::new(), |entry| entry.waiting)
     }
 
     /// The state of the RPC that this one repeats. While that is open, this one waits for it.
-    pub fn share(&mut self, token: &str, repeat: &RpcId) -> State {
+    pub fn share(&mut self, token: &Arc<str>, repeat: &RpcId) -> State {
         let Some(entry) = self.entries.get_mut(token) else { return State::Failed };
-        if entry.state == State::Open {
+        let state = entry.state.clone();
+        if state == State::Open {
             entry.waiting.push(repeat.clone());
+            self.touch(token);
         }
-        entry.state.clone()
+        state
     }
 
     /// What became of the RPC that holds the token; gives those that waited for it.
-    pub fn settle(&mut self, token: &str, holder: &str, state: State) -> Vec<RpcId> {
-        let Some(entry) = self.entries.get_mut(token).filter(|e| &*e.holder == holder) else {
+    pub fn settle(&mut self, token: &Arc<str>, holder: &str, state: State) -> Vec<RpcId> {
+        if self.entries.get(token).is_none_or(|e| &*e.holder != holder) {
             return Vec::new();
-        };
-        self.bytes += size(&state);
-        self.bytes -= size(&entry.state);
-        entry.state = state;
+        }
+        let Some(mut entry) = self.drop_entry(token) else { return Vec::new() };
         let waiting = std::mem::take(&mut entry.waiting);
+        self.put(token.clone(), Entry { state, ..entry });
+        self.let_go();
+        waiting
+    }
+
+    /// The oldest results go where there are too many bytes of them.
+    fn let_go(&mut self) {
         while self.bytes > self.most_bytes {
-            let kept = self.entries.values_mut().filter(|e| size(&e.state) > 0);
-            let Some(oldest) = kept.min_by_key(|e| e.until_ms) else { break };
-            self.bytes -= size(&oldest.state);
-            oldest.state = State::Failed;
+            let Some((_, token)) = self.results.pop_first() else { break };
+            if let Some(entry) = self.entries.get_mut(&token) {
+                self.bytes -= size(&entry.state);
+                entry.state = State::Failed;
+            }
+            self.touch(&token);
         }
-        waiting
     }
 
     /// Writes all of it down.
     pub fn keep(&self) -> Vec<KeptToken> {
-        let token = |(key, entry): (&Arc<str>, &Entry)| {
-            let (state, result) = match &entry.state {
-                State::Open => (0, String::new()),
-                State::Served(body) => (1, body.to_string()),
-                State::Failed => (2, String::new()),
-            };
-            KeptToken {
-                key: key.to_string(),
-                holder: entry.holder.to_string(),
-                work: entry.work,
-                until_ms: entry.until_ms,
-                state,
-                result,
-                waiting: entry.waiting.iter().map(|id| id.to_string()).collect(),
+        self.entries.iter().map(written).collect()
+    }
+
+    /// Writes the next ones down while all goes on, from `after` on, so many at most; what changes from the first of them
+    /// on is for [`Keys::keep_changed`]. None once all are written.
+    pub fn keep_ahead(&mut self, after: Option<&Lapse>, most: usize) -> Option<(Vec<KeptToken>, Lapse)> {
+        let from = match after {
+            None => {
+                self.changed = Some(HashSet::new());
+                Bound::Unbounded
             }
+            Some(after) => Bound::Excluded(after.clone()),
         };
-        self.entries.iter().map(token).collect()
+        let next: Vec<&Lapse> = self.lapses.range((from, Bound::Unbounded)).take(most).collect();
+        let last = (*next.last()?).clone();
+        let entry = |lapse: &&Lapse| self.entries.get_key_value(&lapse.1).map(written);
+        Some((next.iter().filter_map(entry).collect(), last))
+    }
+
+    /// Those that have changed since the first of [`Keys::keep_ahead`], and those that are gone.
+    pub fn keep_changed(&self) -> (Vec<KeptToken>, Vec<String>) {
+        let (mut kept, mut gone) = (Vec::new(), Vec::new());
+        for token in self.changed.iter().flatten() {
+            match self.entries.get_key_value(token) {
+                Some(entry) => kept.push(written(entry)),
+                None => gone.push(token.to_string()),
+            }
+        }
+        (kept, gone)
+    }
+
+    /// Nothing that changes needs to be known any more.
+    pub fn end_ahead(&mut self) {
+        self.changed = None;
     }
 
-    /// Goes on with what another process wrote down.
-    pub fn resume(most_bytes: usize, kept: Vec<KeptToken>) -> Keys {
-        let mut keys = Keys::new(most_bytes);
+    /// Takes over what another process wrote down, later words over earlier ones.
+    pub fn take(&mut self, kept: Vec<KeptToken>, gone: &[String]) {
         for token in kept {
             let state = match token.state {
                 0 => State::Open,
                 1 => State::Served(token.result.into()),
                 _ => State::Failed,
             };
-            keys.bytes += size(&state);
             let waiting = token.waiting.into_iter().map(RpcId::from).collect();
-            let entry = Entry {
-                holder: token.holder.into(),
-                work: token.work,
-                until_ms: token.until_ms,
-                state,
-                waiting,
-            };
-            keys.entries.insert(token.key.into(), entry);
+            let KeptToken { work, until_ms, .. } = token;
+            self.put(token.key.into(), Entry { holder: token.holder.into(), work, until_ms, state, waiting });
+        }
+        for token in gone {
+            self.drop_entry(token);
         }
-        keys
     }
 
-    /// Drops what has lapsed.
+    /// From here on results of so many bytes are kept at most.
+    pub fn limit(&mut self, most_bytes: usize) {
+        self.most_bytes = most_bytes;
+        self.let_go();
+    }
+
+    /// Drops what has lapsed. A successor drops the same by itself.
     pub fn sweep(&mut self, unix_ms: u64) {
-        let bytes = &mut self.bytes;
-        self.entries.retain(|_, e| {
-            let keep = e.state == State::Open || unix_ms <= e.until_ms + READ_LATE_MS;
-            *bytes -= if keep { 0 } else { size(&e.state) };
-            keep
-        });
+        let lapsed = |lapse: &&Lapse| unix_ms > lapse.0 + READ_LATE_MS;
+        let is_open = |lapse: &&Lapse| self.entries.get(&lapse.1).is_some_and(|e| e.state == State::Open);
+        let over: Vec<Lapse> =
+            self.lapses.iter().take_while(lapsed).filter(|l| !is_open(l)).cloned().collect();
+        for (_, token) in over {
+            self.drop_entry(&token);
+        }
+    }
+}
+
+fn written((key, entry): (&Arc<str>, &Entry)) -> KeptToken {
+    let (state, result) = match &entry.state {
+        State::Open => (0, String::new()),
+        State::Served(body) => (1, body.to_string()),
+        State::Failed => (2, String::new()),
+    };
+    KeptToken {
+        key: key.to_string(),
+        holder: entry.holder.to_string(),
+        work: entry.work,
+        until_ms: entry.until_ms,
+        state,
+        result,
+        waiting: entry.waiting.iter().map(|id| id.to_string()).collect(),
     }
 }
 
--- a/crates/ochrewalk-node/src/moving/give.rs
+++ b/crates/ochrewalk-node/src/moving/give.rs
@@ -1,7 +1,7 @@
 //! The side that serves: it stands still, writes down all that it holds, and goes on where the other does not take it.
 
 use super::keeper::Line;
-use super::records::{self, KeptCall, KeptNode, KeptRpc, KeptRpcs};
+use super::records::{self, KeptCall, KeptNode, KeptRpc, KeptRpcs, KeptTokens};
 use super::stand_still;
 use super::wire::{Heard, Wire};
 use crate::node::Node;
@@ -9,11 +9,14 @@
 use ochrewalk_handover::messages::{Message, Part, MOST_DESCRIPTORS};
 use prost::Message as _;
 use std::os::fd::{BorrowedFd, RawFd};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 const LIMITS: Limits = Limits { prepare_us: 5_000_000, freeze_us: 2_000_000, begin_us: 1_000_000 };
+/// Tokens that go ahead in one piece: some 200 KB of them, and a fraction of a millisecond in which nothing else is told.
+const TOKENS: usize = 1_000;
 /// How often signals are looked at beside messages.
 const LOOK: Duration = Duration::from_millis(10);
 /// How long calls on connections that cannot move are waited for, and all to come to rest.
@@ -32,12 +35,15 @@
 pub struct Handing {
     state: Mutex<Option<Sender<String>>>,
     over: Condvar,
+    /// Somebody waits for the attempt's end.
+    is_wanted_back: AtomicBool,
 }
 
 impl Handing {
     /// Ends an attempt that is under way and comes back once this process serves again; not at all where it has given
     /// everything away.
     pub fn interrupt(&self, why: &str) {
+        self.is_wanted_back.store(true, Ordering::Relaxed);
         let mut state = self.state.lock().unwrap_or_else(|broken| broken.into_inner());
         while let Some(to) = &*state {
             let _ = to.send(why.to_string());
@@ -47,6 +53,7 @@
 
     fn begin(&self) -> Receiver<String> {
         let (to, interrupts) = channel();
+        self.is_wanted_back.store(false, Ordering::Relaxed);
         *self.state.lock().unwrap_or_else(|broken| broken.into_inner()) = Some(to);
         interrupts
     }
@@ -62,7 +69,7 @@
     let interrupts = handing.begin();
     let clock = node.core.clock;
     let mut giver = Giver::new(clock.now_us(), LIMITS, holding(node));
-    let mut side = Side { node, line, wire, failed: None };
+    let mut side = Side { node, handing, line, wire, ahead: false, failed: None };
     while !giver.is_over() {
         if let Ok(why) = interrupts.try_recv() {
             giver.interrupt(&why, &mut side);
@@ -100,8 +107,8 @@
     } else {
         None
     };
-    let (digest, sections) = (node.digest, records::sections());
-    Holding { digest, sections, bytes: resident, descriptors: descriptors as u32, unfit }
+    let (digest, (sections, ahead)) = (node.digest, records::sections());
+    Holding { digest, sections, ahead, bytes: resident, descriptors: descriptors as u32, unfit }
 }
 
 type Written = Result<Vec<Section>, &'static str>;
@@ -142,8 +149,11 @@
 
 struct Side<'a> {
     node: &'a Arc<Node>,
+    handing: &'a Handing,
     line: &'a Line,
     wire: Wire,
+    /// Tokens have gone ahead.
+    ahead: bool,
     /// Why it cannot be handed over after all.
     failed: Option<String>,
 }
@@ -154,9 +164,22 @@
         let _ = self.wire.send(message, &[]);
     }
 
-    /// All that is held changes with every RPC.
+    /// Tokens stay as they are for most of their time. All else changes with every RPC.
     fn send_ahead(&mut self) -> u64 {
-        0
+        let gate = &self.node.core.gate;
+        let (mut parts, mut after) = (0, None);
+        self.ahead = true;
+        // A signal ends the attempt anyway.
+        while !self.handing.is_wanted_back.load(Ordering::Relaxed) {
+            let Some((tokens, last)) = gate.keep_ahead(after.as_ref(), TOKENS) else { break };
+            let bytes = KeptTokens { tokens }.encode_to_vec();
+            let part = Part { section: records::AHEAD.0.into(), bytes, descriptors: 0 };
+            if self.wire.send(Message::Part(part), &[]).is_err() {
+                break;
+            }
+            (parts, after) = (parts + 1, Some(last));
+        }
+        parts
     }
 
     fn freeze(&mut self) -> u64 {
@@ -165,9 +188,9 @@
             return 0;
         }
         let standstill = Arc::new(Standstill::default());
-        let (node, told) = (self.node.clone(), standstill.clone());
+        let (node, told, ahead) = (self.node.clone(), standstill.clone(), self.ahead);
         may::go!(move || {
-            if let Some(written) = write_down(&node, &told) {
+            if let Some(written) = write_down(&node, ahead, &told) {
                 if !told.came(written) {
                     go_on(&node);
                 }
@@ -230,6 +253,7 @@
 
     fn tell(&mut self, how: &str) {
         tracing::warn!(part = "upgrade", "{how}");
+        self.node.core.gate.end_ahead();
         self.line.say(&format!("told {how}"));
     }
 }
@@ -253,7 +277,7 @@
 /// The thread that waits may give up at any moment, has all go on then, and may come again with another attempt, whose
 /// coroutine runs only while this one sleeps. So what is set here after it gave up is taken back before the next sleep,
 /// and nothing is touched after a sleep in which it gave up.
-fn write_down(node: &Node, told: &Standstill) -> Option<Written> {
+fn write_down(node: &Node, ahead: bool, told: &Standstill) -> Option<Written> {
     let core = &node.core;
     let clock = core.clock;
     let until = |wait: Duration| clock.now_us() + wait.as_micros() as u64;
@@ -283,7 +307,7 @@
         if let (true, Some(json), Some(ajp)) =
             (core.gate.is_at_rest(), json, ajp.map_or(Some(None), |kept| kept.map(Some)))
         {
-            return Some(Ok(sections(node, json, ajp)));
+            return Some(Ok(sections(node, ahead, json, ajp)));
         }
         if clock.now_us() >= by_us {
             return Some(Err("it does not come to rest"));
@@ -294,6 +318,7 @@
 
 fn sections(
     node: &Node,
+    ahead: bool,
     json: (records::KeptDispatchers, Vec<RawFd>),
     ajp: Option<(records::KeptAjps, Vec<RawFd>)>,
 ) -> Vec<Section> {
@@ -301,7 +326,7 @@
     let (print_key, print_key_more) = core.print_key();
     let mut kept =
         KeptNode { clock_base_ns: core.clock.base_ns(), print_key, print_key_more, ..KeptNode::default() };
-    core.gate.keep(&mut kept);
+    core.gate.keep(&mut kept, ahead);
     let living = core.living();
     let rpcs = living.values().map(|living| {
         let life = living.lock();
--- a/crates/ochrewalk-node/src/moving/records.rs
+++ b/crates/ochrewalk-node/src/moving/records.rs
@@ -8,8 +8,13 @@
 pub const SECTIONS: [(&str, u32); 7] =
     [("node", 1), ("listeners", 1), ("rpcs", 1), ("json", 1), ("ajp", 1), ("executor", 1), ("below", 1)];
 
-pub fn sections() -> Vec<Section> {
-    SECTIONS.iter().map(|(name, version)| Section { name: (*name).into(), version: *version }).collect()
+/// The section that goes ahead of the standstill, in programs that know how to.
+pub const AHEAD: (&str, u32) = ("tokens", 1);
+
+/// Those that any hand-over has, and the one that goes ahead.
+pub fn sections() -> (Vec<Section>, Vec<Section>) {
+    let section = |(name, version): &(&str, u32)| Section { name: (*name).into(), version: *version };
+    (SECTIONS.iter().map(section).collect(), vec![section(&AHEAD)])
 }
 
 /// The gate, the module inside it, the tokens, and what belongs to no other section.
@@ -36,8 +41,19 @@
     pub wake_us: u64,
     #[prost(uint64, tag = "9")]
     pub wake_token: u64,
+    /// All tokens, or those that have changed since the others went ahead.
     #[prost(message, repeated, tag = "10")]
     pub tokens: Vec<KeptToken>,
+    /// Tokens that went ahead and are gone.
+    #[prost(string, repeated, tag = "11")]
+    pub gone: Vec<String>,
+}
+
+/// Tokens that go ahead of the standstill, each message a piece of them.
+#[derive(Clone, PartialEq, Message)]
+pub struct KeptTokens {
+    #[prost(message, repeated, tag = "1")]
+    pub tokens: Vec<KeptToken>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/ochrewalk-node/src/moving/take.rs
+++ b/crates/ochrewalk-node/src/moving/take.rs
@@ -2,11 +2,15 @@
 //! without acting on any of it, and begins at the word.
 
 use super::keeper::Line;
-use super::records::{self, KeptAjps, KeptBelow, KeptDispatchers, KeptExecutor, KeptNode, KeptRpcs};
+use super::records::{
+    self, KeptAjps, KeptBelow, KeptDispatchers, KeptExecutor, KeptNode, KeptRpcs, KeptTokens,
+};
 use super::wire::{Heard, Wire};
 use crate::clock::Clock;
+use crate::keys::Keys;
 use ochrewalk_handover::messages::{Message, Refuse};
 use ochrewalk_handover::taker::{Acts, Limits, Room, State, Taker};
+use prost::Message as _;
 use std::collections::HashMap;
 use std::os::fd::OwnedFd;
 use std::time::Duration;
@@ -26,6 +30,8 @@
     pub ajp: (KeptAjps, Vec<OwnedFd>),
     pub executor: (KeptExecutor, Option<OwnedFd>),
     pub below: (KeptBelow, Vec<OwnedFd>),
+    /// Tokens that went ahead.
+    pub tokens: Keys,
 }
 
 /// How this process is to begin.
@@ -53,9 +59,20 @@
     fails("start");
     let clock = Clock::start();
     let program = env!("CARGO_PKG_VERSION").to_string();
-    let room = Room { digest, program, knows: records::sections(), bytes, descriptors };
-    let mut side =
-        Side { wire, line, build, kept: HashMap::new(), short: false, built: None, begin: None, end: None };
+    let (mut knows, ahead) = records::sections();
+    knows.extend(ahead);
+    let room = Room { digest, program, knows, bytes, descriptors };
+    let mut side = Side {
+        wire,
+        line,
+        build,
+        kept: HashMap::new(),
+        tokens: Keys::new(usize::MAX),
+        short: false,
+        built: None,
+        begin: None,
+        end: None,
+    };
     let mut taker = Taker::start(clock.now_us(), LIMITS, room, &mut side);
     fails("greet");
     loop {
@@ -103,6 +120,8 @@
     build: B,
     /// Bytes and descriptors of each section.
     kept: HashMap<String, (Vec<u8>, Vec<OwnedFd>)>,
+    /// Put together as they come: there may be a million of them.
+    tokens: Keys,
     /// Fewer descriptors came than were announced.
     short: bool,
     built: Option<P>,
@@ -119,7 +138,7 @@
 
     fn taken(&mut self) -> Result<Taken, String> {
         if self.short {
-            return Err("fewer descriptors came than were announced".into());
+            return Err("fewer descriptors came than were announced, or tokens that cannot be read".into());
         }
         let (node, _) = self.section::<KeptNode>("node")?;
         let (rpcs, _) = self.section::<KeptRpcs>("rpcs")?;
@@ -133,6 +152,7 @@
             ajp: self.section("ajp")?,
             executor: (executor, link.into_iter().next()),
             below: self.section("below")?,
+            tokens: std::mem::replace(&mut self.tokens, Keys::new(0)),
         };
         let matches = taken.json.0.of.len() == taken.json.1.len()
             && taken.ajp.0.of.len() == taken.ajp.1.len()
@@ -154,6 +174,13 @@
     fn keep(&mut self, section: &str, bytes: &[u8], descriptors: u32) {
         let came = self.wire.take(descriptors as usize);
         self.short |= came.is_none();
+        if section == records::AHEAD.0 {
+            match KeptTokens::decode(bytes) {
+                Ok(piece) => self.tokens.take(piece.tokens, &[]),
+                Err(_) => self.short = true,
+            }
+            return;
+        }
         let kept = self.kept.entry(section.to_string()).or_default();
         kept.0.extend_from_slice(bytes);
         kept.1.extend(came.unwrap_or_default());
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -4,6 +4,7 @@
 use crate::core::Core;
 use crate::ending::{CallEnd, Ending};
 use crate::gate::{Gate, Incoming, Next, Post, Stirred, Ticket, Token};
+use crate::keys::Keys;
 use crate::life::{Call, Life, Placed};
 use crate::live::Living;
 use crate::logger::Logs;
@@ -419,7 +420,16 @@
     let ids: HashSet<RpcId> = incoming.iter().map(|rpc| rpc.id.clone()).collect();
     let (gate, stirred, tickets) = match &mut taken {
         Some(taken) => {
-            Gate::resume(clock, deployment.clone(), placement.seed, bytes / 8, &mut taken.node, &incoming)?
+            let ahead = std::mem::replace(&mut taken.tokens, Keys::new(0));
+            Gate::resume(
+                clock,
+                deployment.clone(),
+                placement.seed,
+                bytes / 8,
+                &mut taken.node,
+                ahead,
+                &incoming,
+            )?
         }
         None => {
             let (gate, stirred) = Gate::new(clock, deployment.clone(), placement.seed, bytes / 8);
--- a/crates/ochrewalk-node/tests/wire.rs
+++ b/crates/ochrewalk-node/tests/wire.rs
@@ -235,19 +235,19 @@
     }
     assert_eq!(keys.find("other", 7, 0), Known::No);
     assert_eq!(keys.find("k", 8, 0), Known::Other { ran: false });
-    assert_eq!(keys.share("k", &"b".into()), State::Open);
-    assert!(keys.settle("k", "not-a", State::Failed).is_empty(), "only the holder settles");
-    assert_eq!(keys.settle("k", "a", State::Served("12345678".into())), vec!["b".into()]);
-    assert_eq!(keys.share("k", &"c".into()), State::Served("12345678".into()));
+    assert_eq!(keys.share(&"k".into(), &"b".into()), State::Open);
+    assert!(keys.settle(&"k".into(), "not-a", State::Failed).is_empty(), "only the holder settles");
+    assert_eq!(keys.settle(&"k".into(), "a", State::Served("12345678".into())), vec!["b".into()]);
+    assert_eq!(keys.share(&"k".into(), &"c".into()), State::Served("12345678".into()));
     assert_eq!(keys.find("k", 8, 0), Known::Other { ran: true });
     // Past the limit of bytes the oldest result goes, but not that it ran.
     keys.remember("l".into(), 7, "d".into(), 2_000);
-    keys.settle("l", "d", State::Served("12345".into()));
-    assert_eq!(keys.share("k", &"e".into()), State::Failed);
-    assert_eq!(keys.share("l", &"f".into()), State::Served("12345".into()));
+    keys.settle(&"l".into(), "d", State::Served("12345".into()));
+    assert_eq!(keys.share(&"k".into(), &"e".into()), State::Failed);
+    assert_eq!(keys.share(&"l".into(), &"f".into()), State::Served("12345".into()));
     // Another holder, forgotten with those that wait for it.
     keys.remember("l".into(), 7, "g".into(), 3_000);
-    keys.share("l", &"h".into());
+    keys.share(&"l".into(), &"h".into());
     assert!(keys.forget("l", "d").is_empty());
     assert_eq!(keys.forget("l", "g"), vec!["h".into()]);
     assert_eq!(keys.find("l", 7, 0), Known::No);
@@ -257,6 +257,53 @@
     assert_eq!((keys.find("k", 7, 0), keys.find("m", 7, 0)), (Known::No, Known::Same("i".into())));
 }
 
+#[test]
+fn tokens_that_go_ahead_and_what_changes_after_come_to_the_same_as_all_at_once() {
+    // Many runs of steps, with pieces sent ahead between them.
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (mut keys, mut next, mut after) = (Keys::new(400), Keys::new(usize::MAX), None);
+        let mut is_ahead = false;
+        for step in 0..200u64 {
+            let token: std::sync::Arc<str> = format!("t{}", rng.u32(0..40)).into();
+            let holder = format!("h{}", rng.u32(0..3));
+            match rng.u32(0..6) {
+                0 | 1 => keys.remember(token, 7, holder.as_str().into(), rng.u64(0..50) * 1_000),
+                2 => drop(keys.forget(&token, &holder)),
+                3 => drop(keys.share(&token, &format!("r{step}").as_str().into())),
+                4 => drop(keys.settle(&token, &holder, State::Served("x".repeat(rng.usize(0..30)).into()))),
+                _ => drop(keys.settle(&token, &holder, State::Failed)),
+            }
+            if step >= 100 && step % 5 == 0 && (after.is_some() || !is_ahead) {
+                is_ahead = true;
+                after = keys.keep_ahead(after.as_ref(), 3).map(|(piece, last)| {
+                    next.take(piece, &[]);
+                    last
+                });
+            }
+        }
+        while let Some(from) = after {
+            after = keys.keep_ahead(Some(&from), 3).map(|(piece, last)| {
+                next.take(piece, &[]);
+                last
+            });
+        }
+        let (changed, gone) = keys.keep_changed();
+        next.take(changed, &gone);
+        next.limit(400);
+        let sorted = |keys: &Keys| {
+            let mut all = keys.keep();
+            all.sort_by(|a, b| a.key.cmp(&b.key));
+            all
+        };
+        assert_eq!(sorted(&next), sorted(&keys), "{seed}");
+        // And both let go of the same.
+        keys.sweep(40_000);
+        next.sweep(40_000);
+        assert_eq!(sorted(&next), sorted(&keys), "{seed}");
+    }
+}
+
 #[test]
 fn time_queued_is_clamped() {
     for (now_ms, ts_ms, wanted_us) in
