Callers pushed back while nothing below takes calls are told when something there may

Need: where all places below are out the spread knows when one is tried next; callers were told the hold's time, much less, and came back to the same.

Change: Spread::closed_us (until the first trial, and up to half as long again, drawn, so that not all come back at once); a life whose method calls below names the longer of both times, within what the deployment lets be told. Where places that only fail are asked all the same nothing changes. Fleets of the lab no longer share addresses with another lab's whose process id is alike.

Checked: tests/choice.rs by table; tests/places.rs on the real program, which fails without it.

--- a/crates/ochrewalk-lab/src/changes.rs
+++ b/crates/ochrewalk-lab/src/changes.rs
@@ -150,8 +150,9 @@
     for at in 0..plan.nodes {
         let executor = Executor::start(4.0, works.clone()).map_err(io)?;
         // An address of its own, whose port no other socket is given by chance.
-        let run = 64 + (std::process::id() % 11) as u8 * 16 + plan.apart % 16;
-        let json_at = SocketAddr::from(([127, run, (at / 200) as u8, (at % 200) as u8 + 1], 7_003));
+        let pid = std::process::id();
+        let (run, more) = (64 + (pid % 11) as u8 * 16 + plan.apart % 16, (pid / 11 % 100) as u8 * 2);
+        let json_at = SocketAddr::from(([127, run, more + (at / 200) as u8, (at % 200) as u8 + 1], 7_003));
         let (keeper, control) = (folder.join(format!("k{at}")), folder.join(format!("n{at}")));
         let mut config = node::config(json_at, executor.at, directory, settings(calls));
         config["limits"]["memory_mb"] = 512.into();
--- a/crates/ochrewalk-node/src/live.rs
+++ b/crates/ochrewalk-node/src/live.rs
@@ -80,6 +80,16 @@
     fn post(&self) -> Post {
         self.ticket.post()
     }
+
+    /// Who is pushed back, with an RPC that calls below, need not come back before anything there takes a call.
+    fn told_when<'a>(&self, answer: Answer<'a>) -> Answer<'a> {
+        let Answer::PushedBack { last, come_back_us } = answer else { return answer };
+        let Core { deployment, below, .. } = self.core;
+        let calls = deployment.methods[self.living.rpc.method].calls;
+        let closed_us = below.as_ref().filter(|_| calls).and_then(|below| below.closed_us()).unwrap_or(0);
+        let closed_us = closed_us.min(deployment.advice.max_come_back_us);
+        Answer::PushedBack { last, come_back_us: come_back_us.max(closed_us) }
+    }
 }
 
 impl Acts for Deeds<'_> {
@@ -118,6 +128,7 @@
 
     fn answer(&mut self, answer: Answer) {
         let Core { clock, deployment, .. } = self.core;
+        let answer = self.told_when(answer);
         self.core.tally.answered(clock, deployment, &self.living.rpc, &answer);
         self.living.asker.answer(answer, self.core.gate.posture().signal);
     }
--- a/crates/ochrewalk-node/src/net/ajp_below.rs
+++ b/crates/ochrewalk-node/src/net/ajp_below.rs
@@ -219,6 +219,10 @@
         self.0.place(call);
     }
 
+    fn closed_us(&self) -> Option<u64> {
+        self.0.with(|places, hands| places.closed_us(hands.now_us))
+    }
+
     /// Connections by AJP do not move: a call is under way on each that carries one.
     fn hold(&self, hold: bool) {
         let held = {
--- a/crates/ochrewalk-node/src/seam.rs
+++ b/crates/ochrewalk-node/src/seam.rs
@@ -51,6 +51,11 @@
     /// Gives a call up; nothing more is heard of it.
     fn give_up(&self, id: &str);
 
+    /// How long nothing below is expected to take a call, where nothing does now.
+    fn closed_us(&self) -> Option<u64> {
+        None
+    }
+
     /// Places no new call for the moment, so that those under way can end before a standstill; or goes on.
     fn hold(&self, _hold: bool) {}
 
--- a/crates/ochrewalk-node/tests/places.rs
+++ b/crates/ochrewalk-node/tests/places.rs
@@ -129,3 +129,42 @@
     let mode = std::os::unix::fs::PermissionsExt::mode(&std::fs::metadata(&status).unwrap().permissions());
     assert_eq!(mode & 0o777, 0o600);
 }
+
+#[test]
+fn who_is_pushed_back_while_nothing_below_takes_calls_is_told_to_stay_away_for_longer() {
+    // The longest time that the deployment lets be told, as the only place is out for a minute.
+    for (nothing_there, told) in [(true, true), (false, false)] {
+        let here = Told::start();
+        let at =
+            if nothing_there { ochrewalk_lab::node::free("127.0.0.28").unwrap() } else { here.ledger.at };
+        let status = status();
+        let operators = format!(
+            "below ajp {at}\nbelow leave-out 1\nbelow pause 1m 1m\nbelow status {}\n",
+            status.display()
+        );
+        let short = |config: &mut serde_json::Value| {
+            for method in config["settings"]["categories"].as_array_mut().unwrap() {
+                method["on-time-ns"] = 700_000_000u64.into();
+                method["deadline-ns"] = 1_500_000_000u64.into();
+            }
+        };
+        let stand = Stand::with_operators(short, &operators);
+        let mut executor = stand.executor();
+        executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
+        let mut caller = stand.caller();
+        caller.wait_healthy();
+        // One finds that nobody is there; those that take both cores never end.
+        caller.say(&rpc(2, "once"));
+        executor.hear_of(&exec(2, "once"));
+        executor.say(&callout(1, 2));
+        if nothing_there {
+            table(&status, &[&at.to_string(), " out "]);
+        }
+        for number in 3..9 {
+            caller.say(&rpc(number, "look"));
+        }
+        std::thread::spawn(move || executor.hear_out());
+        let answer = caller.hear_of("-32011");
+        assert_eq!(answer.contains(r#""holdoff":1000"#), told, "{answer}");
+    }
+}
--- a/crates/ochrewalk-places/src/lib.rs
+++ b/crates/ochrewalk-places/src/lib.rs
@@ -153,6 +153,11 @@
         slots
     }
 
+    /// How long no place is expected to take a call, where none does now.
+    pub fn closed_us(&mut self, now_us: u64) -> Option<u64> {
+        self.spread.closed_us(now_us)
+    }
+
     /// A call is to be placed, and is of use until then.
     pub fn call(&mut self, now_us: u64, call: CallId, again: bool, until_us: u64, wire: &mut impl Wire) {
         self.budget.earn();
--- a/crates/ochrewalk-spread/src/lib.rs
+++ b/crates/ochrewalk-spread/src/lib.rs
@@ -185,6 +185,16 @@
         self.way.choose(&self.view, now_us, avoid, &mut self.rng).or(due)
     }
 
+    /// How long no place is expected to take a call, from the moment on at which none does: until the first of them is
+    /// tried, and up to half as long again. Guards against all callers coming back at that very moment.
+    pub fn closed_us(&mut self, now_us: u64) -> Option<u64> {
+        if self.view.reach.iter().any(|slot| self.view.takes(*slot)) {
+            return None;
+        }
+        let first_us = self.due.first()?.0.saturating_sub(now_us).max(self.plan.leaving.first_us);
+        Some(first_us + self.rng.u64(0..=first_us / 2))
+    }
+
     /// When a place that is out is next tried.
     pub fn come_back_us(&self) -> Option<u64> {
         self.due.first().map(|(until_us, _)| *until_us)
--- a/crates/ochrewalk-spread/tests/choice.rs
+++ b/crates/ochrewalk-spread/tests/choice.rs
@@ -288,3 +288,29 @@
     assert_eq!(seconds(&mut width, 9, 12), 4, "what is wanted is near enough");
     assert_eq!(seconds(&mut width, 40, 0), 1);
 }
+
+#[test]
+fn where_all_are_out_callers_are_told_when_one_is_tried_and_each_a_little_apart() {
+    let mut spread = Spread::new(plan(Kind::Rounds), 7);
+    spread.list(0, &(0..3).map(Listed::plain).collect::<Vec<_>>());
+    assert_eq!(spread.closed_us(0), None);
+    for slot in 0..2 {
+        put_out(&mut spread, 0, slot, Cause::Unreached);
+    }
+    assert_eq!(spread.closed_us(0), None, "one takes calls");
+    put_out(&mut spread, 0, 2, Cause::Unreached);
+    let first_us = spread.come_back_us().unwrap().max(200 * MS);
+    let told: Vec<u64> = (0..100).map(|_| spread.closed_us(0).unwrap()).collect();
+    assert!(told.iter().all(|us| (first_us..=first_us * 3 / 2).contains(us)), "{first_us}: {told:?}");
+    let mut apart = told.clone();
+    apart.sort_unstable();
+    apart.dedup();
+    assert!(apart.len() > 50, "{apart:?}");
+    // One that could be tried any moment is no promise yet.
+    assert!(spread.closed_us(first_us + 1).unwrap() >= 200 * MS);
+    // Those that only fail are asked all the same where most seem out.
+    let mut spread = Spread::new(plan(Kind::Rounds), 7);
+    spread.list(0, &[Listed::plain(1)]);
+    put_out(&mut spread, 0, 0, Cause::Failing);
+    assert_eq!(spread.closed_us(0), None);
+}
