--- a/crates/ochrewalk-handover/src/giver.rs
+++ b/crates/ochrewalk-handover/src/giver.rs
@@ -7,8 +7,9 @@
 /// What is asked of the node that serves.
 pub trait Acts {
     fn send(&mut self, message: Message);
-    /// Sends what seldom changes, in parts, and says how many; the node serves on.
-    fn send_ahead(&mut self) -> u64;
+    /// Sends what seldom changes, in parts, and says how many, and what time it is then; the node serves on, however
+    /// long it takes.
+    fn send_ahead(&mut self, now_us: u64) -> (u64, u64);
     /// Stands still, sends all the rest in parts, and says how many. From here on nothing is read, started, answered
     /// or called.
     fn freeze(&mut self) -> u64;
@@ -119,8 +120,9 @@
                 }
             },
             (State::Offered { until_us }, Message::Prepare(_)) => {
-                self.state = State::Preparing { until_us };
-                let parts = if self.goes_ahead { acts.send_ahead() } else { 0 };
+                let (parts, now_us) = if self.goes_ahead { acts.send_ahead(now_us) } else { (0, now_us) };
+                // What is still on its way there is read before the answer: the taker has its time from here on.
+                self.state = State::Preparing { until_us: until_us.max(now_us + self.limits.prepare_us) };
                 acts.send(Message::Ahead(Count { parts }));
             }
             (State::Preparing { .. }, Message::Ready(_)) => {
--- a/crates/ochrewalk-handover/tests/explore.rs
+++ b/crates/ochrewalk-handover/tests/explore.rs
@@ -59,8 +59,8 @@
     fn send(&mut self, message: Message) {
         self.sent.push(message);
     }
-    fn send_ahead(&mut self) -> u64 {
-        0
+    fn send_ahead(&mut self, now_us: u64) -> (u64, u64) {
+        (0, now_us)
     }
     fn freeze(&mut self) -> u64 {
         self.sent.push(Message::Part(Part::default()));
--- a/crates/ochrewalk-handover/tests/steps.rs
+++ b/crates/ochrewalk-handover/tests/steps.rs
@@ -28,8 +28,8 @@
     fn send(&mut self, message: Message) {
         self.sent(message);
     }
-    fn send_ahead(&mut self) -> u64 {
-        0
+    fn send_ahead(&mut self, now_us: u64) -> (u64, u64) {
+        (0, now_us)
     }
     fn freeze(&mut self) -> u64 {
         self.0.push("frozen".into());
@@ -178,6 +178,12 @@
         giver.message(0, &greet(1, newest, 7), &mut told);
         giver.message(1, &PREPARE, &mut told);
         assert_eq!((told.sections, told.ahead), (sections, newest == 2));
+        // The taker has its time once all is sent, and no longer.
+        let sent_us = if newest == 2 { 1_001 } else { 1 };
+        giver.tick(sent_us + 99, &mut told);
+        assert!(!giver.is_over());
+        giver.tick(sent_us + 100, &mut told);
+        assert!(giver.is_over());
     }
 }
 
@@ -194,9 +200,10 @@
             self.sections = offer.sections.len();
         }
     }
-    fn send_ahead(&mut self) -> u64 {
+    /// Sending takes ten times as long as any other step may.
+    fn send_ahead(&mut self, now_us: u64) -> (u64, u64) {
         self.ahead = true;
-        0
+        (0, now_us + 1_000)
     }
     fn freeze(&mut self) -> u64 {
         0
--- /dev/null
+++ b/crates/ochrewalk-node/benches/standstill.rs
@@ -0,0 +1,70 @@
+//! What tokens add to an upgrade's standstill: all of them written down and taken in it, against those that changed since the
+//! others went ahead; and the longest moment that a piece sent ahead holds everybody up.
+//! `cargo bench -p ochrewalk-node`
+
+use ochrewalk_node::keys::{Keys, State};
+use ochrewalk_node::moving::records::{KeptToken, KeptTokens};
+use prost::Message;
+use std::time::Instant;
+
+/// Settled between the first piece and the standstill.
+const CHANGED: u64 = 1_000;
+const PIECE: usize = 1_000;
+const RESULT: &str =
+    "\"0123456789012345678901234567890123456789012345678901234567890123456789012345678901234567890\"";
+
+fn filled(count: u64) -> Keys {
+    let mut keys = Keys::new(usize::MAX);
+    for number in 0..count {
+        settle(&mut keys, number);
+    }
+    keys
+}
+
+fn settle(keys: &mut Keys, number: u64) {
+    let token: std::sync::Arc<str> = format!("{number:032x}").into();
+    let holder = format!("{number:016x}");
+    keys.remember(token.clone(), number, holder.as_str().into(), 1_764_576_000_000 + number);
+    keys.settle(&token, &holder, State::Served(RESULT.into()));
+}
+
+/// Through bytes and into the next program's table.
+fn pass(tokens: Vec<KeptToken>, gone: &[String], to: &mut Keys) {
+    let bytes = KeptTokens { tokens }.encode_to_vec();
+    to.take(KeptTokens::decode(bytes.as_slice()).expect("just written").tokens, gone);
+}
+
+fn ms(from: Instant) -> f64 {
+    from.elapsed().as_secs_f64() * 1e3
+}
+
+fn main() {
+    println!("tokens     all at once ms   ahead ms   longest piece ms   at the standstill ms   sweep us");
+    for count in [1_000, 10_000, 100_000, 1_000_000] {
+        let mut keys = filled(count);
+        let from = Instant::now();
+        let mut next = Keys::new(usize::MAX);
+        pass(keys.keep(), &[], &mut next);
+        let at_once = ms(from);
+        let (mut next, mut after, mut longest, from) = (Keys::new(usize::MAX), None, 0.0f64, Instant::now());
+        loop {
+            let held = Instant::now();
+            let piece = keys.keep_ahead(after.as_ref(), PIECE);
+            longest = longest.max(ms(held));
+            let Some((tokens, last)) = piece else { break };
+            pass(tokens, &[], &mut next);
+            after = Some(last);
+        }
+        let ahead = ms(from);
+        (count..count + CHANGED).for_each(|number| settle(&mut keys, number));
+        let from = Instant::now();
+        let (changed, gone) = keys.keep_changed();
+        pass(changed, &gone, &mut next);
+        let still = ms(from);
+        let from = Instant::now();
+        (0..100).for_each(|_| keys.sweep(1_764_576_000_000));
+        let sweep_us = ms(from) * 10.0;
+        println!("{count:<10} {at_once:>14.1} {ahead:>10.1} {longest:>18.2} {still:>22.1} {sweep_us:>10.2}");
+        assert_eq!(next.keep().len(), keys.keep().len());
+    }
+}
--- a/crates/ochrewalk-node/src/moving/give.rs
+++ b/crates/ochrewalk-node/src/moving/give.rs
@@ -165,7 +165,7 @@
     }
 
     /// Tokens stay as they are for most of their time. All else changes with every RPC.
-    fn send_ahead(&mut self) -> u64 {
+    fn send_ahead(&mut self, _now_us: u64) -> (u64, u64) {
         let gate = &self.node.core.gate;
         let (mut parts, mut after) = (0, None);
         self.ahead = true;
@@ -179,7 +179,7 @@
             }
             (parts, after) = (parts + 1, Some(last));
         }
-        parts
+        (parts, self.node.core.clock.now_us())
     }
 
     fn freeze(&mut self) -> u64 {
