--- a/crates/ochrewalk-rollout/tests/explore.rs
+++ b/crates/ochrewalk-rollout/tests/explore.rs
@@ -317,12 +317,9 @@
 
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
-            Property::always(
-                "no more out of service by one conductor than the plan allows",
-                |_, w: &World| !w.too_many,
-            ),
-            Property::always("no order acts after a later one", |_, w: &World| !w.acted_late),
-            Property::always("done is all changed, back is none changed", |_, w: &World| {
+            Property::always(OUT, |_, w: &World| !w.too_many),
+            Property::always(LATE, |_, w: &World| !w.acted_late),
+            Property::always(SEEN, |_, w: &World| {
                 w.conductors.iter().flatten().all(|conductor| {
                     let all = |program| conductor.seen().iter().all(|seen| seen.program == Some(program));
                     match conductor.phase() {
@@ -334,21 +331,18 @@
                     }
                 })
             }),
-            Property::always(
-                "what is done or back is so at every node, and on trial nowhere",
-                |_, w: &World| {
-                    let is_all = |program| {
-                        let runs = |node: &Node| node.doing.map_or(node.program, |order| order.to) == program;
-                        w.nodes.iter().all(|node| runs(node) && !node.on_trial)
-                    };
-                    w.conductors.len() > 1
-                        || w.conductors.iter().flatten().all(|conductor| match conductor.phase() {
-                            Phase::Done => is_all(Program::New),
-                            Phase::IsBack { .. } => is_all(Program::Old),
-                            _ => true,
-                        })
-                },
-            ),
+            Property::always(EVERYWHERE, |_, w: &World| {
+                let is_all = |program| {
+                    let runs = |node: &Node| node.doing.map_or(node.program, |order| order.to) == program;
+                    w.nodes.iter().all(|node| runs(node) && !node.on_trial)
+                };
+                w.conductors.len() > 1
+                    || w.conductors.iter().flatten().all(|conductor| match conductor.phase() {
+                        Phase::Done => is_all(Program::New),
+                        Phase::IsBack { .. } => is_all(Program::Old),
+                        _ => true,
+                    })
+            }),
             Property::sometimes("a change is done", |_, w: &World| {
                 w.nodes.iter().all(|n| n.program == Program::New)
                     && w.conductors.iter().flatten().any(|c| c.phase() == &Phase::Done)
@@ -367,6 +361,17 @@
     model.checker().target_max_depth(depth).threads(4).spawn_bfs().join()
 }
 
+/// What holds in every state, by the names of the properties.
+const OUT: &str = "no more out of service by one conductor than the plan allows";
+const LATE: &str = "no order acts after a later one";
+const SEEN: &str = "done is all changed, back is none changed";
+const EVERYWHERE: &str = "what is done or back is so at every node, and on trial nowhere";
+
+fn holds(checker: &impl Checker<Explored>, names: &[&'static str]) {
+    println!("{} states", checker.unique_state_count());
+    names.iter().for_each(|name| checker.assert_no_discovery(name));
+}
+
 const ONE: Explored = Explored {
     conductors: 1,
     kills: 1,
@@ -381,15 +386,7 @@
 #[test]
 fn one_conductor_killed_at_any_step_with_a_word_lost_a_node_out_and_a_change_that_fails() {
     let checker = explore(ONE, 22);
-    println!("{} states", checker.unique_state_count());
-    for name in [
-        "no more out of service by one conductor than the plan allows",
-        "no order acts after a later one",
-        "done is all changed, back is none changed",
-        "what is done or back is so at every node, and on trial nowhere",
-    ] {
-        checker.assert_no_discovery(name);
-    }
+    holds(&checker, &[OUT, LATE, SEEN, EVERYWHERE]);
     checker.assert_any_discovery("a change is done");
     checker.assert_any_discovery("a change goes back");
 }
@@ -399,14 +396,7 @@
     let habits = Habits { on_trial: true, begins_anew: true };
     let model = Explored { outages: 0, failures: 0, lapses: 1, habits, ..ONE };
     let checker = explore(model, 26);
-    println!("{} states", checker.unique_state_count());
-    for name in [
-        "no more out of service by one conductor than the plan allows",
-        "no order acts after a later one",
-        "what is done or back is so at every node, and on trial nowhere",
-    ] {
-        checker.assert_no_discovery(name);
-    }
+    holds(&checker, &[OUT, LATE, EVERYWHERE]);
     checker.assert_any_discovery("a change is done");
     checker.assert_any_discovery("a change goes back");
 }
@@ -415,14 +405,7 @@
 fn two_conductors_at_once_with_words_as_late_as_they_like() {
     let model = Explored { conductors: 2, kills: 0, outages: 0, losses: 0, failures: 0, ..ONE };
     let checker = explore(model, 20);
-    println!("{} states", checker.unique_state_count());
-    for name in [
-        "no more out of service by one conductor than the plan allows",
-        "no order acts after a later one",
-        "done is all changed, back is none changed",
-    ] {
-        checker.assert_no_discovery(name);
-    }
+    holds(&checker, &[OUT, LATE, SEEN]);
     checker.assert_any_discovery("one is replaced");
 }
 
@@ -431,6 +414,6 @@
     let model =
         Explored { conductors: 2, kills: 0, outages: 0, losses: 0, failures: 0, no_fence: true, ..ONE };
     let checker = explore(model, 20);
-    let trace = checker.discovery("no order acts after a later one").expect("it has to be found");
+    let trace = checker.discovery(LATE).expect("it has to be found");
     println!("{} steps", trace.into_actions().len());
 }
