Streams end by one lingering close, and nothing is taken once our side is shut

Need: bytes may come in the very instant in which a stream is ended. What was seen in the code, and forced by tests: - link.rs closed streams (idle, silent, faulty) right after its last look: bytes that came in between reset the stream, and took answers with them that were on their way. - A line that is no JSON-RPC, or has no end, closed the connection at once, with RPCs of it under way: their answers were lost. - On leaving, our side was shut while an answer to an RPC that had been read was still to be given; it could not be written any more. - After our side was shut, what still came was taken and begun. - Connections that the system had accepted, and we had not looked at, were reset when the listener shut. - A run that ended well forgave faults that had been too many: its connection stayed open and was never read again. Change: link::let_go is the one end of fronts, executor's links and calls below: our side first, then what still comes is thrown away until the peer's end, 250 ms, 1 MiB, or while the table is full. On leaving our side is shut once nothing is owed. Noise makes a connection faulty: what is owed is given first. front::shut serves who waits. Faults that were too many are final.

--- a/crates/ochrewalk-node/src/ending.rs
+++ b/crates/ochrewalk-node/src/ending.rs
@@ -49,6 +49,20 @@
         }
     }
 
+    /// Whether the end of an open connection was our own, so that its peer is told by shutting our side first.
+    /// One that left has been told already.
+    pub fn is_ours(&self) -> bool {
+        match self {
+            Ending::Idle | Ending::Malformed(_) | Ending::TooLong | Ending::Silent | Ending::Moved => true,
+            Ending::Closed
+            | Ending::Broken(_)
+            | Ending::Refused
+            | Ending::Unreachable(_)
+            | Ending::NoRoom
+            | Ending::Leaving => false,
+        }
+    }
+
     /// What a call has come to whose connection ended so. A connection that was never made proves that the
     /// call never ran; one that breaks under a call proves nothing.
     pub fn outcome(&self) -> Outcome {
--- a/crates/ochrewalk-node/src/net/ajp_below.rs
+++ b/crates/ochrewalk-node/src/net/ajp_below.rs
@@ -1,7 +1,7 @@
 //! Calls below by AJP: connections made, written and read as `ochrewalk-places` decides, each with the life of an
 //! asker's connection. One lock guards both; nothing is read or written while it is held.
 
-use super::link::{carry, connect, Finish, Outbox, Reader};
+use super::link::{carry, connect, let_go, Finish, Outbox, Reader};
 use crate::clock::Clock;
 use crate::ending::{CallEnd, Ending};
 use crate::gate::{Next, Post};
@@ -21,6 +21,7 @@
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
     told: Told,
     headers: Headers,
     state: Mutex<State>,
+    /// Connections that have ended and whose peers have not seen that yet.
+    ending: AtomicUsize,
 }
 
 struct State {
@@ -111,6 +114,7 @@
                 told,
                 headers: Headers::default(),
                 state: Mutex::new(State { places, hands, held: None }),
+                ending: AtomicUsize::new(0),
             }
         }))
     }
@@ -306,6 +310,13 @@
                     &mut Replies { inner: self, outbox, link },
                 );
                 self.end(link, &ending);
+                self.ending.fetch_add(1, Ordering::Relaxed);
+                let crowded = || {
+                    self.lock().hands.links.len() + self.ending.load(Ordering::Relaxed)
+                        > self.told.connections
+                };
+                let_go(&stream, &ending, crowded);
+                self.ending.fetch_sub(1, Ordering::Relaxed);
                 ending
             }
             Err(ending) => {
--- a/crates/ochrewalk-node/src/net/ajp_front.rs
+++ b/crates/ochrewalk-node/src/net/ajp_front.rs
@@ -2,7 +2,7 @@
 //! what a request stands for the judge's in `ochrewalk-fronts`; from there on an RPC is as any other.
 
 use super::front::{Front, ENDING};
-use super::link::{adopt, carry, Finish, Outbox, Reader};
+use super::link::{adopt, carry, let_go, Finish, Outbox, Reader};
 use crate::core::{Asked, Core};
 use crate::ending::Ending;
 use crate::moving::records::{KeptAjp, KeptAjps, KeptAsks, Whereabouts};
@@ -16,9 +16,8 @@
 use ochrewalk_fronts::guests::Guests;
 use ochrewalk_fronts::judge::{Asks, Method, No, Rules};
 use ochrewalk_fronts::room::{self, Standing, Verdict, Worth};
-use socket2::SockRef;
 use std::collections::{HashMap, HashSet};
-use std::net::{IpAddr, Shutdown};
+use std::net::IpAddr;
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -79,6 +78,8 @@
     used_us: u64,
     good: bool,
     going: bool,
+    /// It has ended, and its peer has not seen that yet.
+    over: bool,
 }
 
 impl AjpFront {
@@ -120,13 +121,6 @@
         self.all().iter().for_each(|connection| connection.lock().life.leave());
     }
 
-    /// Nothing more is accepted.
-    pub fn shut(&self) {
-        if let Some(listener) = self.lock().listener.take() {
-            let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
-        }
-    }
-
     /// Nothing more is written once what waits is written.
     pub fn finish(&self) {
         self.all().iter().for_each(|connection| connection.outbox.finish(Finish::Leaving));
@@ -175,7 +169,7 @@
     pub fn keep(&self) -> Option<(KeptAjps, Vec<RawFd>)> {
         let table = self.lock();
         let (mut of, mut descriptors) = (Vec::new(), Vec::new());
-        for (number, connection) in &table.of {
+        for (number, connection) in table.of.iter().filter(|(_, connection)| !connection.lock().over) {
             let (fd, stream) = connection.outbox.keep()?;
             let state = connection.lock();
             let (life, spoke, faults) = state.life.keep();
@@ -247,6 +241,7 @@
                 used_us: kept.used_us,
                 good: kept.good,
                 going: false,
+                over: false,
             };
             let outbox = Outbox::resume(kept.stream, false);
             let connection = Arc::new(Connection { number: kept.number, outbox, state: Mutex::new(state) });
@@ -286,6 +281,7 @@
             used_us: now_us,
             good: false,
             going: false,
+            over: false,
         };
         table.next += 1;
         let number = table.next;
@@ -300,9 +296,12 @@
             Ok(()) => carry(stream, &connection.outbox, None, self.packet, &mut reader),
             Err(err) => Ending::of_use(&err),
         };
-        self.lock().of.remove(&number);
         let mut wanted = Wanted::default();
-        connection.lock().life.closed(&mut wanted);
+        {
+            let mut state = connection.lock();
+            state.over = true;
+            state.life.closed(&mut wanted);
+        }
         match &ending {
             Ending::Malformed(_) | Ending::TooLong => tracing::warn!(part = "ajp", "{ending}"),
             _ => tracing::debug!(part = "ajp", "{ending}; {} RPCs open", u8::from(wanted.gone)),
@@ -311,6 +310,8 @@
         if let Some(id) = rpc.filter(|_| wanted.gone) {
             self.core.gate.gone(&id);
         }
+        let_go(stream, &ending, || self.count() >= self.most);
+        self.lock().of.remove(&number);
     }
 
     /// The answer as packets.
@@ -387,6 +388,10 @@
         self.lock().listener = Some(listener);
     }
 
+    fn take_listener(&self) -> Option<std::net::TcpListener> {
+        self.lock().listener.take()
+    }
+
     fn is_shut(&self) -> bool {
         self.lock().listener.is_none()
     }
@@ -409,7 +414,7 @@
             let state = connection.lock();
             let worth = Worth { good: state.good, used_us: state.used_us };
             let worth = state.life.idle_since_us().map(|_| worth);
-            Standing { number: *number, going: state.going, worth }
+            Standing { number: *number, going: state.going || state.over, worth }
         };
         let all: Vec<Standing> = table.of.iter().map(standing).collect();
         let (number, room) = match room::look(self.most, ENDING, &all) {
@@ -590,6 +595,10 @@
         self.connection.lock().life.reads()
     }
 
+    fn may_end(&self, how: Finish) -> bool {
+        how != Finish::Leaving || !self.connection.lock().life.owes()
+    }
+
     fn drained(&mut self, written: bool) {
         let mut wanted = Wanted::default();
         let closing = {
--- a/crates/ochrewalk-node/src/net/below.rs
+++ b/crates/ochrewalk-node/src/net/below.rs
@@ -2,7 +2,7 @@
 //! one spoilt reply makes a connection useless for all calls on it. Connections are kept for a moment, for later
 //! calls that may be made again, and then closed by us before the other side would.
 
-use super::link::{adopt, carry, connect, Finish, Outbox, Reader};
+use super::link::{adopt, carry, connect, let_go, Finish, Outbox, Reader};
 use crate::clock::Clock;
 use crate::ending::{CallEnd, Ending};
 use crate::gate::{Next, Post};
@@ -53,6 +53,8 @@
     used_us: u64,
     /// Since when a reply is under way that has no end yet.
     partial_us: Option<u64>,
+    /// It has ended, and its peer has not seen that yet.
+    over: bool,
 }
 
 impl Below {
@@ -115,7 +117,7 @@
             let post =
                 |id: String| posts.get_key_value(id.as_str()).map(|(id, post)| (id.clone(), post.clone()));
             let calls = kept.calls.into_iter().filter_map(post).collect();
-            let carried = Carried { calls, used_us: kept.used_us, partial_us: kept.partial_us };
+            let carried = Carried { calls, used_us: kept.used_us, partial_us: kept.partial_us, over: false };
             let at = kept.at.parse().unwrap_or(state.at);
             let outbox = Outbox::resume(kept.stream, false);
             let link = Arc::new(Link { at, outbox, carried: Mutex::new(carried) });
@@ -135,7 +137,8 @@
         let room = state.links.len() < self.most_links;
         let trusted = |link: &Link| {
             let carried = link.lock();
-            !room || again && carried.calls.is_empty() && now_us < carried.used_us + TRUSTED_US
+            let unused = again && carried.calls.is_empty() && now_us < carried.used_us + TRUSTED_US;
+            !carried.over && (!room || unused)
         };
         // The last one used is the first one used again, so that the others are closed as idle.
         let least =
@@ -146,8 +149,8 @@
         let link = match least.cloned() {
             Some(link) => link,
             None => {
-                let carried =
-                    Mutex::new(Carried { calls: HashMap::new(), used_us: now_us, partial_us: None });
+                let (calls, used_us) = (HashMap::new(), now_us);
+                let carried = Mutex::new(Carried { calls, used_us, partial_us: None, over: false });
                 let link = Arc::new(Link { at: state.at, outbox: Outbox::default(), carried });
                 state.links.push(link.clone());
                 let (below, of) = (self.clone(), link.clone());
@@ -186,15 +189,20 @@
 
     /// Carries one link to its end.
     fn keep(&self, link: &Arc<Link>, adopted: Option<TcpStream>) {
-        let ending = match adopted.map_or_else(|| connect(&link.at, CONNECT), Ok) {
+        let stream = adopted.map_or_else(|| connect(&link.at, CONNECT), Ok);
+        let ending = match &stream {
             Ok(stream) => {
-                carry(&stream, &link.outbox, None, calls::LONGEST, &mut Replies { below: self, link })
+                carry(stream, &link.outbox, None, calls::LONGEST, &mut Replies { below: self, link })
             }
-            Err(ending) => ending,
+            Err(ending) => ending.clone(),
         };
         // From here on no call finds it. Guards against a call that comes while it closes as idle.
-        self.lock().links.retain(|other| !Arc::ptr_eq(other, link));
-        let calls = std::mem::take(&mut link.lock().calls);
+        let calls = {
+            let _none_is_placed = self.lock();
+            let mut carried = link.lock();
+            carried.over = true;
+            std::mem::take(&mut carried.calls)
+        };
         let unwritten = link.outbox.take_unwritten();
         let never_written = |id: &str| {
             let start = format!("CALL {id} ");
@@ -208,6 +216,10 @@
             let end = if never_written(&id) { CallEnd::Unsent } else { CallEnd::Link(ending.clone()) };
             post.send(Next::CallEnded(end));
         }
+        if let Ok(stream) = stream {
+            let_go(&stream, &ending, || self.lock().links.len() >= self.most_links);
+        }
+        self.lock().links.retain(|other| !Arc::ptr_eq(other, link));
     }
 
     fn carrier(&self, id: &str) -> Option<Arc<Link>> {
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -2,7 +2,7 @@
 //! asked to end.
 
 use super::front::{Front, ENDING};
-use super::link::{adopt, carry, Finish, Outbox, Reader};
+use super::link::{adopt, carry, let_go, Finish, Outbox, Reader};
 use crate::core::{Asked, Core};
 use crate::ending::Ending;
 use crate::gate::Posture;
@@ -12,9 +12,7 @@
 use may::net::TcpStream;
 use ochrewalk::host::RpcId;
 use ochrewalk_fronts::room::{self, Standing, Verdict, Worth};
-use socket2::SockRef;
 use std::collections::{HashMap, HashSet};
-use std::net::Shutdown;
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -82,6 +80,10 @@
     rpcs: bool,
     /// It was asked to end, and ends by then.
     end_by_us: Option<u64>,
+    /// Nothing more is read: a line came that is longer than any may be.
+    deaf: bool,
+    /// It has ended, and its peer has not seen that yet.
+    over: bool,
 }
 
 impl Dispatchers {
@@ -117,7 +119,7 @@
             let now_us = self.core.clock.now_us();
             let all = self.all();
             all.iter().for_each(|connection| connection.end_if_idle(now_us, idle_us));
-            let staying = all.iter().filter(|c| c.lock().end_by_us.is_none()).count();
+            let staying = all.iter().filter(|c| c.lock().stays()).count();
             let over = staying.saturating_sub((self.most as f64 * CROWDED) as usize);
             if over > 0 {
                 let mut idle: Vec<_> = all.iter().filter_map(|c| Some((c.idle_since_us()?, c))).collect();
@@ -137,13 +139,6 @@
         self.all().iter().for_each(|connection| connection.ask_to_end(now_us, TO_CLOSE_US));
     }
 
-    /// Nothing more is accepted: who comes now is refused, which proves that nothing ran.
-    pub fn shut(&self) {
-        if let Some(listener) = self.lock().listener.take() {
-            let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
-        }
-    }
-
     /// Nothing more is written once what waits is written.
     pub fn finish(&self) {
         self.all().iter().for_each(|connection| connection.outbox.finish(Finish::Leaving));
@@ -168,7 +163,7 @@
     pub fn keep(&self) -> Option<(KeptDispatchers, Vec<RawFd>)> {
         let open = self.lock();
         let (mut of, mut descriptors) = (Vec::new(), Vec::new());
-        for (number, connection) in &open.of {
+        for (number, connection) in open.of.iter().filter(|(_, connection)| !connection.lock().over) {
             let (fd, stream) = connection.outbox.keep()?;
             let state = connection.lock();
             of.push(KeptDispatcher {
@@ -217,6 +212,8 @@
                 partial_us: kept.partial_us,
                 rpcs: kept.rpcs,
                 end_by_us: kept.end_by_us,
+                deaf: false,
+                over: false,
             };
             let outbox = Outbox::resume(kept.stream, false);
             let connection = Arc::new(Connection { number: kept.number, outbox, state: Mutex::new(state) });
@@ -256,6 +253,10 @@
         self.lock().listener = Some(listener);
     }
 
+    fn take_listener(&self) -> Option<std::net::TcpListener> {
+        self.lock().listener.take()
+    }
+
     fn is_shut(&self) -> bool {
         self.lock().listener.is_none()
     }
@@ -271,7 +272,7 @@
             let state = connection.lock();
             let worth = Worth { good: state.good, used_us: state.used_us };
             let worth = state.open.is_empty().then_some(worth);
-            Standing { number: *number, going: state.going, worth }
+            Standing { number: *number, going: state.going || state.over, worth }
         };
         // Most of the time nobody has to be looked at.
         if open.of.len() < self.most {
@@ -337,7 +338,11 @@
     }
 
     fn proven(&self) {
-        self.connection.lock().faults = 0;
+        let mut state = self.connection.lock();
+        // Guards against a sender whose faults were too many, and who is no longer read: that is final.
+        if state.faults < MOST_FAULTS {
+            state.faults = 0;
+        }
     }
 }
 
@@ -365,6 +370,12 @@
         }
     }
 
+    /// It says what is no message at all: no other fault is waited for.
+    fn spoilt(&self) {
+        self.lock().faults = MOST_FAULTS;
+        self.outbox.finish(Finish::Faulty);
+    }
+
     /// Whether its faults are too many for anything more to be taken from it.
     fn is_faulty(&self) -> bool {
         self.lock().faults >= MOST_FAULTS
@@ -398,7 +409,7 @@
     /// Since when it is owed no answer and has not been asked to end.
     fn idle_since_us(&self) -> Option<u64> {
         let state = self.lock();
-        (state.open.is_empty() && state.end_by_us.is_none()).then_some(state.used_us)
+        (state.open.is_empty() && state.stays()).then_some(state.used_us)
     }
 
     fn ask_to_end(&self, now_us: u64, within_us: u64) {
@@ -415,6 +426,11 @@
 }
 
 impl Carried {
+    /// It was not asked to end.
+    fn stays(&self) -> bool {
+        self.end_by_us.is_none() && !self.over
+    }
+
     /// Whether it may end so. It never may while an answer is owed.
     fn may_end(&self, how: Finish, now_us: u64) -> bool {
         let unsaid = self.partial_us.is_some_and(|from_us| now_us >= from_us + LINE_US)
@@ -423,6 +439,8 @@
             && match how {
                 Finish::Faulty => self.faults >= MOST_FAULTS,
                 Finish::Silent => unsaid || self.going,
+                // The rest of a line may still be on its way; the process's end does not wait for it.
+                Finish::Leaving => self.partial_us.is_none(),
                 _ => self.partial_us.is_none() && self.end_by_us.is_some_and(|by_us| now_us >= by_us),
             }
     }
@@ -435,14 +453,19 @@
             Ok(()) => carry(stream, &connection.outbox, None, jsonrpc::LONGEST, &mut reader),
             Err(err) => Ending::of_use(&err),
         };
-        self.lock().of.remove(&number);
-        let open = std::mem::take(&mut connection.lock().open);
+        let open = {
+            let mut state = connection.lock();
+            state.over = true;
+            std::mem::take(&mut state.open)
+        };
         match &ending {
             Ending::Malformed(_) | Ending::TooLong => tracing::warn!(part = "json-rpc", "{ending}"),
             _ => tracing::debug!(part = "json-rpc", "{ending}; {} RPCs open", open.len()),
         }
         // Nobody can be answered there any more.
         open.values().for_each(|id| self.core.gate.gone(id));
+        let_go(stream, &ending, || self.count() >= self.most);
+        self.lock().of.remove(&number);
     }
 }
 
@@ -465,7 +488,18 @@
     }
 
     fn ready(&self) -> bool {
-        self.connection.outbox.bytes() < UNREAD && self.connection.lock().after_faults < AFTER_FAULTS
+        let state = self.connection.lock();
+        !state.deaf && state.after_faults < AFTER_FAULTS && self.connection.outbox.bytes() < UNREAD
+    }
+
+    fn too_long(&mut self) -> Result<(), Ending> {
+        tracing::warn!(part = "json-rpc", "{}", Ending::TooLong);
+        {
+            let mut state = self.connection.lock();
+            (state.deaf, state.partial_us) = (true, None);
+        }
+        self.connection.spoilt();
+        Ok(())
     }
 
     fn may_end(&self, how: Finish) -> bool {
@@ -552,7 +586,10 @@
                 self.connection.outbox.push(jsonrpc::heartbeat(id, pass, signal));
             }
             Message::Faulty { id, code, why } => return self.faulty(id, code, why),
-            Message::NoRpc => return Err(Ending::Malformed("no JSON-RPC".into())),
+            Message::NoRpc => {
+                tracing::warn!(part = "json-rpc", "no JSON-RPC");
+                self.connection.spoilt();
+            }
         }
         Ok(())
     }
--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -9,7 +9,7 @@
 //! answered after that, with no notice of its end before them, prove that it stands still or never began. Then
 //! the start is written again, which means nothing to a run that is there, and the run is woken.
 
-use super::link::{carry, connect, Finish, Outbox, Reader};
+use super::link::{carry, connect, let_go, Finish, Outbox, Reader};
 use crate::ending::Ending;
 use crate::gate::{Gate, Next, Post};
 use crate::moving::records::KeptExecutor;
@@ -190,7 +190,11 @@
             let ending = match goes_on.map_or_else(|| connect(&at, CONNECT), Ok) {
                 Ok(stream) => {
                     let mut link = Link { executor: self, gate, up };
-                    carry(&stream, &self.outbox, first, notices::LONGEST, &mut link)
+                    let ending = carry(&stream, &self.outbox, first, notices::LONGEST, &mut link);
+                    // The next link does not wait for it. What still comes on this one comes again on that.
+                    let how = ending.clone();
+                    may::go!(move || let_go(&stream, &how, || false));
+                    ending
                 }
                 Err(ending) => ending,
             };
--- a/crates/ochrewalk-node/src/net/front.rs
+++ b/crates/ochrewalk-node/src/net/front.rs
@@ -1,9 +1,10 @@
 //! How any front takes connections in: one loop for every protocol, with room looked for before each.
 
-use super::link::accept;
+use super::link::{accept, adopt};
 use crate::ending::out_of_room;
 use may::net::{TcpListener, TcpStream};
-use std::net::IpAddr;
+use socket2::SockRef;
+use std::net::{IpAddr, Shutdown};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,9 @@
     /// A second descriptor of the listener, for whoever shuts it; accepting ends when it is taken.
     fn keep_listener(&self, listener: std::net::TcpListener);
 
+    /// Takes that descriptor back, for good.
+    fn take_listener(&self) -> Option<std::net::TcpListener>;
+
     /// Whether the listener was shut.
     fn is_shut(&self) -> bool;
 
@@ -40,6 +44,19 @@
     fn welcome(self: &Arc<Self>, stream: TcpStream);
 }
 
+/// Nothing more is accepted: who comes now is refused, which proves that nothing ran. Who came before is still served.
+/// Guards against a reset of those that the system has accepted for us and we have not looked at.
+pub fn shut<F: Front>(front: &Arc<F>) {
+    let Some(listener) = front.take_listener() else { return };
+    for _ in 0..front.most() {
+        let Ok((stream, from)) = listener.accept() else { break };
+        if front.may_connect(from.ip()) && front.make_room() && stream.set_nonblocking(true).is_ok() {
+            front.welcome(adopt(stream.into()));
+        }
+    }
+    let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
+}
+
 /// Accepts until the listener is shut.
 pub fn accept_all<F: Front>(front: &Arc<F>, listener: &TcpListener) {
     let part = F::PART;
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -19,6 +19,11 @@
 const TURN: usize = 16;
 /// A stream that is to end is not written out if its peer has taken nothing for so long.
 const STUCK: Duration = Duration::from_secs(1);
+/// How long a stream that we have ended is read on, how much of what still comes is thrown away, and how often it is
+/// looked at.
+const LINGER: Duration = Duration::from_millis(250);
+const LINGER_BYTES: usize = 1024 * 1024;
+const LINGER_STEP: Duration = Duration::from_millis(5);
 /// How often a standstill is looked at by whoever accepts.
 const STILL: Duration = Duration::from_millis(1);
 /// Written lines that are kept until they are confirmed.
@@ -69,8 +74,8 @@
     Silent,
     /// Once what has come is read; what was not begun to be written waits for the next stream.
     Moved,
-    /// Nothing more is written, but what still comes is read: closing on unread input would reset answers
-    /// that are under way.
+    /// Once all that was read is answered nothing more is written; what still comes is read and thrown away, as closing
+    /// on unread input would reset answers that are under way.
     Leaving,
 }
 
@@ -236,6 +241,12 @@
     fn may_end(&self, _how: Finish) -> bool {
         true
     }
+
+    /// A message has come that is longer than any may be, so that where the next one begins is not known. Where answers
+    /// are owed they are still given, and nothing more is read.
+    fn too_long(&mut self) -> Result<(), Ending> {
+        Err(Ending::TooLong)
+    }
 }
 
 /// The next connection. While this process stands still none is taken; it waits with the system.
@@ -256,6 +267,31 @@
     }
 }
 
+/// Ends a stream that was carried to this ending, whoever is at the other side: where we end it our side is shut first,
+/// then what still comes is read and thrown away until the peer's end or a bound, or while `crowded`. Guards against bytes
+/// that come in that instant: closing over them resets the stream, and takes with it what is still on its way.
+pub fn let_go(stream: &TcpStream, ending: &Ending, crowded: impl Fn() -> bool) {
+    if !ending.is_ours() || stream.shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let until = Instant::now() + LINGER;
+    let (mut chunk, mut thrown) = (vec![0; CHUNK], 0);
+    while thrown < LINGER_BYTES {
+        match stream.inner().read(&mut chunk) {
+            Ok(0) => return,
+            Ok(got) => thrown += got,
+            Err(err) if err.kind() == ErrorKind::Interrupted => {}
+            Err(err) if err.kind() == ErrorKind::WouldBlock => {
+                if crowded() || Instant::now() >= until {
+                    return;
+                }
+                may::coroutine::sleep(LINGER_STEP);
+            }
+            Err(_) => return,
+        }
+    }
+}
+
 /// A stream that came from another process.
 pub fn adopt(descriptor: OwnedFd) -> TcpStream {
     // SAFETY: the descriptor is owned by the caller, who gives it away.
@@ -337,8 +373,8 @@
 ) -> Result<bool, Ending> {
     write(stream, outbox, writing)?;
     for _ in 0..TURN {
-        if !reader.ready() {
-            return end_if_asked(outbox, writing, reader);
+        if !writing.half_closed && !reader.ready() {
+            return end_if_asked(stream, outbox, writing, reader);
         }
         let had = input.len();
         input.resize(had + CHUNK, 0);
@@ -354,15 +390,23 @@
                 }
                 // Guards against a reset, which could take commands with it that are on their way: nothing is
                 // left unread.
-                return end_if_asked(outbox, writing, reader);
+                return end_if_asked(stream, outbox, writing, reader);
             }
             Err(err) if err.kind() == ErrorKind::Interrupted => continue,
             Err(err) => return Err(Ending::of_use(&err)),
         }
+        // Guards against a start for which no answer could be written any more.
+        if writing.half_closed {
+            input.clear();
+            continue;
+        }
         let mut at = 0;
         while at < input.len() {
             match reader.take(&input[at..])? {
-                0 if input.len() - at > longest => return Err(Ending::TooLong),
+                0 if input.len() - at > longest => {
+                    reader.too_long()?;
+                    at = input.len();
+                }
                 0 => break,
                 taken => at += taken,
             }
@@ -374,17 +418,32 @@
 }
 
 /// Ends the stream if it was asked to, all is written and the reader agrees; else forgets that it was asked.
-fn end_if_asked(outbox: &Outbox, writing: &Writing, reader: &mut impl Reader) -> Result<bool, Ending> {
-    let written = |outbox: &Outbox| writing.sent == writing.line.len() && outbox.lock().lines.is_empty();
-    reader.drained(written(outbox));
+fn end_if_asked(
+    stream: &TcpStream,
+    outbox: &Outbox,
+    writing: &mut Writing,
+    reader: &mut impl Reader,
+) -> Result<bool, Ending> {
+    let sent = writing.sent == writing.line.len();
+    let written = || sent && outbox.lock().lines.is_empty();
+    reader.drained(written());
     // What the reader has just put into the outbox wakes this stream again.
-    let asked = if written(outbox) { outbox.lock().finish } else { None };
+    let asked = if written() { outbox.lock().finish } else { None };
     let ending = match asked {
+        Some(Finish::Leaving) => {
+            // Not while an answer is owed: guards against one that comes a moment too late to be written.
+            if !writing.half_closed && reader.may_end(Finish::Leaving) {
+                writing.half_closed = true;
+                let _ = stream.shutdown(Shutdown::Write);
+            }
+            return Ok(false);
+        }
+        None => return Ok(false),
+        Some(_) if writing.half_closed => Ending::Leaving,
         Some(Finish::Idle) => Ending::Idle,
         Some(Finish::Faulty) => Ending::Malformed("too many faults".into()),
         Some(Finish::Silent) => Ending::Silent,
         Some(Finish::Moved) => return Err(Ending::Moved),
-        Some(Finish::Leaving) | None => return Ok(false),
     };
     if asked.is_some_and(|how| reader.may_end(how)) {
         return Err(ending);
@@ -397,7 +456,7 @@
 fn write(stream: &TcpStream, outbox: &Outbox, writing: &mut Writing) -> Result<(), Ending> {
     loop {
         if writing.sent == writing.line.len() {
-            let (next, finish) = {
+            let next = {
                 let mut waiting = outbox.lock();
                 let whole = std::mem::take(&mut writing.line);
                 if let Some(written) = waiting.written.as_mut().filter(|_| !writing.own && !whole.is_empty())
@@ -411,15 +470,11 @@
                 let moved = waiting.finish == Some(Finish::Moved);
                 let next = if moved { None } else { waiting.lines.pop_front() };
                 waiting.bytes -= next.as_ref().map_or(0, Vec::len);
-                (next, waiting.finish)
+                next
             };
             (writing.sent, writing.own) = (0, false);
             writing.line = next.unwrap_or_default();
             if writing.line.is_empty() {
-                if finish == Some(Finish::Leaving) && !writing.half_closed {
-                    writing.half_closed = true;
-                    let _ = stream.shutdown(Shutdown::Write);
-                }
                 return Ok(());
             }
         }
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -19,7 +19,7 @@
 use crate::net::below::Below;
 use crate::net::dispatchers::{self, Dispatchers};
 use crate::net::executor::{rows, Executor};
-use crate::net::front::accept_all;
+use crate::net::front::{accept_all, shut};
 use crate::net::{directory, link::adopt, status};
 use crate::seam::{Answer, Asker, Beneath};
 use may::net::TcpListener;
@@ -617,9 +617,9 @@
         front.leave();
     }
     at(stop_ms.saturating_sub(FLUSH_MS));
-    node.dispatchers.shut();
+    shut(&node.dispatchers);
     if let Some(front) = &node.ajp {
-        front.shut();
+        shut(front);
     }
     // Who connected just before still writes, and gets an answer.
     at(stop_ms.saturating_sub(LAST_MS));
--- /dev/null
+++ b/crates/ochrewalk-node/tests/crossings/executor.rs
@@ -0,0 +1,112 @@
+//! The executor's link ends, or is not there yet.
+
+use crate::helper::*;
+use crate::{is_unseen, served, HEARTBEAT, WARM};
+use std::net::{Shutdown, TcpListener};
+
+/// A notice breaks off at any byte with its link: it comes again on the next one and is handled once.
+#[test]
+fn a_notice_that_breaks_off_is_handled_once() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    let whole = exit(1, 1, "complete").len() + 1;
+    for (at, cut) in [0, 1, 9, 18, whole / 2, whole - 2, whole - 1, whole].into_iter().enumerate() {
+        let number = at as u64 + 1;
+        caller.say(&rpc(number, "once"));
+        executor.hear_of(&exec(number, "once"));
+        let notice = exit(number, number, "complete") + "\n";
+        let cut = cut.min(notice.len());
+        executor.put(&notice.as_bytes()[..cut]);
+        let read = if cut == notice.len() {
+            assert_eq!(caller.hear(), served(number));
+            number
+        } else {
+            number - 1
+        };
+        executor.stream.shutdown(Shutdown::Both).unwrap();
+        executor = stand.link();
+        assert_eq!(executor.hear(), format!(r#"{{"action":"JOIN","pos":{read}}}"#), "{cut}");
+        executor.say(WARM);
+        if read < number {
+            executor.put(notice.as_bytes());
+            assert_eq!(caller.hear(), served(number), "{cut}");
+        }
+        // Twice is once, too.
+        executor.put(notice.as_bytes());
+        assert!(caller.ask(HEARTBEAT).contains("pass"), "{cut}");
+    }
+}
+
+/// An executor that talks nonsense loses its link; what runs is answered by what the next one says.
+#[test]
+fn nonsense_ends_the_link_and_not_what_runs() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    for (number, nonsense) in
+        [(1, "what?"), (2, "{}"), (3, r#"{"action":"EXIT"}"#), (4, r#"{"action":"EXIT","pos":"x","uid":1}"#)]
+    {
+        caller.say(&rpc(number, "once"));
+        executor.hear_of(&exec(number, "once"));
+        executor.say(nonsense);
+        executor.hear_out();
+        executor = stand.link();
+        assert_eq!(executor.hear(), format!(r#"{{"action":"JOIN","pos":{}}}"#, number - 1));
+        executor.say(WARM);
+        executor.say(&exit(number, number, "complete"));
+        assert_eq!(caller.hear(), served(number), "{nonsense}");
+    }
+}
+
+/// The executor moves while a start is on its way to the old address: its old link ends in order, so that all that was
+/// written there can be read, and what is in doubt is not begun twice.
+#[test]
+fn a_start_that_crosses_the_executors_move_arrives_once() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    caller.say(&rpc(1, "once"));
+    executor.hear_of(&exec(1, "once"));
+    let new = listener();
+    let mut config = stand.config();
+    config["executor"] = new.local_addr().unwrap().to_string().into();
+    stand.reload(&config.to_string());
+    let mut next = Peer::accept(&new);
+    assert_eq!(next.hear(), r#"{"action":"JOIN","pos":0}"#);
+    // A notice on the old link, once the new one is there, is not taken twice.
+    executor.put((exit(1, 1, "complete") + "\n").as_bytes());
+    executor.hear_out();
+    next.say(WARM);
+    next.say(&exit(1, 1, "complete"));
+    assert_eq!(caller.hear(), served(1));
+    assert!(caller.ask(HEARTBEAT).contains("pass"));
+}
+
+/// Nothing that it talks to is there when it starts: it listens at once, takes nothing, and is ready as soon as the executor
+/// is, whatever else is missing.
+#[test]
+fn a_node_is_ready_once_its_executor_is() {
+    // Addresses at which nobody listens yet.
+    let free = || listener().local_addr().unwrap();
+    let (executor_at, directory_at, store_at) = (free(), free(), free());
+    let stand = Stand::with(|config| {
+        for (key, at) in [("executor", executor_at), ("lookup", directory_at), ("store", store_at)] {
+            config[key] = at.to_string().into();
+        }
+    });
+    let mut caller = stand.caller();
+    assert!(caller.ask(HEARTBEAT).contains("\"pass\":false"));
+    caller.say(&rpc(2, "look"));
+    assert!(is_unseen(&caller.hear(), 2));
+    let listener = TcpListener::bind(executor_at).unwrap();
+    let mut executor = Peer::accept(&listener);
+    assert_eq!(executor.hear(), r#"{"action":"JOIN","pos":0}"#);
+    // Its welcome waits until it is up.
+    assert!(caller.ask(HEARTBEAT).contains("\"pass\":false"));
+    executor.say(r#"{"action":"WELCOME","code":"chilly","wall_ms":0}"#);
+    caller.wait_healthy();
+    caller.say(&rpc(3, "look"));
+    executor.hear_of(&exec(3, "look"));
+    executor.say(&exit(1, 3, "complete"));
+    assert!(caller.hear_of(r#""id":3,"#).contains("UkVT"));
+    let directory = TcpListener::bind(directory_at).unwrap();
+    assert_eq!(Peer::accept(&directory).hear(), "PUT /dir/nodes/n3 HTTP/1.1");
+}
--- /dev/null
+++ b/crates/ochrewalk-node/tests/crossings/leaving.rs
@@ -0,0 +1,113 @@
+//! The process is told to end, and something comes in that instant.
+
+use crate::helper::*;
+use crate::{is_unseen, served, HEARTBEAT, WARM};
+
+const NO_MORE: &str = r#"{"jsonrpc":"2.0","method":"noMore"}"#;
+
+/// Signals that come again while it leaves change nothing: what runs is answered, and the process ends in order.
+#[test]
+fn a_second_sigterm_and_a_sighup_while_it_leaves_lose_nothing() {
+    let (mut stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    caller.say(&rpc(1, "look"));
+    executor.hear_of(&exec(1, "look"));
+    stand.terminate();
+    assert_eq!(caller.hear(), NO_MORE);
+    stand.signal("-HUP");
+    stand.terminate();
+    executor.say(&exit(1, 1, "complete"));
+    assert!(caller.hear().contains(r#""id":1,"result""#));
+    // Its end is in order, though it had begun another line.
+    caller.put(b"{\"jsonrpc\":\"2.0\",\"id\":2,");
+    caller.hear_end();
+    assert!(stand.wait().success());
+}
+
+/// Several RPCs, a revoke and half a line in one segment, just when the node is told to leave: one answer for each whole
+/// RPC that was not taken back, none for the others.
+#[test]
+fn a_segment_that_crosses_sigterm_is_answered_line_by_line() {
+    let (mut stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    assert!(caller.ask(HEARTBEAT).contains("pass"));
+    stand.signal("-STOP");
+    stand.terminate();
+    let revoke = r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":2}}"#;
+    let text = format!("{}\n{}\n{revoke}\n{}\n{}", rpc(1, "look"), rpc(2, "look"), rpc(3, "once"), "{\"js");
+    caller.put(text.as_bytes());
+    stand.signal("-CONT");
+    std::thread::spawn(move || {
+        let mut pos = 0;
+        loop {
+            let line = executor.hear();
+            if line.is_empty() {
+                return;
+            }
+            if let Some(at) = line.find("\"action\":\"EXEC\",\"uid\":\"") {
+                pos += 1;
+                let number = u64::from_str_radix(&line[at + 23..at + 39], 16).unwrap();
+                executor.say(&exit(pos, number, "complete"));
+            }
+        }
+    });
+    let mut answers = [0; 4];
+    loop {
+        let line = caller.hear();
+        if line.is_empty() {
+            break;
+        }
+        for (number, answers) in answers.iter_mut().enumerate() {
+            *answers += usize::from(line.contains(&format!("\"id\":{number},")));
+        }
+    }
+    assert_eq!(answers, [0, 1, 1, 1]);
+    assert!(stand.wait().success());
+}
+
+/// One that takes nothing of what it is answered does not hold up the end.
+#[test]
+fn a_caller_that_reads_nothing_does_not_hold_the_exit() {
+    let mut stand = Stand::with(|config| config["stop_ms"] = 800.into());
+    let mut executor = stand.executor();
+    executor.say(WARM);
+    let mut caller = stand.caller();
+    caller.wait_healthy();
+    let mut slow = stand.caller();
+    slow.stream.set_nonblocking(true).unwrap();
+    use std::io::Write;
+    let line = format!("{HEARTBEAT}\n").repeat(100);
+    while slow.stream.write(line.as_bytes()).is_ok() {}
+    caller.say(&rpc(1, "look"));
+    executor.hear_of(&exec(1, "look"));
+    stand.terminate();
+    assert_eq!(caller.hear(), NO_MORE);
+    executor.say(&exit(1, 1, "complete"));
+    assert!(caller.hear().contains(r#""id":1,"result""#));
+    caller.hear_end();
+    assert!(stand.wait().success());
+}
+
+/// Killed with RPCs in flight, and started again at once: the new one asks for notices from the beginning and serves.
+#[test]
+fn a_node_that_was_killed_with_rpcs_in_flight_serves_again() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    for number in 1..=3 {
+        caller.say(&rpc(number, "look"));
+    }
+    executor.hear_of(&exec(2, "look"));
+    let stand = stand.again();
+    assert_eq!(caller.hear(), "");
+    let mut executor = stand.executor();
+    let mut caller = stand.caller();
+    // Until the executor is up it takes nothing.
+    caller.say(&rpc(4, "look"));
+    assert!(is_unseen(&caller.hear(), 4));
+    executor.say(WARM);
+    caller.wait_healthy();
+    caller.say(&rpc(5, "look"));
+    executor.hear_of(&exec(5, "look"));
+    executor.say(&exit(1, 5, "complete"));
+    assert_eq!(caller.hear(), served(5));
+}
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -131,6 +131,16 @@
         (stand, executor, caller)
     }
 
+    /// Kills the node, and starts it anew with the same files.
+    pub fn again(mut self) -> Stand {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        let (config, operators) = (self.config.to_str().unwrap(), self.operators.to_str().unwrap());
+        let words = ["serve", "--config", config, "--operators", operators];
+        self.child = program(&words).stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap();
+        self
+    }
+
     /// The next link to the executor, its JOIN not yet read.
     pub fn link(&self) -> Peer {
         Peer::accept(&self.executor)
@@ -316,6 +326,18 @@
         self.stream.shutdown(Shutdown::Both).unwrap();
     }
 
+    /// The other side ends the connection in order: nothing more comes, and nothing is reset.
+    pub fn hear_end(&mut self) {
+        let mut rest = String::new();
+        let got = self.input.read_line(&mut rest);
+        assert_eq!(got.expect("an end in order"), 0, "{rest}");
+    }
+
+    /// Writes bytes as they are.
+    pub fn put(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
     /// Answers gauges until the other side ends the connection.
     pub fn hear_out(&mut self) {
         while !self.hear().is_empty() {}
