An executor that comes up after the notice to leave starts nothing

Cause: before the executor is up there is no module; Gate::leave told nobody, and Gate::open began a module that knew nothing of the notice: it took and ran RPCs long after the grace (seen: an EXEC after SIGTERM with a grace of 0). Change: the desk keeps by when all must be answered, and a module that is begun after that is told so at once. Test: crossings/leaving.rs, an_executor_that_comes_up_after_sigterm_starts_nothing; it hears the EXEC without the change.

--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -236,6 +236,8 @@
     stirred: bool,
     /// Repeats that an outcome already known has ended; the module hears of them next.
     shared: Vec<(RpcId, Outcome)>,
+    /// This server leaves, and all must be answered by then.
+    leaves_by_us: Option<u64>,
 }
 
 struct Open {
@@ -257,6 +259,7 @@
             wake_token: 0,
             stirred: false,
             shared: Vec::new(),
+            leaves_by_us: None,
         };
         let ((stir, told), (earlier, moved)) = (channel(), channel());
         let state = Mutex::new(Inside::Closed(Box::new(desk)));
@@ -343,8 +346,15 @@
         let desk = std::mem::replace(&mut **desk, placeholder);
         let mut deployment = self.deployment.clone();
         deployment.crowd.cold = cold;
-        let started_us = self.clock.now_us().saturating_sub(up_us);
-        *state = Inside::Open(Box::new(deployment.start(desk, started_us, self.seed)));
+        let now_us = self.clock.now_us();
+        let started_us = now_us.saturating_sub(up_us);
+        let leaves_by_us = desk.leaves_by_us;
+        let mut module = Box::new(deployment.start(desk, started_us, self.seed));
+        // Guards against an executor that comes up once we were told to leave: nothing is begun any more.
+        if let Some(by_us) = leaves_by_us {
+            module.leave(now_us, by_us.saturating_sub(now_us));
+        }
+        *state = Inside::Open(module);
         drop(state);
         let _ = self.earlier.send(());
     }
@@ -460,7 +470,8 @@
 
     /// This server leaves; what is open must be answered within `left_us`.
     pub fn leave(&self, left_us: u64) {
-        self.desk(|desk| desk.posture.healthy = Some(false));
+        let by_us = self.clock.now_us() + left_us;
+        self.desk(|desk| (desk.posture.healthy, desk.leaves_by_us) = (Some(false), Some(by_us)));
         self.tell(|module, now_us| module.leave(now_us, left_us));
     }
 
--- a/crates/ochrewalk-node/tests/crossings/leaving.rs
+++ b/crates/ochrewalk-node/tests/crossings/leaving.rs
@@ -5,6 +5,25 @@
 
 const NO_MORE: &str = r#"{"jsonrpc":"2.0","method":"noMore"}"#;
 
+/// The executor comes up only once the node was told to leave: nothing is begun any more.
+#[test]
+fn an_executor_that_comes_up_after_sigterm_starts_nothing() {
+    let mut stand = Stand::with(|config| config["settings"]["rules"]["drain-grace-ns"] = 0.into());
+    let mut executor = stand.executor();
+    let mut caller = stand.caller();
+    assert!(caller.ask(HEARTBEAT).contains("\"pass\":false"));
+    stand.terminate();
+    assert_eq!(caller.hear(), NO_MORE);
+    executor.say(WARM);
+    // The gauges are asked for once it is up.
+    executor.hear_meter();
+    caller.say(&rpc_with(2, "look", unix_ms() + 60_000, ""));
+    assert!(is_unseen(&caller.hear(), 2));
+    assert!(caller.ask(HEARTBEAT).contains("\"pass\":false"));
+    assert_eq!(executor.hear(), "", "something was begun");
+    assert!(stand.wait().success());
+}
+
 /// Signals that come again while it leaves change nothing: what runs is answered, and the process ends in order.
 #[test]
 fn a_second_sigterm_and_a_sighup_while_it_leaves_lose_nothing() {
