--- a/crates/ochrewalk-lab/src/load.rs
+++ b/crates/ochrewalk-lab/src/load.rs
@@ -37,7 +37,7 @@
 
 pub const METHODS: [Method; 3] = [
     Method {
-        name: "item-lookup",
+        name: "part-lookup",
         share: 0.55,
         worth: 1.0,
         on_time: ms(150),
@@ -46,7 +46,7 @@
         work: Work { core_us: 2_000, calls: false, drawn: false, over: ms(1_000) },
     },
     Method {
-        name: "stock-upload",
+        name: "batch-upload",
         share: 0.2,
         worth: 1.0,
         on_time: ms(400),
@@ -55,7 +55,7 @@
         work: Work { core_us: 8_000, calls: true, drawn: false, over: ms(1_000) },
     },
     Method {
-        name: "sale-record",
+        name: "order-record",
         share: 0.25,
         worth: 4.0,
         on_time: ms(300),
@@ -138,8 +138,8 @@
     format!(
         "host ledger.example.org {}\n\
          ajp listen {listen}\najp allow 127.0.0.0/8\najp connections 200\najp memory 20.5\najp health /health\n\
-         ajp route GET /items/{{}} item-lookup\najp route POST /stock stock-upload\n\
-         ajp route POST /sales sale-record\n\
+         ajp route GET /items/{{}} part-lookup\najp route POST /stock batch-upload\n\
+         ajp route POST /sales order-record\n\
          below ajp ledger.example.org:{}\nbelow uri /ledger\nbelow connections 100\n",
         ledger.ip(),
         ledger.port()
--- a/crates/ochrewalk-lab/src/pooled.rs
+++ b/crates/ochrewalk-lab/src/pooled.rs
@@ -7,7 +7,7 @@
 
 const SECOND: u64 = 1_000_000;
 /// Pools: the cheapest, uploads, sales; their part of the calls, and the part of the usual work of each.
-pub const POOLS: [&str; 3] = ["item-lookup", "stock-upload", "sale-record"];
+pub const POOLS: [&str; 3] = ["part-lookup", "batch-upload", "order-record"];
 const PARTS: [f64; 3] = [0.5, 0.3, 0.2];
 const WORK: [f64; 3] = [0.5, 1.5, 1.5];
 /// How long a call may wait in its node, and be under way in all, to be of use.
@@ -309,7 +309,7 @@
 pub fn table(fleet: &Fleet, seeds: u64) {
     println!(
         "{:<10}{:<24}{:>18}{:>18}{:>18}{:>8}{:>12}{:>12}",
-        "way", "case", "item-lookup", "stock-upload", "sale-record", "falls", "turns/min", "variation"
+        "way", "case", "part-lookup", "batch-upload", "order-record", "falls", "turns/min", "variation"
     );
     for (told, case) in CASES {
         for (name, kind) in KINDS {
--- a/crates/ochrewalk-operators/tests/operators.rs
+++ b/crates/ochrewalk-operators/tests/operators.rs
@@ -6,7 +6,7 @@
 use ochrewalk_spread::{Kind, Leaving, Reach};
 
 fn methods() -> Vec<(String, bool)> {
-    [("item-lookup", true), ("stock-upload", true), ("sale-record", false)]
+    [("part-lookup", true), ("batch-upload", true), ("order-record", false)]
         .map(|(n, a)| (n.to_string(), a))
         .to_vec()
 }
@@ -29,8 +29,8 @@
 ajp memory 20.5
 ajp health /health
 ajp header token X-Sale
-ajp route POST /sale sale-record
-ajp route GET /items/{} item-lookup
+ajp route POST /sale order-record
+ajp route GET /items/{} part-lookup
 below ajp ledger.example.org:8010
 below ajp 127.0.0.22:8010
 below name ledger.example.org
@@ -96,7 +96,7 @@
         let below = get(&format!("below ajp 1.1.1.1:80\n{more}")).unwrap().below.unwrap();
         assert_eq!((below.spread.reach, below.spread.kind), (reach, Kind::Rounds));
     }
-    let little = get("ajp route POST /a sale-record\najp allow ::1\najp listen [::1]:8009").unwrap();
+    let little = get("ajp route POST /a order-record\najp allow ::1\najp listen [::1]:8009").unwrap();
     let front = little.ajp.unwrap();
     assert!(little.below.is_none() && front.guests.may_connect("::1".parse().unwrap()));
     let request = ochrewalk_ajp::request::Request { method: b"POST", uri: b"/a", ..Default::default() };
@@ -108,7 +108,7 @@
 
 #[test]
 fn each_fault_has_one_clear_message() {
-    let front = "ajp listen 127.0.0.1:8009\najp allow 127.0.0.0/8\najp route POST /a sale-record\n";
+    let front = "ajp listen 127.0.0.1:8009\najp allow 127.0.0.0/8\najp route POST /a order-record\n";
     for (text, said) in [
         ("apj listen 127.0.0.1:8009", "1: apj is no directive; did you mean ajp?"),
         ("listen 127.0.0.1:8009", "1: listen is no directive; a line begins with host, ajp, below or upgrade"),
@@ -132,11 +132,11 @@
         ("ajp header id X:Y", "1: X:Y is no name of a header; write letters, digits and '-'"),
         ("ajp allow 10.0.0.0/33", "1: 10.0.0.0/33 is no network; write one such as 10.1.0.0/16 or fd00::/8"),
         ("ajp allow 10.0.0.0/8\najp deny 10.1.1.1/8", "2: 10.1.1.1/8 is both let in and kept out; keep one of the two"),
-        ("ajp route post /a sale-record", "1: post is no HTTP method; write one in capitals, such as POST"),
-        ("ajp route POST /a sale-recrd", "1: sale-recrd is no method here; did you mean sale-record?"),
-        ("ajp route POST /a x", "1: x is no method here; write one of item-lookup, stock-upload, sale-record"),
-        ("ajp route GET /a sale-record", "1: sale-record may not happen twice, and GET may be sent again by anybody between; route it for POST"),
-        ("ajp route POST a sale-record", "1: a path begins with '/'; write a path such as /items/{}/price or /stock/*"),
+        ("ajp route post /a order-record", "1: post is no HTTP method; write one in capitals, such as POST"),
+        ("ajp route POST /a order-recrd", "1: order-recrd is no method here; did you mean order-record?"),
+        ("ajp route POST /a x", "1: x is no method here; write one of part-lookup, batch-upload, order-record"),
+        ("ajp route GET /a order-record", "1: order-record may not happen twice, and GET may be sent again by anybody between; route it for POST"),
+        ("ajp route POST a order-record", "1: a path begins with '/'; write a path such as /items/{}/price or /stock/*"),
         ("ajp listen 127.0.0.1", "1: 127.0.0.1 has no port; write ADDRESS:PORT, with an IP address or the name of a host line"),
         ("ajp listen 127.0.0.1:0x", "1: 0x is no port; write a port from 1 to 65535"),
         ("below ajp ledger:80", "1: ledger is no address and no host; add a line such as: host ledger 127.0.0.21"),
@@ -159,7 +159,7 @@
         // Together.
         ("ajp idle 30s", "1: nothing listens for AJP; add a line such as: ajp listen 127.0.0.1:8009"),
         ("ajp listen 1.1.1.1:80", "1: no request can come in without a route; add a line such as: ajp route POST /sales METHOD"),
-        ("ajp route POST /a sale-record\najp listen 1.1.1.1:80\najp deny 1.1.1.1", "2: nobody may connect; add a line such as: ajp allow 127.0.0.0/8"),
+        ("ajp route POST /a order-record\najp listen 1.1.1.1:80\najp deny 1.1.1.1", "2: nobody may connect; add a line such as: ajp allow 127.0.0.0/8"),
         ("below uri /a", "1: no place below is named; add a line such as: below ajp ledger.example.org:8009"),
         ("below ajp 1.1.1.1:80\nbelow secret a\nbelow secret-file /b", "3: the secret is set twice; keep the word or the file"),
     ] {
