A panic costs a connection or the process, and leaves nothing half alive

Cause: a coroutine that panics just ends. One that carried a stream left its connection in the table with RPCs open for ever; one that was a part of the node (ticks, the executor's link, the listener) left a node that lives on without it. Read in may's spawn: the panic is kept for whoever joins, and nobody does. Change: panics.rs. What is read on a stream is contained: the stream ends as broken, and its owner cleans up as ever. Any other panic ends the process with status 70, as one under the gate's lock did before. Test: crossings/panics.rs; without contain it ends with 70 where 0 is wanted, without the hook with 1 where 70 is wanted.

--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -531,7 +531,7 @@
         self.state.lock().unwrap_or_else(|_| {
             tracing::error!("the decisions failed; this process ends, to be started anew");
             crate::logger::flush();
-            std::process::exit(70)
+            std::process::exit(crate::panics::STATUS)
         })
     }
 }
--- a/crates/ochrewalk-node/src/lib.rs
+++ b/crates/ochrewalk-node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod moving;
 pub mod net;
 pub mod node;
+pub mod panics;
 pub mod rollout;
 pub mod seam;
 pub mod tally;
--- a/crates/ochrewalk-node/src/net/link.rs
+++ b/crates/ochrewalk-node/src/net/link.rs
@@ -5,6 +5,7 @@
 use crate::ending::Ending;
 use crate::moving::records::KeptStream;
 use crate::moving::stands_still;
+use crate::panics::contain;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::{TcpListener, TcpStream};
 use std::collections::VecDeque;
@@ -326,9 +327,13 @@
         let went = if stands_still() {
             Ok(false)
         } else {
-            let mut progress = outbox.progress();
-            let Progress { input, writing, .. } = &mut *progress;
-            turn(stream, outbox, writing, input, longest, reader)
+            let broken = Err(Ending::Broken(ErrorKind::Other));
+            contain(|| {
+                let mut progress = outbox.progress();
+                let Progress { input, writing, .. } = &mut *progress;
+                turn(stream, outbox, writing, input, longest, reader)
+            })
+            .unwrap_or(broken)
         };
         match went {
             Ok(false) => {
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -182,6 +182,7 @@
         std::process::exit(status.code().unwrap_or(70));
     }
     crate::logger::start(logs);
+    crate::panics::end_on_others();
     // One core is ours: one worker runs all coroutines, so that none of them ever waits for a lock for long.
     may::config()
         .set_workers(1)
--- a/crates/ochrewalk-node/tests/crossings/main.rs
+++ b/crates/ochrewalk-node/tests/crossings/main.rs
@@ -11,6 +11,7 @@
 mod keys;
 mod leaving;
 mod listeners;
+mod panics;
 mod streams;
 
 const HEARTBEAT: &str = r#"{"jsonrpc":"2.0","id":1,"method":"heartbeat"}"#;
--- /dev/null
+++ b/crates/ochrewalk-node/tests/crossings/panics.rs
@@ -0,0 +1,61 @@
+//! A fault of our own: what it costs, and that nothing half alive is left behind.
+
+use crate::helper::listener;
+use may::net::TcpStream;
+use ochrewalk_node::ending::Ending;
+use ochrewalk_node::net::link::{adopt, carry, Outbox, Reader};
+use ochrewalk_node::panics::{end_on_others, STATUS};
+use std::io::{ErrorKind, Write};
+use std::process::{Command, Stdio};
+
+const INNER: &str = "OCHREWALK_TEST_PANICS";
+
+/// Panics at what it reads.
+struct Flawed;
+
+impl Reader for Flawed {
+    fn take(&mut self, _input: &[u8]) -> Result<usize, Ending> {
+        panic!("a flaw that these bytes meet")
+    }
+}
+
+/// A stream whose reader panics, carried to its end.
+fn flawed() -> Ending {
+    let listener = listener();
+    let mut peer = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    peer.write_all(b"bytes").unwrap();
+    let carried = may::go!(move || {
+        let stream: TcpStream = adopt(stream.into());
+        carry(&stream, &Outbox::default(), None, 64, &mut Flawed)
+    });
+    carried.join().unwrap()
+}
+
+/// In a process of its own: a stream's panic, then that of another part.
+#[test]
+fn inner() {
+    let Ok(which) = std::env::var(INNER) else { return };
+    end_on_others();
+    assert_eq!(flawed(), Ending::Broken(ErrorKind::Other));
+    if which == "part" {
+        let _ = may::go!(|| panic!("a part of the node")).join();
+        std::process::exit(1);
+    }
+    std::process::exit(0);
+}
+
+/// What was read on a connection costs that connection; a panic anywhere else ends the process, to be started anew.
+#[test]
+fn a_panic_costs_a_connection_or_the_process_and_nothing_between() {
+    for (which, status) in [("stream", 0), ("part", STATUS)] {
+        let mut command = Command::new(std::env::current_exe().unwrap());
+        command
+            .args(["--exact", "panics::inner"])
+            .env(INNER, which)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null());
+        assert_eq!(command.status().unwrap().code(), Some(status), "{which}");
+    }
+}
