A failed upgrade is told once nothing is left of its program

Seen: under a machine's load of 20, tests/upgrade.rs (when_the_running_program_is_killed_in_the_middle) found the program that had failed still beside the one that serves when the answer had come (children [9023, 9048], wanted [9023]); six runs without load passed. Cause: Keeper::over told who had asked first, and ended what was left of the attempt after that; its end was not waited for. Change: who asks by hand hears of a failure once that program has ended. The test stands as it was; upgrade and rollout tests pass.

--- a/crates/ochrewalk-node/src/moving/keeper.rs
+++ b/crates/ochrewalk-node/src/moving/keeper.rs
@@ -129,6 +129,8 @@
     warden: Warden,
     /// Who waits to hear of the attempt under way.
     asker: Option<Asker>,
+    /// Who hears of one that failed once that program has ended.
+    untold: Option<(u64, Asker, String)>,
     orders: Orders,
     anew: Option<Anew>,
     /// How long a program that is told to leave may take.
@@ -160,6 +162,7 @@
         next: 0,
         warden: Warden::default(),
         asker: None,
+        untold: None,
         orders: Orders::default(),
         anew: None,
         leaving,
@@ -287,17 +290,28 @@
         }
     }
 
-    /// An attempt has come to its end.
+    /// An attempt has come to its end. Nothing is left of one that failed: guards against a new program that hangs.
+    /// Who asked by hand hears of it once that is so.
     fn over(&mut self, how: &str) {
         let before = self.workers.get(&self.told_of).map(|worker| worker.known());
-        if let Some(asker) = self.asker.take() {
-            let is_done = how == "handed over";
-            self.tell(asker, before, if is_done { Ok(how) } else { Err(how.into()) });
-        }
+        let is_done = how == "handed over";
+        let untold = match self.asker.take() {
+            Some(asker @ Asker::Plain(_)) if !is_done => Some((asker, how.to_string())),
+            Some(asker) => {
+                self.tell(asker, before, if is_done { Ok(how) } else { Err(how.into()) });
+                None
+            }
+            None => None,
+        };
         self.follow();
-        // Guards against a new program that hangs: nothing is left of an attempt that failed.
-        if let Some(worker) = self.warden.over().and_then(|left| self.workers.get(&left)) {
-            send_signal(worker.pid, signal_hook::consts::SIGKILL);
+        let left = self.warden.over().and_then(|left| Some((left, self.workers.get(&left)?.pid)));
+        match (left, untold) {
+            (Some((left, pid)), untold) => {
+                send_signal(pid, signal_hook::consts::SIGKILL);
+                self.untold = untold.map(|(asker, how)| (left, asker, how));
+            }
+            (None, Some((asker, how))) => self.tell(asker, None, Err(how)),
+            (None, None) => {}
         }
     }
 
@@ -342,6 +356,9 @@
 
     fn ended(&mut self, number: u64, status: Option<ExitStatus>) {
         self.workers.remove(&number);
+        if let Some((_, asker, how)) = self.untold.take_if(|(left, ..)| *left == number) {
+            self.tell(asker, None, Err(how));
+        }
         // The node's end is that of the one that acted: one that has handed over ends well beside it.
         let acted = self.warden.ended(number);
         if acted || self.last_status.is_none() {
