--- a/crates/ochrewalk-node/tests/crossings/main.rs
+++ b/crates/ochrewalk-node/tests/crossings/main.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod listeners;
 mod panics;
+mod room;
 mod streams;
 
 const HEARTBEAT: &str = r#"{"jsonrpc":"2.0","id":1,"method":"heartbeat"}"#;
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -131,6 +131,21 @@
         (stand, executor, caller)
     }
 
+    /// A node that the system gives so many descriptors, whatever its file says.
+    pub fn up_within_descriptors(most: u32) -> Stand {
+        let mut stand = Stand::start();
+        stand.child.kill().unwrap();
+        stand.child.wait().unwrap();
+        let words = format!("ulimit -n {most}; exec \"$0\" serve --config \"$1\"");
+        let mut shell = Command::new("sh");
+        shell.args(["-c", &words, env!("CARGO_BIN_EXE_ochrewalk")]).arg(&stand.config);
+        stand.child = shell.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap();
+        // What the one before had begun is passed over.
+        stand.executor.set_nonblocking(true).unwrap();
+        while stand.executor.accept().is_ok() {}
+        stand
+    }
+
     /// Kills the node, and starts it anew with the same files.
     pub fn again(mut self) -> Stand {
         self.child.kill().unwrap();
