A call asked for twice is placed once, forced by a test; each failed attempt is told of by itself

Seen: with the line taken out that passes over notices which come again (is_new), no test of crossings failed, as a run's end told twice finds no run. A call that is asked for twice would be placed twice: the new test hears its DROP and a second CALL without that line. Also: a second attempt that fails before the first one's program has ended no longer takes the word from who asked for the first.

--- a/crates/ochrewalk-node/src/moving/keeper.rs
+++ b/crates/ochrewalk-node/src/moving/keeper.rs
@@ -130,7 +130,7 @@
     /// Who waits to hear of the attempt under way.
     asker: Option<Asker>,
     /// Who hears of one that failed once that program has ended.
-    untold: Option<(u64, Asker, String)>,
+    untold: Vec<(u64, Asker, String)>,
     orders: Orders,
     anew: Option<Anew>,
     /// How long a program that is told to leave may take.
@@ -162,7 +162,7 @@
         next: 0,
         warden: Warden::default(),
         asker: None,
-        untold: None,
+        untold: Vec::new(),
         orders: Orders::default(),
         anew: None,
         leaving,
@@ -308,7 +308,7 @@
         match (left, untold) {
             (Some((left, pid)), untold) => {
                 send_signal(pid, signal_hook::consts::SIGKILL);
-                self.untold = untold.map(|(asker, how)| (left, asker, how));
+                self.untold.extend(untold.map(|(asker, how)| (left, asker, how)));
             }
             (None, Some((asker, how))) => self.tell(asker, None, Err(how)),
             (None, None) => {}
@@ -356,7 +356,8 @@
 
     fn ended(&mut self, number: u64, status: Option<ExitStatus>) {
         self.workers.remove(&number);
-        if let Some((_, asker, how)) = self.untold.take_if(|(left, ..)| *left == number) {
+        while let Some(at) = self.untold.iter().position(|(left, ..)| *left == number) {
+            let (_, asker, how) = self.untold.swap_remove(at);
             self.tell(asker, None, Err(how));
         }
         // The node's end is that of the one that acted: one that has handed over ends well beside it.
--- a/crates/ochrewalk-node/tests/crossings/executor.rs
+++ b/crates/ochrewalk-node/tests/crossings/executor.rs
@@ -110,3 +110,28 @@
     let directory = TcpListener::bind(directory_at).unwrap();
     assert_eq!(Peer::accept(&directory).hear(), "PUT /dir/nodes/n3 HTTP/1.1");
 }
+
+/// A call that was asked for before the link broke is asked for once more after it: it is placed once.
+#[test]
+fn a_call_that_is_asked_for_twice_is_placed_once() {
+    let (stand, mut executor) = Stand::up();
+    let mut caller = stand.caller();
+    caller.say(&rpc(1, "once"));
+    executor.hear_of(&exec(1, "once"));
+    executor.say(&callout(1, 1));
+    let mut below = Peer::accept(&stand.below);
+    assert!(below.hear().starts_with(&format!("CALL {} ", req(1))));
+    below.hear_bytes(5);
+    executor.stream.shutdown(Shutdown::Both).unwrap();
+    let mut executor = stand.link();
+    assert_eq!(executor.hear(), r#"{"action":"JOIN","pos":1}"#);
+    executor.say(WARM);
+    executor.say(&callout(1, 1));
+    executor.hear_meter();
+    // What it has said by now would stand before its end.
+    below.put(format!("{} OK 0\r\n\r\n", req(1)).as_bytes());
+    below.hear_end();
+    executor.hear_of("RETURN");
+    executor.say(&exit(2, 1, "complete"));
+    assert_eq!(caller.hear(), served(1));
+}
