Tests of rolling changes look at the record, and copy programs to files of their own

Seen: run twice in a row the tests of rolling changes failed with 'Text file busy': programs of the run before still held the copy that was written over. Change: a copy is a new file; the trouble that replaces the old settings waits for the first change by the conductor's record. What the tests ask for stands as it was.

--- a/crates/ochrewalk-lab/src/changes.rs
+++ b/crates/ochrewalk-lab/src/changes.rs
@@ -421,7 +421,15 @@
                 last
             }
             Trouble::OldReplaced => {
-                some_changed(1);
+                // By the record, which forgets nothing: harmful settings are back before a slow look comes round.
+                let has_changed = || {
+                    let mut so_far = Outcome::default();
+                    read_log(&file.with_file_name("record.log"), plan.nodes, &mut so_far);
+                    so_far.changed > 0.0
+                };
+                while Instant::now() < last && !has_changed() {
+                    std::thread::sleep(ms(10));
+                }
                 for stand in stands {
                     let _ = std::fs::write(&stand.settings[0], "upgrade control /elsewhere\n");
                 }
@@ -494,6 +502,8 @@
 /// A copy of a program that holds something else, and does the same.
 pub fn another(program: &Path, to: &Path) -> Result<(), String> {
     let fault = |err: std::io::Error| format!("{}: {err}", to.display());
+    // One made before may still run: it keeps its file, and this is another.
+    let _ = std::fs::remove_file(to);
     std::fs::copy(program, to).map_err(fault)?;
     let mut file = std::fs::OpenOptions::new().append(true).open(to).map_err(fault)?;
     std::io::Write::write_all(&mut file, b"another").map_err(fault)
