--- a/crates/ochrewalk-node/tests/crossings/bad_input.rs
+++ b/crates/ochrewalk-node/tests/crossings/bad_input.rs
@@ -1,7 +1,7 @@
 //! Callers that send what means nothing, too much, or too slowly: their own connection suffers, and what is owed is given.
 
 use crate::helper::*;
-use crate::{is_unseen, served, HEARTBEAT, WARM};
+use crate::{is_unseen, WARM};
 use std::io::Write;
 
 /// What is no JSON-RPC, and a line without an end, come while an RPC is under way: it is still answered, and the connection
--- a/crates/ochrewalk-node/tests/crossings/below.rs
+++ b/crates/ochrewalk-node/tests/crossings/below.rs
@@ -1,11 +1,10 @@
 //! Calls below whose replies break off.
 
 use crate::helper::*;
-use crate::served;
 use std::net::Shutdown;
 
-/// A short reply breaks off after each of its bytes, once with the end of the connection and once without: it never goes to
-/// the run, and the RPC has its one answer. Whole, it goes on as it came.
+/// A short reply breaks off after each of its bytes, with the end of its connection: it never goes to the run, and the RPC has
+/// its one answer. Whole, it goes on as it came.
 #[test]
 fn a_reply_that_breaks_off_at_any_byte_is_none() {
     let (stand, mut executor) = Stand::up();
@@ -14,9 +13,7 @@
     for cut in 0..=reply(1).len() {
         let number = 100 + cut as u64;
         // It may be made again where it is idempotent; this one is not.
-        caller.say(&rpc(number, "once"));
-        executor.hear_of(&exec(number, "once"));
-        executor.say(&callout(2 * number, number));
+        begin(number, "once", &mut caller, &mut executor);
         let mut below = Peer::accept(&stand.below);
         assert!(below.hear_of("CALL").starts_with(&format!("CALL {} ", req(number))));
         below.hear_bytes(5);
@@ -41,9 +38,7 @@
 fn an_idempotent_call_is_made_again_after_half_a_reply() {
     let (stand, mut executor) = Stand::up();
     let mut caller = stand.caller();
-    caller.say(&rpc(1, "look"));
-    executor.hear_of(&exec(1, "look"));
-    executor.say(&callout(1, 1));
+    begin(1, "look", &mut caller, &mut executor);
     for half in [format!("{} OK 2\r\nh", req(1)), format!("{} O", req(1))] {
         let mut below = Peer::accept(&stand.below);
         below.hear_of("CALL");
@@ -54,7 +49,7 @@
     below.hear_of("CALL");
     below.put(format!("{} OK 2\r\nhi\r\n", req(1)).as_bytes());
     assert!(executor.hear_of("RETURN").contains("\"content\":\"aGk=\""));
-    executor.say(&exit(2, 1, "complete"));
+    executor.say(&exit(3, 1, "complete"));
     assert_eq!(caller.hear(), served(1));
 }
 
@@ -63,9 +58,7 @@
 fn a_connection_below_that_stands_idle_is_ended_in_order() {
     let (stand, mut executor) = Stand::up();
     let mut caller = stand.caller();
-    caller.say(&rpc(1, "look"));
-    executor.hear_of(&exec(1, "look"));
-    executor.say(&callout(1, 1));
+    begin(1, "look", &mut caller, &mut executor);
     let mut below = Peer::accept(&stand.below);
     below.hear_of("CALL");
     below.hear_bytes(5);
@@ -74,6 +67,6 @@
     below.hear_end();
     // It may still write, and closes when it likes.
     below.put(format!("{} LATE\r\n", req(7)).as_bytes());
-    executor.say(&exit(2, 1, "complete"));
+    executor.say(&exit(3, 1, "complete"));
     assert_eq!(caller.hear(), served(1));
 }
--- a/crates/ochrewalk-node/tests/crossings/executor.rs
+++ b/crates/ochrewalk-node/tests/crossings/executor.rs
@@ -1,7 +1,7 @@
 //! The executor's link ends, or is not there yet.
 
 use crate::helper::*;
-use crate::{is_unseen, served, HEARTBEAT, WARM};
+use crate::{is_unseen, WARM};
 use std::net::{Shutdown, TcpListener};
 
 /// A notice breaks off at any byte with its link: it comes again on the next one and is handled once.
--- a/crates/ochrewalk-node/tests/crossings/keys.rs
+++ b/crates/ochrewalk-node/tests/crossings/keys.rs
@@ -1,7 +1,7 @@
 //! Repeats of an idempotency key at the edges of a short window, across a reset and while the node leaves.
 
 use crate::helper::*;
-use crate::{served, WARM};
+use crate::WARM;
 use socket2::SockRef;
 
 /// A window of 600 ms from the stamp of the try that ran.
@@ -60,7 +60,7 @@
     SockRef::from(&lost.stream).set_linger(Some(std::time::Duration::ZERO)).unwrap();
     drop(lost);
     caller.say(&sale(2, first + 1));
-    assert!(caller.ask(crate::HEARTBEAT).contains("pass"));
+    assert!(caller.ask(HEARTBEAT).contains("pass"));
     executor.say(&exit(1, 1, "complete"));
     assert_eq!(caller.hear(), served(2));
 }
--- a/crates/ochrewalk-node/tests/crossings/leaving.rs
+++ b/crates/ochrewalk-node/tests/crossings/leaving.rs
@@ -1,7 +1,7 @@
 //! The process is told to end, and something comes in that instant.
 
 use crate::helper::*;
-use crate::{is_unseen, served, HEARTBEAT, WARM};
+use crate::{is_unseen, WARM};
 
 const NO_MORE: &str = r#"{"jsonrpc":"2.0","method":"noMore"}"#;
 
--- a/crates/ochrewalk-node/tests/crossings/main.rs
+++ b/crates/ochrewalk-node/tests/crossings/main.rs
@@ -15,13 +15,8 @@
 mod room;
 mod streams;
 
-const HEARTBEAT: &str = r#"{"jsonrpc":"2.0","id":1,"method":"heartbeat"}"#;
 const WARM: &str = r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#;
 
-fn served(number: u64) -> String {
-    format!(r#"{{"jsonrpc":"2.0","id":{number},"result":{{"body":"UkVT","signal":1}}}}"#)
-}
-
 /// The answer that an RPC was pushed back and never ran.
 fn is_unseen(line: &str, number: u64) -> bool {
     line.contains(&format!(r#""id":{number},"error":{{"code":-32011"#))
--- a/crates/ochrewalk-node/tests/crossings/room.rs
+++ b/crates/ochrewalk-node/tests/crossings/room.rs
@@ -1,7 +1,7 @@
 //! What runs out: descriptors, and memory over a long run. What is kept is counted, no time.
 
 use crate::helper::*;
-use crate::{served, HEARTBEAT, WARM};
+use crate::WARM;
 
 /// The system gives no further descriptor: who is connected is served, who comes waits, and is taken once there is room.
 #[test]
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -9,6 +9,8 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+pub const HEARTBEAT: &str = r#"{"jsonrpc":"2.0","id":99,"method":"heartbeat"}"#;
+
 /// Far longer than anything takes that works.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -385,3 +387,15 @@
 pub fn callout(pos: u64, number: u64) -> String {
     format!(r#"{{"action":"CALLOUT","pos":{pos},"uid":"{number:016x}","content":"AAEC"}}"#)
 }
+
+/// The answer to an RPC that ran well.
+pub fn served(number: u64) -> String {
+    format!(r#"{{"jsonrpc":"2.0","id":{number},"result":{{"body":"UkVT","signal":1}}}}"#)
+}
+
+/// An RPC that has been started and waits for its call.
+pub fn begin(number: u64, method: &str, caller: &mut Peer, executor: &mut Peer) {
+    caller.say(&rpc_with(number, method, unix_ms(), &format!(r#","opkey":"k{number}""#)));
+    executor.hear_of(&exec(number, method));
+    executor.say(&callout(2 * number, number));
+}
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -6,12 +6,6 @@
 use std::io::Write;
 use std::net::Shutdown;
 
-const HEARTBEAT: &str = r#"{"jsonrpc":"2.0","id":99,"method":"heartbeat"}"#;
-
-fn served(number: u64) -> String {
-    format!(r#"{{"jsonrpc":"2.0","id":{number},"result":{{"body":"UkVT","signal":1}}}}"#)
-}
-
 #[test]
 fn rpcs_come_split_or_many_at_once_and_are_answered_in_any_order() {
     let (stand, mut executor) = Stand::up();
@@ -155,13 +149,6 @@
     assert_eq!(caller.hear(), served(3));
 }
 
-/// An RPC that has been started and waits for its call.
-fn begin(number: u64, method: &str, caller: &mut Peer, executor: &mut Peer) {
-    caller.say(&rpc_with(number, method, unix_ms(), &format!(r#","opkey":"k{number}""#)));
-    executor.hear_of(&exec(number, method));
-    executor.say(&callout(2 * number, number));
-}
-
 /// Hears that call, on the connection that the last one used, or on a new one once that has been closed.
 fn called(stand: &Stand, below: &mut Peer, number: u64) {
     let mut line = below.hear();
--- a/crates/ochrewalk-node/tests/upgrade.rs
+++ b/crates/ochrewalk-node/tests/upgrade.rs
@@ -45,10 +45,6 @@
     }
 }
 
-fn served(number: u64) -> String {
-    format!(r#"{{"jsonrpc":"2.0","id":{number},"result":{{"body":"UkVT","signal":1}}}}"#)
-}
-
 fn sale(number: u64, token: &str) -> String {
     rpc_with(number, "sale", unix_ms(), &format!(r#","opkey":"{token}""#))
 }
