--- a/crates/ochrewalk-fronts/src/judge.rs
+++ b/crates/ochrewalk-fronts/src/judge.rs
@@ -30,6 +30,8 @@
     pub left: String,
     /// Memory in KB.
     pub memory: String,
+    /// The tenant on whose behalf the request is; none where tenants are not told apart.
+    pub tenant: Option<String>,
 }
 
 impl Default for Headers {
@@ -39,6 +41,7 @@
             token: "x-token".into(),
             left: "x-time-left-ms".into(),
             memory: "x-memory-kb".into(),
+            tenant: None,
         }
     }
 }
@@ -59,6 +62,7 @@
     pub token: Option<String>,
     pub left_us: Option<u64>,
     pub kb: f64,
+    pub tenant: Option<String>,
 }
 
 /// Why a request is turned down, and the HTTP methods that its path is known for.
@@ -77,6 +81,8 @@
 /// A token's longest, and the longest that a caller is believed to wait.
 const MOST_TOKEN: usize = 64;
 const MOST_LEFT_MS: u64 = 3_600_000;
+/// The longest name of a tenant.
+pub const MOST_TENANT: usize = 128;
 
 impl Rules {
     /// What the request asks for, and how its body comes.
@@ -106,6 +112,7 @@
             token: self.token(request)?,
             left_us: self.left_us(request)?,
             kb: self.kb(request)?,
+            tenant: self.tenant(request)?,
         };
         Ok((Asks::Method(asked), body))
     }
@@ -133,6 +140,16 @@
         Ok(Some(String::from_utf8_lossy(token).into_owned()))
     }
 
+    fn tenant(&self, request: &Request) -> Result<Option<String>, No> {
+        let Some(name) = self.headers.tenant.as_ref().and_then(|name| request.header(name)) else {
+            return Ok(None);
+        };
+        if !(1..=MOST_TENANT).contains(&name.len()) || !name.iter().all(u8::is_ascii_graphic) {
+            return no(400, "the tenant is no word of printable letters");
+        }
+        Ok(Some(String::from_utf8_lossy(name).into_owned()))
+    }
+
     fn left_us(&self, request: &Request) -> Result<Option<u64>, No> {
         let Some(left) = request.header(&self.headers.left) else { return Ok(None) };
         match number::<u64>(left).filter(|ms| *ms <= MOST_LEFT_MS) {
--- a/crates/ochrewalk-fronts/src/routes.rs
+++ b/crates/ochrewalk-fronts/src/routes.rs
@@ -3,11 +3,13 @@
 //! not hang on the order in which routes were named.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Segments of a path: guards against a path that costs more to look at than its request.
 const MOST_SEGMENTS: usize = 32;
 
-/// Routes as a tree of segments.
+/// Routes as a tree of segments. A clone shares all nodes with its original; a change copies those on its path alone, so
+/// that a table of many routes is replaced at the cost of what differs.
 #[derive(Clone, Debug, Default)]
 pub struct Routes {
     root: Node,
@@ -15,8 +17,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct Node {
-    literal: BTreeMap<Vec<u8>, Node>,
-    any: Option<Box<Node>>,
+    literal: BTreeMap<Arc<[u8]>, Arc<Node>>,
+    any: Option<Arc<Node>>,
     /// What ends here, and what goes on here with anything.
     here: BTreeMap<String, usize>,
     rest: BTreeMap<String, usize>,
@@ -46,29 +48,40 @@
 impl Routes {
     /// Names a route. An error says what is wrong with the pattern, or that it stands already.
     pub fn add(&mut self, http: &str, pattern: &str, method: usize) -> Result<(), String> {
-        let mut segments = segments(pattern.as_bytes()).map_err(|why| why.in_words().to_string())?;
-        let open = segments.last().is_some_and(|last| last == b"*");
-        if open {
-            segments.pop();
-        }
-        if segments.iter().any(|s| s.contains(&b'*')) {
-            return Err("'*' may only be the last segment by itself".into());
-        }
+        let parsed = Pattern::parse(pattern)?;
         let mut node = &mut self.root;
-        for segment in segments {
-            node = match &*segment {
-                b"{}" => node.any.get_or_insert_default(),
-                literal if literal.contains(&b'{') || literal.contains(&b'}') => {
-                    return Err("a segment is '{}' as a whole or holds no braces".into());
-                }
-                _ => node.literal.entry(segment).or_default(),
+        for segment in &parsed.segments {
+            node = match &**segment {
+                b"{}" => Arc::make_mut(node.any.get_or_insert_default()),
+                literal => Arc::make_mut(node.literal.entry(literal.into()).or_default()),
             };
         }
-        let methods = if open { &mut node.rest } else { &mut node.here };
-        match methods.insert(http.to_string(), method) {
-            None => Ok(()),
-            Some(_) => Err(format!("{http} {pattern} is routed already")),
+        let methods = if parsed.is_open { &mut node.rest } else { &mut node.here };
+        if methods.contains_key(http) {
+            return Err(format!("{http} {pattern} is routed already"));
         }
+        methods.insert(http.to_string(), method);
+        Ok(())
+    }
+
+    /// Takes a route out and gives the method that it stood for; none where there was no such route.
+    ///
+    /// ```
+    /// use ochrewalk_fronts::routes::Routes;
+    /// let mut routes = Routes::default();
+    /// routes.add("GET", "/items/{}", 7).unwrap();
+    /// assert_eq!(routes.remove("POST", "/items/{}"), None);
+    /// assert_eq!(routes.remove("GET", "/items/{}"), Some(7));
+    /// assert!(routes.is_empty());
+    /// ```
+    pub fn remove(&mut self, http: &str, pattern: &str) -> Option<usize> {
+        let parsed = Pattern::parse(pattern).ok()?;
+        self.root.remove(http, &parsed.segments, parsed.is_open)
+    }
+
+    /// Whether a pattern can be routed; an error says what is wrong with it.
+    pub fn check_pattern(pattern: &str) -> Result<(), String> {
+        Pattern::parse(pattern).map(|_| ())
     }
 
     pub fn is_empty(&self) -> bool {
@@ -102,7 +115,52 @@
     }
 }
 
+/// A pattern of paths, in segments.
+struct Pattern {
+    segments: Vec<Vec<u8>>,
+    /// It ended in `*`: any number of further segments may follow.
+    is_open: bool,
+}
+
+impl Pattern {
+    fn parse(pattern: &str) -> Result<Pattern, String> {
+        let mut segments = segments(pattern.as_bytes()).map_err(|why| why.in_words().to_string())?;
+        let is_open = segments.last().is_some_and(|last| last == b"*");
+        if is_open {
+            segments.pop();
+        }
+        if segments.iter().any(|s| s.contains(&b'*')) {
+            return Err("'*' may only be the last segment by itself".into());
+        }
+        let has_braces = |s: &Vec<u8>| s.contains(&b'{') || s.contains(&b'}');
+        if segments.iter().any(|s| s != b"{}" && has_braces(s)) {
+            return Err("a segment is '{}' as a whole or holds no braces".into());
+        }
+        Ok(Pattern { segments, is_open })
+    }
+}
+
 impl Node {
+    /// Takes out what ends `segments` below here, and nodes that are left empty by it.
+    fn remove(&mut self, http: &str, segments: &[Vec<u8>], is_open: bool) -> Option<usize> {
+        let Some((first, rest)) = segments.split_first() else {
+            return if is_open { self.rest.remove(http) } else { self.here.remove(http) };
+        };
+        let child = match &**first {
+            b"{}" => self.any.as_mut(),
+            literal => self.literal.get_mut(literal),
+        };
+        let child = Arc::make_mut(child?);
+        let removed = child.remove(http, rest, is_open);
+        if child.is_empty() {
+            match &**first {
+                b"{}" => self.any = None,
+                literal => drop(self.literal.remove(literal)),
+            }
+        }
+        removed
+    }
+
     fn is_empty(&self) -> bool {
         self.literal.is_empty() && self.any.is_none() && self.here.is_empty() && self.rest.is_empty()
     }
@@ -118,7 +176,8 @@
         let found = match segments.split_first() {
             None => of(&self.here, others),
             Some((first, rest)) => {
-                let literal = self.literal.get(first).and_then(|node| node.find(http, rest, others));
+                let literal =
+                    self.literal.get(first.as_slice()).and_then(|node| node.find(http, rest, others));
                 let any = || self.any.as_ref().and_then(|node| node.find(http, rest, others));
                 literal.or_else(any)
             }
--- a/crates/ochrewalk-operators/src/lib.rs
+++ b/crates/ochrewalk-operators/src/lib.rs
@@ -13,6 +13,7 @@
 mod changes;
 mod plan;
 mod read;
+pub mod resources;
 mod units;
 mod words;
 
@@ -33,6 +34,35 @@
     pub below: Option<AjpBelow>,
     /// The socket by which the running program is asked to let another take over.
     pub upgrade_control: Option<PathBuf>,
+    /// The control plane that the node hears from.
+    pub config: Option<ConfigAgent>,
+}
+
+/// How the node hears from the control plane.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigAgent {
+    pub relays: Vec<SocketAddr>,
+    pub region: String,
+    /// Scopes whose resources it wants all of.
+    pub scopes: Vec<String>,
+    /// Where what is in force is kept for the next start.
+    pub snapshot: Option<PathBuf>,
+    pub bytes_per_second: u64,
+    /// Quotas that are held at a time; those used least recently are fetched again when they are needed.
+    pub max_tenants: usize,
+}
+
+impl Default for ConfigAgent {
+    fn default() -> ConfigAgent {
+        ConfigAgent {
+            relays: Vec::new(),
+            region: String::new(),
+            scopes: Vec::new(),
+            snapshot: None,
+            bytes_per_second: 26 * 1024,
+            max_tenants: 16 * 1024,
+        }
+    }
 }
 
 impl Operators {
--- a/crates/ochrewalk-operators/src/plan.rs
+++ b/crates/ochrewalk-operators/src/plan.rs
@@ -1,6 +1,6 @@
 //! The plan of a rolling change: the same lines and units as the operators' file, each fault named by its line.
 
-use crate::read::{socket, time, whole, wrong, Fault, Wrong};
+use crate::read::{absolute, socket, time, whole, wrong, Fault, Wrong};
 use crate::words;
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -288,10 +288,3 @@
         })
     }
 }
-
-fn absolute(text: &str) -> Result<PathBuf, Wrong> {
-    if text.starts_with('/') {
-        return Ok(PathBuf::from(text));
-    }
-    wrong(format!("{text} is no absolute path"), "write one that begins with '/'")
-}
--- a/crates/ochrewalk-operators/src/read.rs
+++ b/crates/ochrewalk-operators/src/read.rs
@@ -1,13 +1,13 @@
 //! Directives: each line's words into what they set, checked one by one and then together.
 
 use crate::changes::Needs;
-use crate::{units, words, AjpBelow, AjpFront, Operators, PlaceBelow};
+use crate::{units, words, AjpBelow, AjpFront, ConfigAgent, Operators, PlaceBelow};
 use ipnet::IpNet;
 use ochrewalk_ajp::packet::{LARGEST_PACKET, USUAL_PACKET};
 use ochrewalk_fronts::guests::Guests;
 use ochrewalk_fronts::judge::{Headers, Rules};
 use ochrewalk_spread::{Kind, Plan, Reach, KINDS};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -48,6 +48,16 @@
 /// every few seconds at a call or two a second.
 const USUAL_REACH: usize = 5;
 
+/// A node that knows fewer relays is without any as soon as one fails.
+const LEAST_RELAYS: usize = 2;
+/// Less than this a second would not carry heartbeats and changes.
+const LEAST_CONFIG_BUDGET: u64 = 1024;
+/// Quotas that a node may hold at a time.
+const MOST_CONFIG_TENANTS: usize = 1_000_000;
+
+/// What is right where a route's pattern is not.
+pub(crate) const RIGHT_PATTERN: &str = "write a path such as /items/{}/price or /stock/*";
+
 /// What is wrong with one line, and what would be right.
 pub(crate) type Wrong = (String, String);
 
@@ -84,7 +94,7 @@
     DIRECTIVES.iter().find(|d| d.section == section && (d.name == name || section == "host"))
 }
 
-const DIRECTIVES: [Directive; 37] = [
+const DIRECTIVES: [Directive; 43] = [
     many("host", "", "host NAME ADDRESS"),
     once("ajp", "listen", "ajp listen ADDRESS:PORT").by(Needs::Start),
     many("ajp", "allow", "ajp allow NETWORK"),
@@ -96,7 +106,7 @@
     once("ajp", "idle", "ajp idle TIME"),
     once("ajp", "memory", "ajp memory KB").by(Needs::Reload),
     once("ajp", "health", "ajp health PATH").by(Needs::Reload),
-    many("ajp", "header", "ajp header id|token|left|memory NAME"),
+    many("ajp", "header", "ajp header id|token|left|memory|tenant NAME"),
     many("ajp", "route", "ajp route HTTP-METHOD PATH METHOD"),
     many("below", "ajp", "below ajp ADDRESS:PORT"),
     once("below", "name", "below name SERVER-NAME"),
@@ -122,6 +132,12 @@
     once("below", "warm", "below warm TIME"),
     once("below", "status", "below status PATH"),
     once("upgrade", "control", "upgrade control PATH").by(Needs::Start),
+    many("config", "relay", "config relay ADDRESS:PORT").by(Needs::HandOver),
+    once("config", "region", "config region NAME"),
+    many("config", "scope", "config scope SCOPE").by(Needs::HandOver),
+    once("config", "snapshot", "config snapshot PATH"),
+    once("config", "budget", "config budget BYTES"),
+    once("config", "tenants", "config tenants NUMBER"),
 ];
 
 /// Reads the file's text. `file` names it in faults.
@@ -172,6 +188,9 @@
     front: AjpFront,
     below: AjpBelow,
     upgrade_control: Option<PathBuf>,
+    config: ConfigAgent,
+    /// Positions of methods by name, once a route asks for one.
+    known_methods: HashMap<&'a str, usize>,
     /// What is said of places, with the line, by address.
     weights: BTreeMap<SocketAddr, (usize, f64)>,
     zones: BTreeMap<SocketAddr, (usize, String)>,
@@ -189,6 +208,8 @@
             stood: BTreeMap::new(),
             listen: None,
             upgrade_control: None,
+            config: ConfigAgent::default(),
+            known_methods: HashMap::new(),
             weights: BTreeMap::new(),
             zones: BTreeMap::new(),
             here: None,
@@ -315,10 +336,7 @@
                 })?;
             }
             ("below", "weight") => {
-                let weight = given[1].parse::<f64>().ok().filter(|weight| (0.01..=1_000.0).contains(weight));
-                let weight = weight.ok_or_else(|| {
-                    (format!("{} is no weight", given[1]), "write a number from 0.01 to 1000".to_string())
-                })?;
+                let weight = weight(&given[1])?;
                 let at = self.address(word)?;
                 if let Some((before, _)) = self.weights.insert(at, (line, weight)) {
                     return wrong(format!("{at} has a weight on line {before}"), "keep one of the two");
@@ -345,32 +363,63 @@
             ("below", "warm") => below.spread.leaving.warm_us = time(word, 0, 600_000_000)?,
             ("below", "status") => below.status = Some(socket(word)?),
             ("upgrade", "control") => self.upgrade_control = Some(socket(word)?),
+            ("config", _) => self.config(name, word)?,
             _ => return Err(unknown(section, name)),
         }
         Ok(())
     }
 
+    /// What is said of the control plane that the node hears from.
+    fn config(&mut self, name: &str, word: &str) -> Result<(), Wrong> {
+        match name {
+            "relay" => {
+                let at = self.address(word)?;
+                if self.config.relays.contains(&at) {
+                    return wrong(format!("{at} stands here already"), "name each relay once");
+                }
+                self.config.relays.push(at);
+            }
+            "scope" => {
+                if self.config.scopes.iter().any(|scope| scope == word) {
+                    return wrong(format!("scope {word} stands here already"), "name each scope once");
+                }
+                self.config.scopes.push(word.into());
+            }
+            "region" => self.config.region = word.into(),
+            "snapshot" => self.config.snapshot = Some(absolute(word)?),
+            "budget" => {
+                let bytes = units::bytes(word).filter(|n| LEAST_CONFIG_BUDGET <= *n);
+                self.config.bytes_per_second = bytes.ok_or_else(|| {
+                    (
+                        format!("{word} is no budget"),
+                        "write bytes a second from 1k on, such as 26k".to_string(),
+                    )
+                })?;
+            }
+            "tenants" => self.config.max_tenants = whole(word, 1, MOST_CONFIG_TENANTS)?,
+            _ => return Err(unknown("config", name)),
+        }
+        Ok(())
+    }
+
     fn route(&mut self, given: &[String]) -> Result<(), Wrong> {
         let [http, path, method] = given else { unreachable!("three words were counted") };
-        if http.is_empty() || !http.bytes().all(|b| b.is_ascii_uppercase() || b == b'-') {
-            return wrong(format!("{http} is no HTTP method"), "write one in capitals, such as POST");
-        }
+        http_method(http)?;
         let names = || self.node.methods.iter().map(|(name, _)| name.as_str());
-        let Some(at) = names().position(|name| name == method) else {
+        let known = &mut self.known_methods;
+        if known.is_empty() {
+            known.extend(names().enumerate().map(|(at, name)| (name, at)));
+        }
+        let Some(at) = known.get(method.as_str()).copied() else {
             let right = match nearest(method, names()) {
                 Some(near) => format!("did you mean {near}?"),
                 None => format!("write one of {}", names().collect::<Vec<_>>().join(", ")),
             };
             return wrong(format!("{method} is no method here"), right);
         };
-        // Guards against what stands between: it may send these again of its own accord.
-        if !self.node.methods[at].1 && ["GET", "HEAD", "PUT", "DELETE", "OPTIONS"].contains(&http.as_str()) {
-            let what =
-                format!("{method} may not happen twice, and {http} may be sent again by anybody between");
-            return wrong(what, "route it for POST");
-        }
+        route_may_repeat(http, method, self.node.methods[at].1)?;
         let added = self.front.rules.routes.add(http, path, at);
-        added.map_err(|why| (why, "write a path such as /items/{}/price or /stock/*".to_string()))
+        added.map_err(|why| (why, RIGHT_PATTERN.to_string()))
     }
 
     /// An address and port; the address may be one of the hosts.
@@ -466,23 +515,63 @@
                 "set \"below\" there or remove this line",
             );
         }
+        if let Some(first) = first("config ") {
+            if self.config.relays.len() < LEAST_RELAYS {
+                let right = "name two relays or more: config relay ADDRESS:PORT";
+                return fault(first, "one relay that fails would leave the node without any", right);
+            }
+            if self.config.region.is_empty() {
+                return fault(first, "no region is named", "add a line: config region NAME");
+            }
+        }
         self.places()?;
         self.front.listen = self.listen.unwrap_or(self.front.listen);
         Ok(Operators {
             ajp: self.listen.is_some().then_some(self.front),
             below: (!self.below.places.is_empty()).then_some(self.below),
             upgrade_control: self.upgrade_control,
+            config: (!self.config.relays.is_empty()).then_some(self.config),
         })
     }
 }
 
+/// Whether a word can be an HTTP method.
+pub(crate) fn http_method(word: &str) -> Result<(), Wrong> {
+    if word.is_empty() || !word.bytes().all(|b| b.is_ascii_uppercase() || b == b'-') {
+        return wrong(format!("{word} is no HTTP method"), "write one in capitals, such as POST");
+    }
+    Ok(())
+}
+
+/// Guards against what stands between: it may send these again of its own accord.
+pub(crate) fn route_may_repeat(http: &str, method: &str, is_idempotent: bool) -> Result<(), Wrong> {
+    if !is_idempotent && ["GET", "HEAD", "PUT", "DELETE", "OPTIONS"].contains(&http) {
+        let what = format!("{method} may not happen twice, and {http} may be sent again by anybody between");
+        return wrong(what, "route it for POST");
+    }
+    Ok(())
+}
+
+/// A weight of an endpoint.
+pub(crate) fn weight(word: &str) -> Result<f64, Wrong> {
+    let weight = word.parse::<f64>().ok().filter(|weight| (0.01..=1_000.0).contains(weight));
+    weight.ok_or_else(|| (format!("{word} is no weight"), "write a number from 0.01 to 1000".to_string()))
+}
+
+pub(crate) fn absolute(word: &str) -> Result<PathBuf, Wrong> {
+    if !word.starts_with('/') {
+        return wrong(format!("{word} is no absolute path"), "write one that begins with '/'");
+    }
+    Ok(PathBuf::from(word))
+}
+
 fn unknown(section: &str, name: &str) -> Wrong {
     let of = |d: &&Directive| d.section == section && !d.name.is_empty();
     let known: Vec<&str> = DIRECTIVES.iter().filter(of).map(|d| d.name).collect();
     if known.is_empty() {
-        let sections = ["host", "ajp", "below", "upgrade"];
+        let sections = ["host", "ajp", "below", "upgrade", "config"];
         let right = nearest(section, sections.into_iter())
-            .map_or("a line begins with host, ajp, below or upgrade".into(), |near| {
+            .map_or("a line begins with host, ajp, below, upgrade or config".into(), |near| {
                 format!("did you mean {near}?")
             });
         return (format!("{section} is no directive"), right);
@@ -521,7 +610,8 @@
         "token" => &mut headers.token,
         "left" => &mut headers.left,
         "memory" => &mut headers.memory,
-        _ => return wrong(format!("no header for {which}"), "write id, token, left or memory"),
+        "tenant" => headers.tenant.get_or_insert_default(),
+        _ => return wrong(format!("no header for {which}"), "write id, token, left, memory or tenant"),
     };
     *slot = name.to_ascii_lowercase();
     Ok(())
--- a/crates/ochrewalk-operators/tests/operators.rs
+++ b/crates/ochrewalk-operators/tests/operators.rs
@@ -60,7 +60,8 @@
 
 #[test]
 fn a_whole_file_sets_what_it_says() {
-    let Operators { ajp, below, upgrade_control } = get(WHOLE).unwrap();
+    let Operators { ajp, below, upgrade_control, config } = get(WHOLE).unwrap();
+    assert_eq!(config, None);
     assert_eq!(upgrade_control, Some("/run/ochrewalk/control".into()));
     let (front, below) = (ajp.unwrap(), below.unwrap());
     assert_eq!(front.listen, "127.0.0.21:8009".parse().unwrap());
@@ -111,7 +112,7 @@
     let front = "ajp listen 127.0.0.1:8009\najp allow 127.0.0.0/8\najp route POST /a order-record\n";
     for (text, said) in [
         ("apj listen 127.0.0.1:8009", "1: apj is no directive; did you mean ajp?"),
-        ("listen 127.0.0.1:8009", "1: listen is no directive; a line begins with host, ajp, below or upgrade"),
+        ("listen 127.0.0.1:8009", "1: listen is no directive; a line begins with host, ajp, below, upgrade or config"),
         ("ajp lisen 127.0.0.1:8009", "1: ajp lisen is no directive; did you mean ajp listen?"),
         ("ajp", "1: ajp is no directive; after ajp comes one of listen, allow, deny, secret, secret-file, packet, connections, idle, memory, health, header, route"),
         ("ajp idle 30s 40s", "1: 1 word after ajp idle needed, 2 found; write ajp idle TIME"),
@@ -128,7 +129,7 @@
         ("ajp connections 500", "1: 500 is out of range; write a whole number from 4 to 128"),
         ("ajp memory 0", "1: 0 is no size in KB; write a number above 0 and under 2000 without a unit"),
         ("ajp health up", "1: up is no path; write one that begins with '/' and has no '?'"),
-        ("ajp header tokn X", "1: no header for tokn; write id, token, left or memory"),
+        ("ajp header tokn X", "1: no header for tokn; write id, token, left, memory or tenant"),
         ("ajp header id X:Y", "1: X:Y is no name of a header; write letters, digits and '-'"),
         ("ajp allow 10.0.0.0/33", "1: 10.0.0.0/33 is no network; write one such as 10.1.0.0/16 or fd00::/8"),
         ("ajp allow 10.0.0.0/8\najp deny 10.1.1.1/8", "2: 10.1.1.1/8 is both let in and kept out; keep one of the two"),
