--- /dev/null
+++ b/crates/ochrewalk-distribution/src/epochs.rs
@@ -0,0 +1,50 @@
+//! Decides which positions lie on the line of changes that a store holds, by where each epoch of it began.
+
+use crate::messages::Position;
+
+/// The most epochs remembered. Subscribers of an older epoch are sent a snapshot.
+const MAX_EPOCHS: usize = 64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct EpochStart {
+    epoch: u64,
+    /// The last revision before the epoch.
+    after_revision: u64,
+}
+
+/// The epochs of one line of changes, oldest first. It is never empty.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct EpochHistory {
+    starts: Vec<EpochStart>,
+}
+
+impl EpochHistory {
+    pub(crate) fn new(epoch: u64) -> Self {
+        Self { starts: vec![EpochStart { epoch, after_revision: 0 }] }
+    }
+
+    pub(crate) fn current(&self) -> u64 {
+        self.starts.last().map_or(0, |start| start.epoch)
+    }
+
+    /// `epoch` begins after `after_revision`. Its number must be above all others.
+    pub(crate) fn begin(&mut self, epoch: u64, after_revision: u64) {
+        debug_assert!(epoch > self.current());
+        if self.starts.len() == MAX_EPOCHS {
+            self.starts.remove(0);
+        }
+        self.starts.push(EpochStart { epoch, after_revision });
+    }
+
+    /// Whether changes were made on top of `position` on this line: its epoch is known, and no later epoch had begun
+    /// before its revision.
+    pub(crate) fn contains(&self, position: Position) -> bool {
+        let Some(index) = self.starts.iter().position(|start| start.epoch == position.epoch) else {
+            return false;
+        };
+        match self.starts.get(index + 1) {
+            Some(next) => position.revision <= next.after_revision,
+            None => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-distribution/src/interest.rs
@@ -0,0 +1,50 @@
+//! Decides which resources a subscriber is sent.
+
+use std::collections::BTreeSet;
+
+use crate::messages::{ResourceName, Subscribe, Watch};
+
+/// Which resources a subscriber wants.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Interest {
+    /// All resources of all scopes, deletions included, as relays want.
+    pub everything: bool,
+    /// Scopes of which all resources are wanted.
+    pub scopes: BTreeSet<String>,
+    /// Single resources of other scopes.
+    pub names: BTreeSet<ResourceName>,
+}
+
+impl Interest {
+    /// All resources of all scopes.
+    pub fn everything() -> Self {
+        Self { everything: true, ..Self::default() }
+    }
+
+    /// All resources of `scopes`.
+    pub fn scopes<Text: Into<String>>(scopes: impl IntoIterator<Item = Text>) -> Self {
+        Self { scopes: scopes.into_iter().map(Into::into).collect(), ..Self::default() }
+    }
+
+    /// What `message` asks for.
+    pub fn of(message: &Subscribe) -> Self {
+        Self {
+            everything: message.everything,
+            scopes: message.scopes.iter().cloned().collect(),
+            names: message.names.iter().cloned().collect(),
+        }
+    }
+
+    /// Whether the subscriber wants the resource of `name`.
+    pub fn matches(&self, name: &ResourceName) -> bool {
+        self.everything || self.scopes.contains(&name.scope) || self.names.contains(name)
+    }
+
+    /// Takes over the names that `watch` adds and removes.
+    pub fn update(&mut self, watch: &Watch) {
+        for name in &watch.remove {
+            self.names.remove(name);
+        }
+        self.names.extend(watch.add.iter().cloned());
+    }
+}
--- a/crates/ochrewalk-distribution/src/messages.rs
+++ b/crates/ochrewalk-distribution/src/messages.rs
@@ -206,6 +206,14 @@
     /// On the last part: CRC-32 over the encoded resources of all parts, in their order.
     #[prost(uint32, tag = "7")]
     pub checksum: u32,
+    /// On the first part of differences: the position that they are differences from. A receiver at any other
+    /// position must not apply them.
+    #[prost(message, optional, tag = "8")]
+    pub base: Option<Position>,
+    /// On the last part of a snapshot: the oldest revision from which the receiver can in turn serve differences, if it
+    /// was sent everything, deletions included.
+    #[prost(uint64, tag = "9")]
+    pub horizon: u64,
 }
 
 /// What a server of updates says while it has nothing to send, so that silence means a broken path.
--- /dev/null
+++ b/crates/ochrewalk-distribution/src/pacing.rs
@@ -0,0 +1,38 @@
+//! Decides when the next bytes may be sent so that a rate is kept.
+
+const MICROSECONDS_PER_SECOND: u128 = 1_000_000;
+
+/// Spaces messages out in time: each may go once those before it are paid for. In any span of time no more is sent than
+/// the rate allows, and one message.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Pacer {
+    /// 0 for no bound.
+    bytes_per_second: u64,
+    free_at_us: u64,
+}
+
+impl Pacer {
+    pub(crate) fn new(bytes_per_second: u64) -> Self {
+        Self { bytes_per_second, free_at_us: 0 }
+    }
+
+    /// The time from which on the next message may be sent; in the past where it may be sent now.
+    pub(crate) fn free_at_us(&self) -> u64 {
+        self.free_at_us
+    }
+
+    /// A message of `bytes` is sent now.
+    pub(crate) fn charge(&mut self, bytes: usize, now_us: u64) {
+        let cost_us = self.cost_us(bytes as u64);
+        self.free_at_us = self.free_at_us.max(now_us).saturating_add(cost_us);
+    }
+
+    /// How long `bytes` take at the rate.
+    pub(crate) fn cost_us(&self, bytes: u64) -> u64 {
+        if self.bytes_per_second == 0 {
+            return 0;
+        }
+        let cost_us = u128::from(bytes) * MICROSECONDS_PER_SECOND / u128::from(self.bytes_per_second);
+        u64::try_from(cost_us).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-distribution/src/rollback.rs
@@ -0,0 +1,63 @@
+//! Decides which changes undo the batches after a position.
+
+use std::collections::BTreeMap;
+
+use crate::messages::{Position, Resource, ResourceName, Value};
+use crate::store::Batch;
+
+/// Why a rollback isn't possible.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RollbackError {
+    #[error("no batch is later than {to:?}")]
+    NothingToUndo { to: Position },
+    #[error("the history does not reach back to {to:?}: its first batch after that has revision {first}")]
+    HistoryTooShort { to: Position, first: u64 },
+    #[error("{to:?} is not on the line of this history, where that revision is of epoch {epoch}")]
+    UnknownPosition { to: Position, epoch: u64 },
+}
+
+struct Undone<'a> {
+    /// What the first undone batch found.
+    before: &'a Option<Value>,
+    /// What the last undone batch left.
+    now: &'a Option<Value>,
+}
+
+/// The changes that undo all batches of `history` (oldest first) after `to`: a name deleted since comes back, one made
+/// since is deleted, and names that are as they were are left out.
+pub fn rollback_changes(history: &[Batch], to: Position) -> Result<Vec<Resource>, RollbackError> {
+    let undone = batches_after(history, to)?;
+    let mut names: BTreeMap<&ResourceName, Undone> = BTreeMap::new();
+    for batch in undone {
+        for (resource, before) in batch.resources.iter().zip(&batch.previous) {
+            let entry = names.entry(&resource.name).or_insert(Undone { before, now: &resource.value });
+            entry.now = &resource.value;
+        }
+    }
+    let changed = names.into_iter().filter(|(_, undone)| undone.before != undone.now);
+    Ok(changed
+        .map(|(name, undone)| Resource { name: name.clone(), revision: 0, value: undone.before.clone() })
+        .collect())
+}
+
+fn batches_after(history: &[Batch], to: Position) -> Result<Vec<&Batch>, RollbackError> {
+    let with_changes = history.iter().filter(|batch| !batch.resources.is_empty());
+    let (kept, undone): (Vec<&Batch>, Vec<&Batch>) =
+        with_changes.partition(|batch| batch.position.revision <= to.revision);
+    if let Some(last) = kept.last().filter(|last| last.position.revision == to.revision) {
+        // A later epoch may have begun at the same revision, an earlier one cannot have.
+        if last.position.epoch > to.epoch {
+            return Err(RollbackError::UnknownPosition { to, epoch: last.position.epoch });
+        }
+    }
+    let Some(first) = undone.first() else {
+        return Err(RollbackError::NothingToUndo { to });
+    };
+    if first.position.epoch < to.epoch {
+        return Err(RollbackError::UnknownPosition { to, epoch: first.position.epoch });
+    }
+    if first.position.revision != to.revision + 1 {
+        return Err(RollbackError::HistoryTooShort { to, first: first.position.revision });
+    }
+    Ok(undone)
+}
--- /dev/null
+++ b/crates/ochrewalk-distribution/src/server.rs
@@ -0,0 +1,393 @@
+//! Decides what a publisher or relay sends to each of its subscribers, and when. Nothing is queued for a subscriber: what
+//! it lacks is told by a cursor into the store, and built when its connection has room.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use prost::Message;
+
+use crate::admission::{CatchUp, CatchUpLimits};
+use crate::interest::Interest;
+use crate::messages::{
+    Position, RegionStatus, Report, ResourceName, Subscribe, Update, Watch, PROTOCOL_VERSION,
+};
+use crate::pacing::Pacer;
+use crate::status::{count_positions, Rejections};
+use crate::store::{Start, Store};
+use crate::update_builder::{Built, UpdateProgress};
+use crate::validation::{name_problems, MAX_NAME_BYTES};
+
+/// Rounds of an update after which it is no longer spread over time, so that it ends under ever so many changes.
+const MAX_PACED_ROUNDS: u32 = 4;
+/// The most changes looked at to estimate what a subscriber lacks.
+const MAX_ESTIMATED_CHANGES: usize = 4_096;
+
+/// Bounds of a [`Server`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ServerLimits {
+    /// The largest part of an update, in encoded bytes; 4,096 where it is less.
+    pub chunk_bytes: usize,
+    pub max_subscribers: usize,
+    /// The most scopes and single names of one subscriber together.
+    pub max_interest: usize,
+    /// The most rejections that a status lists.
+    pub max_rejections: usize,
+    pub catch_up: CatchUpLimits,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            chunk_bytes: 16 << 10,
+            max_subscribers: 4_000,
+            max_interest: 20_000,
+            max_rejections: 100,
+            catch_up: CatchUpLimits::default(),
+        }
+    }
+}
+
+/// A subscriber of a [`Server`]. Numbers are not used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SubscriberId(u64);
+
+/// What becomes of a subscriber that comes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admission {
+    Accepted(SubscriberId),
+    /// Too many come at once.
+    RetryLater {
+        after_ms: u64,
+    },
+    Refused {
+        reason: RefusedSubscriber,
+    },
+}
+
+/// Why a subscriber is refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RefusedSubscriber {
+    #[error("the subscriber needs version {version} of the messages, and this is {PROTOCOL_VERSION}")]
+    UnknownVersion { version: u32 },
+    #[error("epoch {heard} was heard of, and this server has epoch {own}")]
+    OlderEpoch { own: u64, heard: u64 },
+    #[error("{count} scopes and names are wanted, more than {limit}")]
+    TooManyNames { count: usize, limit: usize },
+    #[error("a name is not valid")]
+    InvalidName,
+}
+
+/// What is to be done for a subscriber now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// Send this, and ask again once the connection has room.
+    Send(Update),
+    /// Ask again at this time.
+    Wait { until_us: u64 },
+    /// Nothing until the store changes or the subscriber sends something.
+    Idle,
+}
+
+/// What a subscriber is doing.
+#[derive(Clone, Debug)]
+enum Activity {
+    /// It has what it was sent.
+    Ready,
+    Receiving(UpdateProgress),
+    /// It was sent a whole update and has not reported on it.
+    Applying {
+        position: Position,
+        answers: BTreeSet<ResourceName>,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Subscriber {
+    node: String,
+    interest: Interest,
+    pacer: Pacer,
+    applied: Option<Position>,
+    rejected: Option<Position>,
+    /// Watched names that the next update is to answer.
+    asked: BTreeSet<ResourceName>,
+    activity: Activity,
+}
+
+/// A publisher's or relay's side of all its streams of updates.
+#[derive(Clone, Debug)]
+pub struct Server {
+    name: String,
+    region: String,
+    limits: ServerLimits,
+    store: Store,
+    subscribers: BTreeMap<SubscriberId, Subscriber>,
+    last_id: u64,
+    catch_up: CatchUp,
+    rejections: Rejections,
+}
+
+impl Server {
+    /// A server of what is in `store`. `name` and `region` are told in its status.
+    pub fn new(
+        name: impl Into<String>,
+        region: impl Into<String>,
+        store: Store,
+        limits: ServerLimits,
+    ) -> Self {
+        Self {
+            name: name.into(),
+            region: region.into(),
+            limits,
+            store,
+            subscribers: BTreeMap::new(),
+            last_id: 0,
+            catch_up: CatchUp::new(limits.catch_up),
+            rejections: Rejections::new(limits.max_rejections),
+        }
+    }
+
+    /// What is served.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// What is served, to be changed. Subscribers are to be asked for by [`next`](Self::next) after that.
+    pub fn store_mut(&mut self) -> &mut Store {
+        &mut self.store
+    }
+
+    /// The subscribers there are.
+    pub fn subscribers(&self) -> impl Iterator<Item = SubscriberId> + '_ {
+        self.subscribers.keys().copied()
+    }
+
+    /// A subscriber has come.
+    pub fn subscribe(&mut self, now_us: u64, message: Subscribe) -> Admission {
+        if let Some(reason) = self.refusal(&message) {
+            return Admission::Refused { reason };
+        }
+        let interest = Interest::of(&message);
+        let bytes = self.bytes_lacking(&interest, message.applied);
+        if let Err(after_ms) = self.admit(&message.node, bytes, now_us) {
+            return Admission::RetryLater { after_ms };
+        }
+        self.last_id += 1;
+        let id = SubscriberId(self.last_id);
+        if !self.catch_up.is_small(bytes) {
+            self.catch_up.begin(id.0, bytes);
+        }
+        let subscriber = Subscriber {
+            node: message.node,
+            interest,
+            pacer: Pacer::new(message.bytes_per_second),
+            applied: message.applied,
+            rejected: None,
+            asked: BTreeSet::new(),
+            activity: Activity::Ready,
+        };
+        self.subscribers.insert(id, subscriber);
+        Admission::Accepted(id)
+    }
+
+    /// A store without anything has nothing to admit by: its subscribers come back once it has.
+    fn admit(&mut self, node: &str, bytes: u64, now_us: u64) -> Result<(), u64> {
+        let is_full = self.subscribers.len() >= self.limits.max_subscribers;
+        match is_full || self.is_without_state() {
+            true => Err(self.catch_up.defer(node, now_us)),
+            false => self.catch_up.admit(node, bytes, now_us),
+        }
+    }
+
+    fn is_without_state(&self) -> bool {
+        self.store.position().epoch == 0
+    }
+
+    fn refusal(&mut self, message: &Subscribe) -> Option<RefusedSubscriber> {
+        let count = message.scopes.len() + message.names.len();
+        let limit = self.limits.max_interest;
+        if message.version > PROTOCOL_VERSION {
+            return Some(RefusedSubscriber::UnknownVersion { version: message.version });
+        }
+        if count > limit {
+            return Some(RefusedSubscriber::TooManyNames { count, limit });
+        }
+        if !are_valid(&message.names) || message.scopes.iter().any(|scope| scope.len() > MAX_NAME_BYTES) {
+            return Some(RefusedSubscriber::InvalidName);
+        }
+        let own = self.store.position().epoch;
+        let heard = message.applied.map_or(0, |position| position.epoch).max(message.highest_epoch);
+        // A relay without state has no epoch of its own yet, and cannot be behind.
+        if heard > own && !self.is_without_state() {
+            self.store.heard_epoch(heard);
+            return Some(RefusedSubscriber::OlderEpoch { own, heard });
+        }
+        None
+    }
+
+    /// About how many bytes a subscriber lacks; at most a snapshot's.
+    fn bytes_lacking(&self, interest: &Interest, applied: Option<Position>) -> u64 {
+        let snapshot = self.store.snapshot_bytes(interest);
+        if applied.is_some_and(|applied| applied > self.store.position()) {
+            return 0;
+        }
+        let Start::Differences { after } = self.store.differences_from(applied) else { return snapshot };
+        let changes = self.store.changes_after(after, None).take(MAX_ESTIMATED_CHANGES + 1);
+        let (mut visited, mut bytes) = (0, 0);
+        for resource in changes {
+            visited += 1;
+            if interest.matches(&resource.name) {
+                bytes += resource.encoded_len() as u64;
+            }
+        }
+        if visited > MAX_ESTIMATED_CHANGES {
+            return snapshot;
+        }
+        bytes
+    }
+
+    /// A subscriber wants further single names, or no longer wants some. The next update answers those added. An error
+    /// means that nothing was taken over, and that the connection is to be ended.
+    pub fn watch(&mut self, id: SubscriberId, watch: &Watch) -> Result<(), RefusedSubscriber> {
+        let limit = self.limits.max_interest;
+        let Some(subscriber) = self.subscribers.get_mut(&id) else { return Ok(()) };
+        let interest = &subscriber.interest;
+        let count = interest.names.len() + interest.scopes.len() + watch.add.len();
+        if count.saturating_sub(watch.remove.len()) > limit {
+            return Err(RefusedSubscriber::TooManyNames { count, limit });
+        }
+        if !are_valid(&watch.add) {
+            return Err(RefusedSubscriber::InvalidName);
+        }
+        subscriber.interest.update(watch);
+        for name in &watch.remove {
+            subscriber.asked.remove(name);
+        }
+        subscriber.asked.extend(watch.add.iter().cloned());
+        Ok(())
+    }
+
+    /// A subscriber tells what became of an update.
+    pub fn report(&mut self, id: SubscriberId, report: Report) {
+        let Some(subscriber) = self.subscribers.get_mut(&id) else { return };
+        let in_force = Some(report.applied).filter(|position| position.epoch != 0);
+        let Some(mut rejection) = report.rejected else {
+            if subscriber.finish_applying(report.applied) {
+                self.rejections.remove(&subscriber.node);
+            }
+            return;
+        };
+        subscriber.reject(rejection.position, in_force);
+        rejection.node.clone_from(&subscriber.node);
+        self.rejections.add(rejection);
+        self.catch_up.end(id.0);
+    }
+
+    /// The connection of a subscriber has ended.
+    pub fn closed(&mut self, id: SubscriberId) {
+        self.subscribers.remove(&id);
+        self.catch_up.end(id.0);
+    }
+
+    /// What is to be done for a subscriber whose connection has room. No part is built before.
+    pub fn next(&mut self, id: SubscriberId, now_us: u64) -> Next {
+        self.begin_update(id);
+        let Some(subscriber) = self.subscribers.get_mut(&id) else { return Next::Idle };
+        let Activity::Receiving(progress) = &mut subscriber.activity else { return Next::Idle };
+        let mut free_at_us = subscriber.pacer.free_at_us();
+        if self.catch_up.is_admitted(id.0) {
+            free_at_us = free_at_us.max(self.catch_up.free_at_us());
+        }
+        if free_at_us > now_us && progress.rounds() <= MAX_PACED_ROUNDS {
+            return Next::Wait { until_us: free_at_us };
+        }
+        let built = progress.next_part(&self.store, &subscriber.interest, self.limits.chunk_bytes);
+        let Built::Part(update) = built else { return Next::Wait { until_us: now_us } };
+        let bytes = update.encoded_len();
+        subscriber.pacer.charge(bytes, now_us);
+        self.catch_up.charge(id.0, bytes, now_us);
+        if update.is_last {
+            subscriber.finish_receiving(update.position);
+            self.catch_up.end(id.0);
+        }
+        Next::Send(update)
+    }
+
+    /// Begins an update if the subscriber lacks anything, or begins anew if one under way cannot be completed.
+    fn begin_update(&mut self, id: SubscriberId) {
+        let Some(subscriber) = self.subscribers.get_mut(&id) else { return };
+        let lacks_something = subscriber.lacks_something(&self.store);
+        let progress = match &mut subscriber.activity {
+            Activity::Ready if lacks_something => {
+                let asked = std::mem::take(&mut subscriber.asked);
+                UpdateProgress::begin(&self.store, &subscriber.interest, subscriber.applied, asked)
+            }
+            Activity::Receiving(progress) if !progress.can_continue(&self.store) => {
+                let answers = progress.take_answers();
+                UpdateProgress::begin(&self.store, &subscriber.interest, None, answers)
+            }
+            _ => return,
+        };
+        let bytes = self.store.snapshot_bytes(&subscriber.interest);
+        if progress.is_snapshot() && !self.catch_up.is_small(bytes) {
+            self.catch_up.begin(id.0, bytes);
+        }
+        subscriber.activity = Activity::Receiving(progress);
+    }
+
+    /// How many subscribers have which position in force, and the latest rejections.
+    pub fn status(&self) -> RegionStatus {
+        let positions = self.subscribers.values().map(|subscriber| subscriber.applied.unwrap_or_default());
+        RegionStatus {
+            relay: self.name.clone(),
+            region: self.region.clone(),
+            in_force: count_positions(positions.map(|position| (position, 1))),
+            rejections: self.rejections.to_vec(),
+            position: self.store.position(),
+        }
+    }
+}
+
+fn are_valid(names: &[ResourceName]) -> bool {
+    names.iter().all(|name| name_problems(name).is_empty())
+}
+
+impl Subscriber {
+    fn lacks_something(&self, store: &Store) -> bool {
+        let head = store.position();
+        let is_rejected = self.rejected.is_some_and(|rejected| head <= rejected);
+        // A relay may be behind what the subscriber has from another one, or have no state yet.
+        let is_behind = head.epoch == 0 || self.applied.is_some_and(|applied| applied > head);
+        let is_current = self.applied == Some(head) && self.asked.is_empty();
+        !is_rejected && !is_behind && !is_current
+    }
+
+    fn finish_receiving(&mut self, position: Position) {
+        let answers = match &mut self.activity {
+            Activity::Receiving(progress) => progress.take_answers(),
+            _ => BTreeSet::new(),
+        };
+        self.activity = Activity::Applying { position, answers };
+    }
+
+    /// Whether the update that was sent is the one in force now.
+    fn finish_applying(&mut self, in_force: Position) -> bool {
+        let is_awaited =
+            matches!(&self.activity, Activity::Applying { position, .. } if *position == in_force);
+        if is_awaited {
+            self.applied = Some(in_force);
+            self.rejected = None;
+            self.activity = Activity::Ready;
+        }
+        is_awaited
+    }
+
+    /// The subscriber keeps what is `in_force`. It is sent nothing until there is something later than `position`.
+    fn reject(&mut self, position: Position, in_force: Option<Position>) {
+        self.applied = in_force;
+        self.rejected = self.rejected.max(Some(position));
+        match std::mem::replace(&mut self.activity, Activity::Ready) {
+            Activity::Ready => {}
+            Activity::Receiving(mut progress) => self.asked.extend(progress.take_answers()),
+            Activity::Applying { answers, .. } => self.asked.extend(answers),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-distribution/src/store.rs
@@ -0,0 +1,426 @@
+//! Decides what the state is: the newest value of each name, in which order names were changed, and from which positions
+//! differences can be told. Publishers, relays and nodes use the same store.
+
+use std::borrow::Borrow;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+use std::sync::Arc;
+
+use prost::Message;
+
+use crate::epochs::EpochHistory;
+use crate::interest::Interest;
+use crate::messages::{Position, Resource, ResourceName, Value};
+use crate::subscription::CompleteUpdate;
+use crate::validation::{change_problems, ChangeProblem, PublishError, RefusalReason};
+use crate::validation::{MAX_BATCH_CHANGES, MAX_REASONS};
+
+/// Bounds of a [`Store`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct StoreLimits {
+    /// The most deleted names remembered. Subscribers that were away for longer are sent a snapshot.
+    pub tombstones: usize,
+}
+
+impl Default for StoreLimits {
+    fn default() -> Self {
+        Self { tombstones: 20_000 }
+    }
+}
+
+/// What a durable log records: changes made together at one revision, and what they replaced.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Batch {
+    pub position: Position,
+    pub resources: Vec<Resource>,
+    /// The value that each of `resources` had before, in the same order; none where there was no such resource.
+    pub previous: Vec<Option<Value>>,
+}
+
+/// What a subscriber has to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// What was changed after this revision.
+    Differences { after: u64 },
+    /// All that it wants.
+    Snapshot,
+}
+
+/// Why an update or a recorded batch wasn't applied. The store is as it was.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ApplyError {
+    #[error("the update leads to {update:?}, older than {applied:?}")]
+    OlderPosition { applied: Position, update: Position },
+    #[error("the batch of {batch:?} does not follow {applied:?}")]
+    OutOfOrder { applied: Position, batch: Position },
+}
+
+/// A resource in the order of names.
+#[derive(Clone, Debug)]
+struct ByName(Arc<Resource>);
+
+impl Borrow<ResourceName> for ByName {
+    fn borrow(&self) -> &ResourceName {
+        &self.0.name
+    }
+}
+
+impl PartialEq for ByName {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.name == other.0.name
+    }
+}
+
+impl Eq for ByName {}
+
+impl PartialOrd for ByName {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for ByName {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.name.cmp(&other.0.name)
+    }
+}
+
+/// A resource in the order of revisions, and of names within a revision.
+#[derive(Clone, Debug)]
+struct ByRevision(Arc<Resource>);
+
+impl ByRevision {
+    /// What compares as a resource of `name` at `revision` would.
+    fn probe(revision: u64, name: ResourceName) -> Self {
+        Self(Arc::new(Resource { name, revision, value: None }))
+    }
+}
+
+impl PartialEq for ByRevision {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for ByRevision {}
+
+impl PartialOrd for ByRevision {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for ByRevision {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_revision = self.0.revision.cmp(&other.0.revision);
+        by_revision.then_with(|| self.0.name.cmp(&other.0.name))
+    }
+}
+
+/// The newest value of each name. A resource is held once, shared by all indexes and by updates under way.
+#[derive(Clone, Debug)]
+pub struct Store {
+    limits: StoreLimits,
+    epochs: EpochHistory,
+    highest_epoch: u64,
+    revision: u64,
+    /// Differences are complete from this revision on; deletions before it may be forgotten.
+    horizon: u64,
+    names: BTreeSet<ByName>,
+    changes: BTreeSet<ByRevision>,
+    tombstones: BTreeSet<ByRevision>,
+    scope_bytes: BTreeMap<String, u64>,
+    total_bytes: u64,
+}
+
+impl Store {
+    /// An empty store. A relay or node that has heard of nothing yet begins at epoch 0, a publisher at 1 or above.
+    pub fn new(epoch: u64, limits: StoreLimits) -> Self {
+        Self {
+            limits,
+            epochs: EpochHistory::new(epoch),
+            highest_epoch: epoch,
+            revision: 0,
+            horizon: 0,
+            names: BTreeSet::new(),
+            changes: BTreeSet::new(),
+            tombstones: BTreeSet::new(),
+            scope_bytes: BTreeMap::new(),
+            total_bytes: 0,
+        }
+    }
+
+    /// The position of the last change.
+    pub fn position(&self) -> Position {
+        Position { epoch: self.epochs.current(), revision: self.revision }
+    }
+
+    /// The highest epoch heard of, here or elsewhere.
+    pub fn highest_epoch(&self) -> u64 {
+        self.highest_epoch
+    }
+
+    /// Whether another publisher has taken over, so that this store accepts no changes.
+    pub fn is_fenced(&self) -> bool {
+        self.highest_epoch > self.epochs.current()
+    }
+
+    /// The oldest revision from which differences are complete.
+    pub fn horizon(&self) -> u64 {
+        self.horizon
+    }
+
+    /// The resource of `name`, if there is one and it is not deleted.
+    pub fn get(&self, name: &ResourceName) -> Option<&Resource> {
+        self.newest(name).map(Arc::as_ref).filter(|resource| resource.value.is_some())
+    }
+
+    /// The newest change of `name`, which may be its deletion.
+    pub fn newest(&self, name: &ResourceName) -> Option<&Arc<Resource>> {
+        self.names.get(name).map(|held| &held.0)
+    }
+
+    /// How many resources there are, without deleted ones.
+    pub fn len(&self) -> usize {
+        self.names.len() - self.tombstones.len()
+    }
+
+    /// Whether there are no resources.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// How many deleted names are remembered.
+    pub fn tombstone_count(&self) -> usize {
+        self.tombstones.len()
+    }
+
+    /// All resources in the order of their names, without deleted ones.
+    pub fn iter(&self) -> impl Iterator<Item = &Resource> {
+        self.names.iter().map(|held| held.0.as_ref()).filter(|resource| resource.value.is_some())
+    }
+
+    /// The newest changes of names from `from` on, in the order of names, deletions included.
+    pub(crate) fn names_from(&self, from: Bound<&ResourceName>) -> impl Iterator<Item = &Arc<Resource>> {
+        self.names.range::<ResourceName, _>((from, Bound::Unbounded)).map(|held| &held.0)
+    }
+
+    /// The changes after `revision`, or after `name` within it, in the order of revisions.
+    pub(crate) fn changes_after(
+        &self,
+        revision: u64,
+        name: Option<&ResourceName>,
+    ) -> impl Iterator<Item = &Arc<Resource>> {
+        let from = match name {
+            Some(name) => Bound::Excluded(ByRevision::probe(revision, name.clone())),
+            None => Bound::Included(ByRevision::probe(revision.saturating_add(1), ResourceName::default())),
+        };
+        self.changes.range((from, Bound::Unbounded)).map(|held| &held.0)
+    }
+
+    /// The encoded size of all that `interest` matches, deletions included.
+    pub(crate) fn snapshot_bytes(&self, interest: &Interest) -> u64 {
+        if interest.everything {
+            return self.total_bytes;
+        }
+        let of_scopes = interest.scopes.iter().filter_map(|scope| self.scope_bytes.get(scope)).sum::<u64>();
+        let names = interest.names.iter().filter_map(|name| self.newest(name));
+        of_scopes + names.map(|resource| resource.encoded_len() as u64).sum::<u64>()
+    }
+
+    /// Applies `changes` together at a new revision, or refuses them all. `expected` is the position that the caller
+    /// took the state to be at.
+    pub fn publish(
+        &mut self,
+        changes: &[Resource],
+        expected: Option<Position>,
+    ) -> Result<Batch, PublishError> {
+        let reasons = self.refusal_reasons(changes, expected);
+        if !reasons.is_empty() {
+            return Err(PublishError { reasons });
+        }
+        let position = Position { epoch: self.epochs.current(), revision: self.revision + 1 };
+        let previous =
+            changes.iter().map(|change| self.get(&change.name).and_then(|held| held.value.clone()));
+        let previous = previous.collect();
+        let at_revision = |change: &Resource| Resource { revision: position.revision, ..change.clone() };
+        let batch = Batch { position, resources: changes.iter().map(at_revision).collect(), previous };
+        self.apply_batch(&batch);
+        Ok(batch)
+    }
+
+    fn refusal_reasons(&self, changes: &[Resource], expected: Option<Position>) -> Vec<RefusalReason> {
+        let mut reasons = Vec::new();
+        let actual = self.position();
+        if self.is_fenced() {
+            reasons.push(RefusalReason::Fenced { own: actual.epoch, heard: self.highest_epoch });
+        }
+        if let Some(expected) = expected.filter(|expected| *expected != actual) {
+            reasons.push(RefusalReason::UnexpectedPosition { expected, actual });
+        }
+        if changes.is_empty() {
+            reasons.push(RefusalReason::EmptyBatch);
+        }
+        if changes.len() > MAX_BATCH_CHANGES {
+            reasons.push(RefusalReason::TooManyChanges { changes: changes.len() });
+        }
+        self.check_changes(changes, &mut reasons);
+        reasons
+    }
+
+    fn check_changes(&self, changes: &[Resource], reasons: &mut Vec<RefusalReason>) {
+        let mut seen = BTreeSet::new();
+        for (index, change) in changes.iter().enumerate() {
+            let mut problems = change_problems(change);
+            if !seen.insert(&change.name) {
+                problems.push(ChangeProblem::DuplicateName);
+            }
+            if change.value.is_none() && self.get(&change.name).is_none() {
+                problems.push(ChangeProblem::DeletesMissing);
+            }
+            reasons
+                .extend(problems.into_iter().map(|problem| RefusalReason::InvalidChange { index, problem }));
+            if reasons.len() >= MAX_REASONS {
+                reasons.truncate(MAX_REASONS);
+                return;
+            }
+        }
+    }
+
+    fn apply_batch(&mut self, batch: &Batch) {
+        self.revision = batch.position.revision;
+        for resource in &batch.resources {
+            self.insert(Arc::new(resource.clone()));
+        }
+        self.forget_tombstones();
+    }
+
+    /// Applies a recorded batch at restart. Batches must come in their order.
+    pub fn replay(&mut self, batch: &Batch) -> Result<(), ApplyError> {
+        let applied = self.position();
+        let begins_epoch = batch.position.epoch > applied.epoch;
+        let follows = match batch.resources.is_empty() {
+            true => begins_epoch && batch.position.revision == self.revision,
+            false => batch.position.epoch >= applied.epoch && batch.position.revision == self.revision + 1,
+        };
+        if !follows {
+            return Err(ApplyError::OutOfOrder { applied, batch: batch.position });
+        }
+        if begins_epoch {
+            self.epochs.begin(batch.position.epoch, self.revision);
+            self.heard_epoch(batch.position.epoch);
+        }
+        self.apply_batch(batch);
+        Ok(())
+    }
+
+    /// This publisher takes over: an epoch above all heard of begins. The batch returned has no changes; it is to be
+    /// recorded before anything is published, so that the epoch is not used again after a restart.
+    pub fn new_epoch(&mut self) -> Batch {
+        let epoch = self.highest_epoch + 1;
+        self.epochs.begin(epoch, self.revision);
+        self.highest_epoch = epoch;
+        Batch { position: self.position(), resources: Vec::new(), previous: Vec::new() }
+    }
+
+    /// There is a publisher of `epoch`. If that is above this store's, [`publish`](Self::publish) refuses from now on.
+    pub fn heard_epoch(&mut self, epoch: u64) {
+        self.highest_epoch = self.highest_epoch.max(epoch);
+    }
+
+    /// Applies a complete update, all of it or nothing. It never leads to an older position. Names in `absent` are
+    /// dropped before `resources` are added, and a snapshot replaces everything.
+    pub fn apply(&mut self, update: &CompleteUpdate) -> Result<(), ApplyError> {
+        let applied = self.position();
+        if update.position < applied {
+            return Err(ApplyError::OlderPosition { applied, update: update.position });
+        }
+        if update.is_snapshot {
+            self.clear_for_snapshot(update);
+        } else if update.position.epoch > applied.epoch {
+            // Where exactly the epoch began is not known here. From the position before it is safe.
+            self.epochs.begin(update.position.epoch, applied.revision);
+        }
+        self.heard_epoch(update.position.epoch);
+        self.revision = update.position.revision;
+        for name in &update.absent {
+            self.forget(name);
+        }
+        for resource in &update.resources {
+            self.insert(Arc::clone(resource));
+        }
+        self.forget_tombstones();
+        Ok(())
+    }
+
+    fn clear_for_snapshot(&mut self, update: &CompleteUpdate) {
+        let highest_epoch = self.highest_epoch;
+        *self = Self::new(update.position.epoch, self.limits);
+        self.highest_epoch = highest_epoch.max(update.position.epoch);
+        self.horizon = update.horizon;
+    }
+
+    /// Drops `name` without a trace, as it is no longer watched and its value would go stale.
+    pub fn forget(&mut self, name: &ResourceName) {
+        if let Some(held) = self.names.take(name) {
+            self.unlink(&held.0);
+        }
+    }
+
+    fn insert(&mut self, resource: Arc<Resource>) {
+        if let Some(held) = self.names.replace(ByName(Arc::clone(&resource))) {
+            self.unlink(&held.0);
+        }
+        let bytes = resource.encoded_len() as u64;
+        self.total_bytes += bytes;
+        match self.scope_bytes.get_mut(&resource.name.scope) {
+            Some(sum) => *sum += bytes,
+            None => drop(self.scope_bytes.insert(resource.name.scope.clone(), bytes)),
+        }
+        if resource.value.is_none() {
+            self.tombstones.insert(ByRevision(Arc::clone(&resource)));
+        }
+        self.changes.insert(ByRevision(resource));
+    }
+
+    /// Takes a resource that is no longer in `names` out of the other indexes.
+    fn unlink(&mut self, resource: &Arc<Resource>) {
+        let key = ByRevision(Arc::clone(resource));
+        self.changes.remove(&key);
+        if resource.value.is_none() {
+            self.tombstones.remove(&key);
+        }
+        let bytes = resource.encoded_len() as u64;
+        self.total_bytes -= bytes;
+        if let Some(sum) = self.scope_bytes.get_mut(&resource.name.scope) {
+            *sum -= bytes;
+            if *sum == 0 {
+                self.scope_bytes.remove(&resource.name.scope);
+            }
+        }
+    }
+
+    fn forget_tombstones(&mut self) {
+        while self.tombstones.len() > self.limits.tombstones {
+            let Some(oldest) = self.tombstones.first().cloned() else { return };
+            self.horizon = self.horizon.max(oldest.0.revision);
+            self.forget(&oldest.0.name);
+        }
+    }
+
+    /// What a subscriber that has applied `applied` is to be sent. Differences are told only from positions on this
+    /// store's line that are neither before its horizon nor after its own revision.
+    pub fn differences_from(&self, applied: Option<Position>) -> Start {
+        match applied {
+            Some(position)
+                if self.epochs.contains(position)
+                    && position.revision >= self.horizon
+                    && position.revision <= self.revision =>
+            {
+                Start::Differences { after: position.revision }
+            }
+            _ => Start::Snapshot,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-distribution/src/update_builder.rs
@@ -0,0 +1,313 @@
+//! Decides what the next part of an update holds. An update under way is a cursor into the store, so that the memory held
+//! for it doesn't grow with what is changed or with what is to be sent.
+
+use std::collections::BTreeSet;
+use std::ops::Bound;
+
+use prost::encoding::encoded_len_varint;
+use prost::Message;
+
+use crate::interest::Interest;
+use crate::messages::{Position, Resource, ResourceKind, ResourceName, Update};
+use crate::store::{Start, Store};
+use crate::subscription::extend_checksum;
+
+/// Bytes of a part apart from its resources and names.
+const PART_OVERHEAD_BYTES: usize = 128;
+/// The smallest part that holds any one resource.
+pub(crate) const MIN_CHUNK_BYTES: usize = 4_096;
+/// The most resources looked at for one part, so that one call doesn't hold others up.
+const MAX_VISITED: usize = 20_000;
+/// Kinds in the order in which the store holds them.
+const KINDS: [ResourceKind; 4] =
+    [ResourceKind::Route, ResourceKind::Quota, ResourceKind::Endpoint, ResourceKind::Limit];
+
+/// What the builder found to send.
+#[derive(Debug)]
+pub(crate) enum Built {
+    Part(Update),
+    /// Nothing yet, as many resources were passed over that the subscriber doesn't want. Ask again at once.
+    Unfinished,
+}
+
+/// Where an update stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Stage {
+    /// Watched names are answered, from this one on.
+    Answers { from: Option<ResourceName> },
+    /// A snapshot's resources in the order of names. Those changed after it began are left to the changes.
+    Names { range: usize, after: Option<ResourceName> },
+    /// Changes in the order of revisions, after this name within the cursor's revision.
+    Changes { after: Option<ResourceName> },
+}
+
+/// An update under way for one subscriber.
+///
+/// Changes are walked in rounds: each goes to the head that the store had when the round began. A resource that is
+/// changed meanwhile moves behind the target and comes, at its newest revision, in the next round. The update ends when a
+/// round ends at the head, and so holds whole batches only. A round has only what was changed during the one before, so
+/// rounds end as soon as less is changed than can be sent.
+#[derive(Clone, Debug)]
+pub(crate) struct UpdateProgress {
+    base: Option<Position>,
+    is_snapshot: bool,
+    part: u32,
+    checksum: u32,
+    stage: Stage,
+    /// All that was changed up to this revision is sent, apart from what `stage` leaves open.
+    cursor: u64,
+    /// The head when the round began.
+    target: Position,
+    rounds: u32,
+    answers: BTreeSet<ResourceName>,
+}
+
+impl UpdateProgress {
+    /// An update from `applied` to the head of `store`, with answers to the names `asked`.
+    pub(crate) fn begin(
+        store: &Store,
+        interest: &Interest,
+        applied: Option<Position>,
+        mut asked: BTreeSet<ResourceName>,
+    ) -> Self {
+        let target = store.position();
+        let start = store.differences_from(applied);
+        let (cursor, base) = match start {
+            Start::Differences { after } => (after, applied),
+            Start::Snapshot => (target.revision, None),
+        };
+        let is_snapshot = start == Start::Snapshot;
+        if is_snapshot {
+            asked.extend(interest.names.iter().cloned());
+        }
+        let stage = Stage::Answers { from: None };
+        Self { base, is_snapshot, part: 0, checksum: 0, stage, cursor, target, rounds: 0, answers: asked }
+    }
+
+    pub(crate) fn is_snapshot(&self) -> bool {
+        self.is_snapshot
+    }
+
+    /// How often the head had moved on when a round ended.
+    pub(crate) fn rounds(&self) -> u32 {
+        self.rounds
+    }
+
+    /// Takes out the names that the update answers, as it ends.
+    pub(crate) fn take_answers(&mut self) -> BTreeSet<ResourceName> {
+        std::mem::take(&mut self.answers)
+    }
+
+    /// Whether the store can still complete this update: neither has it gone to another line of changes, nor has it
+    /// forgotten deletions that were not sent.
+    pub(crate) fn can_continue(&self, store: &Store) -> bool {
+        let is_within_revision = matches!(self.stage, Stage::Changes { after: Some(_) });
+        let revision = self.cursor - u64::from(is_within_revision);
+        let reached = Position { epoch: self.target.epoch, revision };
+        store.position() >= self.target && store.differences_from(Some(reached)) != Start::Snapshot
+    }
+
+    /// Builds the next part of at most `chunk_bytes`.
+    pub(crate) fn next_part(&mut self, store: &Store, interest: &Interest, chunk_bytes: usize) -> Built {
+        let mut part = PartBuilder::new(chunk_bytes);
+        let is_last = self.fill(store, interest, &mut part);
+        if !is_last && part.is_empty() {
+            return Built::Unfinished;
+        }
+        for resource in &part.resources {
+            self.checksum = extend_checksum(self.checksum, resource);
+        }
+        let number = self.part;
+        self.part += 1;
+        let is_first = number == 0;
+        Built::Part(Update {
+            position: self.target,
+            is_snapshot: is_first && self.is_snapshot,
+            resources: part.resources,
+            absent: part.absent,
+            is_last,
+            part: number,
+            checksum: if is_last { self.checksum } else { 0 },
+            base: self.base.filter(|_| is_first),
+            horizon: self.horizon(store, interest, is_last),
+        })
+    }
+
+    fn horizon(&self, store: &Store, interest: &Interest, is_last: bool) -> u64 {
+        match (is_last && self.is_snapshot, interest.everything) {
+            (false, _) => 0,
+            (true, true) => store.horizon(),
+            // Deletions were not sent.
+            (true, false) => self.target.revision,
+        }
+    }
+
+    /// Adds what fits, and tells whether the update is complete with it.
+    fn fill(&mut self, store: &Store, interest: &Interest, part: &mut PartBuilder) -> bool {
+        loop {
+            let is_stage_done = match self.stage.clone() {
+                Stage::Answers { from } => self.fill_answers(store, from, part),
+                Stage::Names { range, after } => self.fill_names(store, interest, range, after, part),
+                Stage::Changes { after } => self.fill_changes(store, interest, after, part),
+            };
+            if !is_stage_done {
+                return false;
+            }
+            if self.next_stage(store) {
+                return true;
+            }
+        }
+    }
+
+    /// Goes on after a stage is done, and tells whether that was the last.
+    fn next_stage(&mut self, store: &Store) -> bool {
+        match self.stage {
+            Stage::Answers { .. } if self.is_snapshot => self.stage = Stage::Names { range: 0, after: None },
+            Stage::Answers { .. } | Stage::Names { .. } => self.stage = Stage::Changes { after: None },
+            Stage::Changes { .. } => {
+                self.cursor = self.target.revision;
+                if self.target == store.position() {
+                    return true;
+                }
+                self.target = store.position();
+                self.rounds += 1;
+                self.stage = Stage::Changes { after: None };
+            }
+        }
+        false
+    }
+
+    fn fill_answers(&mut self, store: &Store, from: Option<ResourceName>, part: &mut PartBuilder) -> bool {
+        let start = from.as_ref().map_or(Bound::Unbounded, Bound::Included);
+        for name in self.answers.range::<ResourceName, _>((start, Bound::Unbounded)) {
+            let has_room = match store.newest(name) {
+                // It comes with the changes.
+                Some(resource) if resource.revision > self.cursor => true,
+                Some(resource) if resource.value.is_some() => part.add_resource(resource),
+                _ => part.add_absent(name),
+            };
+            if !has_room {
+                self.stage = Stage::Answers { from: Some(name.clone()) };
+                return false;
+            }
+        }
+        true
+    }
+
+    fn fill_names(
+        &mut self,
+        store: &Store,
+        interest: &Interest,
+        first_range: usize,
+        mut after: Option<ResourceName>,
+        part: &mut PartBuilder,
+    ) -> bool {
+        for (range, (kind, scope)) in snapshot_ranges(interest).into_iter().enumerate().skip(first_range) {
+            let begin = ResourceName::new(kind, scope.unwrap_or_default(), "");
+            let start = after.as_ref().map_or(Bound::Included(&begin), Bound::Excluded);
+            let mut last = None;
+            let is_in_range =
+                |name: &ResourceName| scope.is_none_or(|scope| name.kind() == kind && name.scope == scope);
+            for resource in store.names_from(start).take_while(|resource| is_in_range(&resource.name)) {
+                let is_wanted = resource.revision <= self.cursor
+                    && (resource.value.is_some() || interest.everything)
+                    && !self.answers.contains(&resource.name);
+                if !part.visit() || (is_wanted && !part.add_resource(resource)) {
+                    self.stage = Stage::Names { range, after: last.or(after.as_ref()).cloned() };
+                    return false;
+                }
+                last = Some(&resource.name);
+            }
+            after = None;
+        }
+        true
+    }
+
+    fn fill_changes(
+        &mut self,
+        store: &Store,
+        interest: &Interest,
+        after: Option<ResourceName>,
+        part: &mut PartBuilder,
+    ) -> bool {
+        let from = self.cursor;
+        let mut last: Option<&ResourceName> = after.as_ref();
+        for resource in store.changes_after(from, after.as_ref()) {
+            if resource.revision > self.target.revision {
+                break;
+            }
+            let is_wanted = interest.matches(&resource.name);
+            if !part.visit() || (is_wanted && !part.add_resource(resource)) {
+                self.stage = Stage::Changes { after: last.cloned() };
+                return false;
+            }
+            self.cursor = resource.revision;
+            last = Some(&resource.name);
+        }
+        true
+    }
+}
+
+/// The ranges of names that a snapshot goes through, in this order. No scope stands for all kinds and scopes.
+fn snapshot_ranges(interest: &Interest) -> Vec<(ResourceKind, Option<&str>)> {
+    if interest.everything {
+        return vec![(ResourceKind::Unknown, None)];
+    }
+    let of_kind = |kind| interest.scopes.iter().map(move |scope| (kind, Some(scope.as_str())));
+    KINDS.into_iter().flat_map(of_kind).collect()
+}
+
+/// The encoded size of a message as a field of another one.
+fn field_len(message_len: usize) -> usize {
+    1 + encoded_len_varint(message_len as u64) + message_len
+}
+
+/// Gathers resources and names up to a size.
+struct PartBuilder {
+    resources: Vec<Resource>,
+    absent: Vec<ResourceName>,
+    bytes_left: usize,
+    visits_left: usize,
+}
+
+impl PartBuilder {
+    fn new(chunk_bytes: usize) -> Self {
+        let bytes_left = chunk_bytes.max(MIN_CHUNK_BYTES) - PART_OVERHEAD_BYTES;
+        Self { resources: Vec::new(), absent: Vec::new(), bytes_left, visits_left: MAX_VISITED }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.resources.is_empty() && self.absent.is_empty()
+    }
+
+    /// Whether a further resource may be looked at.
+    fn visit(&mut self) -> bool {
+        let may_visit = self.visits_left > 0;
+        self.visits_left = self.visits_left.saturating_sub(1);
+        may_visit
+    }
+
+    fn add_resource(&mut self, resource: &Resource) -> bool {
+        let has_room = self.take(field_len(resource.encoded_len()));
+        if has_room {
+            self.resources.push(resource.clone());
+        }
+        has_room
+    }
+
+    fn add_absent(&mut self, name: &ResourceName) -> bool {
+        let has_room = self.take(field_len(name.encoded_len()));
+        if has_room {
+            self.absent.push(name.clone());
+        }
+        has_room
+    }
+
+    fn take(&mut self, bytes: usize) -> bool {
+        let has_room = bytes <= self.bytes_left;
+        if has_room {
+            self.bytes_left -= bytes;
+        }
+        has_room
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-distribution/src/validation.rs
@@ -0,0 +1,167 @@
+//! Decides which changes a publisher accepts. The checks look at one change at a time; what depends on the state of the
+//! store is checked there.
+
+use crate::messages::{Position, Resource, ResourceKind, ResourceName, Route, Value};
+
+/// The most changes in one batch, so that no batch delays other updates for long.
+pub const MAX_BATCH_CHANGES: usize = 5_000;
+/// The longest scope, name or other short text, in bytes.
+pub const MAX_NAME_BYTES: usize = 256;
+/// The longest path of a route, in bytes.
+pub const MAX_PATH_BYTES: usize = 1_024;
+/// The most reasons that a refusal lists.
+pub const MAX_REASONS: usize = 100;
+
+/// A batch was refused whole. Nothing of it was applied.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[error("batch refused: {}", list(reasons))]
+pub struct PublishError {
+    /// Every reason that was found, at most [`MAX_REASONS`].
+    pub reasons: Vec<RefusalReason>,
+}
+
+impl PublishError {
+    /// The reasons as text, as the message `Refused` carries them.
+    pub fn texts(&self) -> Vec<String> {
+        self.reasons.iter().map(ToString::to_string).collect()
+    }
+}
+
+/// One reason for which a batch is refused.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum RefusalReason {
+    #[error("the batch is empty")]
+    EmptyBatch,
+    #[error("the batch has {changes} changes, more than {MAX_BATCH_CHANGES}")]
+    TooManyChanges { changes: usize },
+    #[error("a publisher of epoch {heard} has taken over from this one of epoch {own}")]
+    Fenced { own: u64, heard: u64 },
+    #[error("the state is at {actual:?}, not at the expected {expected:?}")]
+    UnexpectedPosition { expected: Position, actual: Position },
+    #[error("change {index}: {problem}")]
+    InvalidChange { index: usize, problem: ChangeProblem },
+}
+
+/// What is wrong with one change of a batch.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ChangeProblem {
+    #[error("the kind {kind} is unknown")]
+    UnknownKind { kind: i32 },
+    #[error("{field} is empty")]
+    EmptyText { field: &'static str },
+    #[error("{field} has {bytes} bytes, more than {limit}")]
+    TextTooLong { field: &'static str, bytes: usize, limit: usize },
+    #[error("{field} has control characters")]
+    ControlCharacters { field: &'static str },
+    #[error("the value is a {value:?}, but the name is of a {name:?}")]
+    WrongKindOfValue { name: ResourceKind, value: ResourceKind },
+    #[error("{field} is not a finite number of zero or more")]
+    InvalidNumber { field: &'static str },
+    #[error("the same name is in the batch twice")]
+    DuplicateName,
+    #[error("there is no such resource to delete")]
+    DeletesMissing,
+}
+
+fn list(reasons: &[RefusalReason]) -> String {
+    reasons.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+}
+
+/// Everything that is wrong with `change` by itself.
+pub(crate) fn change_problems(change: &Resource) -> Vec<ChangeProblem> {
+    let mut problems = name_problems(&change.name);
+    if let Some(value) = &change.value {
+        check_value_kind(&change.name, value, &mut problems);
+        check_value(value, &mut problems);
+    }
+    problems
+}
+
+/// Everything that is wrong with `name`.
+pub(crate) fn name_problems(name: &ResourceName) -> Vec<ChangeProblem> {
+    let mut problems = Vec::new();
+    if name.kind() == ResourceKind::Unknown {
+        problems.push(ChangeProblem::UnknownKind { kind: name.kind });
+    }
+    check_text("scope", &name.scope, MAX_NAME_BYTES, &mut problems);
+    check_filled_text("name", &name.name, MAX_NAME_BYTES, &mut problems);
+    problems
+}
+
+fn check_value_kind(name: &ResourceName, value: &Value, problems: &mut Vec<ChangeProblem>) {
+    let (name, value) = (name.kind(), value.kind());
+    if name != ResourceKind::Unknown && name != value {
+        problems.push(ChangeProblem::WrongKindOfValue { name, value });
+    }
+}
+
+fn check_value(value: &Value, problems: &mut Vec<ChangeProblem>) {
+    match value {
+        Value::Route(route) => check_route(route, problems),
+        Value::Quota(quota) => check_number("quota", quota.per_second, problems),
+        Value::Endpoint(endpoint) => {
+            check_number("weight", endpoint.weight, problems);
+            check_text("zone", &endpoint.zone, MAX_NAME_BYTES, problems);
+        }
+        Value::Limit(limit) => check_number("limit", limit.amount, problems),
+    }
+}
+
+fn check_route(route: &Route, problems: &mut Vec<ChangeProblem>) {
+    check_filled_text("HTTP method", &route.http_method, MAX_NAME_BYTES, problems);
+    check_filled_text("path", &route.path, MAX_PATH_BYTES, problems);
+    check_filled_text("method", &route.method, MAX_NAME_BYTES, problems);
+}
+
+fn check_filled_text(field: &'static str, text: &str, limit: usize, problems: &mut Vec<ChangeProblem>) {
+    if text.is_empty() {
+        problems.push(ChangeProblem::EmptyText { field });
+    }
+    check_text(field, text, limit, problems);
+}
+
+fn check_text(field: &'static str, text: &str, limit: usize, problems: &mut Vec<ChangeProblem>) {
+    if text.len() > limit {
+        problems.push(ChangeProblem::TextTooLong { field, bytes: text.len(), limit });
+    }
+    if text.chars().any(char::is_control) {
+        problems.push(ChangeProblem::ControlCharacters { field });
+    }
+}
+
+fn check_number(field: &'static str, number: f64, problems: &mut Vec<ChangeProblem>) {
+    if !number.is_finite() || number < 0.0 {
+        problems.push(ChangeProblem::InvalidNumber { field });
+    }
+}
+
+impl Value {
+    /// The kind of name that this value belongs to.
+    pub fn kind(&self) -> ResourceKind {
+        match self {
+            Value::Route(_) => ResourceKind::Route,
+            Value::Quota(_) => ResourceKind::Quota,
+            Value::Endpoint(_) => ResourceKind::Endpoint,
+            Value::Limit(_) => ResourceKind::Limit,
+        }
+    }
+}
+
+impl ResourceName {
+    /// The name of a resource of `kind` in `scope`.
+    pub fn new(kind: ResourceKind, scope: impl Into<String>, name: impl Into<String>) -> Self {
+        Self { kind: kind as i32, scope: scope.into(), name: name.into() }
+    }
+}
+
+impl Resource {
+    /// A change that sets `value`. The store gives it its revision.
+    pub fn set(name: ResourceName, value: Value) -> Self {
+        Self { name, revision: 0, value: Some(value) }
+    }
+
+    /// A change that deletes `name`. The store gives it its revision.
+    pub fn delete(name: ResourceName) -> Self {
+        Self { name, revision: 0, value: None }
+    }
+}
