Names watched on demand, and a node's choice among its relays

A node holds only the tenants that it serves, and must not go to the same relay as all others after a failure. DemandSet bounds the names that are watched, RelayChoice orders relays by a rendezvous hash and backs off.

--- /dev/null
+++ b/crates/ochrewalk-distribution/src/demand.rs
@@ -0,0 +1,123 @@
+//! Decides which single names a node watches: those that it used, the least recently used going first once there are too
+//! many.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::messages::{ResourceName, Watch};
+use crate::subscription::CompleteUpdate;
+
+/// What is known of a name that was used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum DemandState {
+    /// It was asked for, and no answer has been applied: the caller's default holds.
+    Asked,
+    /// There is a value, which the store has.
+    Present,
+    /// There is nothing of this name: the default holds.
+    Absent,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Entry {
+    state: DemandState,
+    used_us: u64,
+}
+
+/// The names that a node watches because it used them; at most a given number.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct DemandSet {
+    limit: usize,
+    entries: BTreeMap<ResourceName, Entry>,
+    /// The same names, the least recently used first.
+    by_use: BTreeSet<(u64, ResourceName)>,
+}
+
+impl DemandSet {
+    /// An empty set that holds up to `limit` names, and at least one.
+    pub fn new(limit: usize) -> Self {
+        Self { limit: limit.max(1), entries: BTreeMap::new(), by_use: BTreeSet::new() }
+    }
+
+    /// How many names are watched.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no names are watched.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The names watched, in their order.
+    pub fn names(&self) -> impl Iterator<Item = &ResourceName> {
+        self.entries.keys()
+    }
+
+    /// What is known of `name`; none where it is not watched.
+    pub fn state(&self, name: &ResourceName) -> Option<DemandState> {
+        self.entries.get(name).map(|entry| entry.state)
+    }
+
+    /// `name` is used. If it was not watched before, the watch returned is to be sent, and what it removes is to be
+    /// forgotten by the store.
+    pub fn want(&mut self, name: &ResourceName, now_us: u64) -> Option<Watch> {
+        if let Some(entry) = self.entries.get_mut(name) {
+            let last_us = std::mem::replace(&mut entry.used_us, now_us);
+            self.move_in_order(name, last_us, now_us);
+            return None;
+        }
+        let remove = self.make_room();
+        self.add(name, DemandState::Asked, now_us);
+        Some(Watch { add: vec![name.clone()], remove })
+    }
+
+    /// `name` is watched since before a restart, and its answer is part of the saved state.
+    pub fn restore(&mut self, name: &ResourceName, is_present: bool, now_us: u64) {
+        let has_room = self.entries.len() < self.limit;
+        if has_room && !self.entries.contains_key(name) {
+            let state = if is_present { DemandState::Present } else { DemandState::Absent };
+            self.add(name, state, now_us);
+        }
+    }
+
+    fn add(&mut self, name: &ResourceName, state: DemandState, now_us: u64) {
+        self.entries.insert(name.clone(), Entry { state, used_us: now_us });
+        self.by_use.insert((now_us, name.clone()));
+    }
+
+    fn move_in_order(&mut self, name: &ResourceName, last_us: u64, now_us: u64) {
+        if last_us == now_us {
+            return;
+        }
+        self.by_use.remove(&(last_us, name.clone()));
+        self.by_use.insert((now_us, name.clone()));
+    }
+
+    fn make_room(&mut self) -> Vec<ResourceName> {
+        let mut removed = Vec::new();
+        while self.entries.len() >= self.limit {
+            let Some((_, name)) = self.by_use.pop_first() else { break };
+            self.entries.remove(&name);
+            removed.push(name);
+        }
+        removed
+    }
+
+    /// An update was applied: it may answer or change watched names.
+    pub fn applied(&mut self, update: &CompleteUpdate) {
+        for name in &update.absent {
+            self.set_state(name, DemandState::Absent);
+        }
+        for resource in &update.resources {
+            let is_present = resource.value.is_some();
+            let state = if is_present { DemandState::Present } else { DemandState::Absent };
+            self.set_state(&resource.name, state);
+        }
+    }
+
+    fn set_state(&mut self, name: &ResourceName, state: DemandState) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.state = state;
+        }
+    }
+}
--- a/crates/ochrewalk-distribution/src/lib.rs
+++ b/crates/ochrewalk-distribution/src/lib.rs
@@ -36,10 +36,12 @@
 //! ```
 
 mod admission;
+mod demand;
 mod epochs;
 mod interest;
 pub mod messages;
 mod pacing;
+mod relay_choice;
 mod rollback;
 mod server;
 mod status;
@@ -49,7 +51,9 @@
 mod validation;
 
 pub use admission::CatchUpLimits;
+pub use demand::{DemandSet, DemandState};
 pub use interest::Interest;
+pub use relay_choice::{Choice, NoRelays, RelayChoice, RelayChoiceLimits};
 pub use rollback::{rollback_changes, RollbackError};
 pub use server::{Admission, Next, RefusedSubscriber, Server, ServerLimits, SubscriberId};
 pub use status::merge;
--- /dev/null
+++ b/crates/ochrewalk-distribution/src/relay_choice.rs
@@ -0,0 +1,206 @@
+//! Decides which of its relays a node connects to, and when: each node has its own stable order of relays, so that nodes
+//! are spread evenly and come back to the same relay.
+
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// The largest power of two by which a backoff grows.
+const MAX_BACKOFF_DOUBLINGS: u32 = 16;
+
+/// Times of a [`RelayChoice`], in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RelayChoiceLimits {
+    /// The time to the second attempt after a failure. It doubles with each further failure.
+    pub min_backoff_us: u64,
+    pub max_backoff_us: u64,
+    /// How long the first choice must have been well before a node goes back to it.
+    pub well_us: u64,
+    /// The most time that a node waits further, so that not all go back at once.
+    pub return_jitter_us: u64,
+}
+
+impl Default for RelayChoiceLimits {
+    fn default() -> Self {
+        Self {
+            min_backoff_us: 250_000,
+            max_backoff_us: 30_000_000,
+            well_us: 60_000_000,
+            return_jitter_us: 60_000_000,
+        }
+    }
+}
+
+/// Where to connect to, or when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice<'a> {
+    Connect { relay: &'a str },
+    Wait { until_us: u64 },
+}
+
+/// No relay is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a node needs at least one relay")]
+pub struct NoRelays;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Relay {
+    name: String,
+    /// Failures since it was last connected to.
+    failures: u32,
+    /// Not before this time.
+    not_before_us: u64,
+}
+
+/// A node's choice among its relays.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RelayChoice {
+    limits: RelayChoiceLimits,
+    /// In the node's order.
+    relays: Vec<Relay>,
+    /// The relay connected to, or attempted last.
+    current: usize,
+    random_state: u64,
+    /// When the node may go back to its first choice; none while that is not well.
+    return_at_us: Option<u64>,
+}
+
+impl RelayChoice {
+    /// The choice of `node` among `relays`. Random times are drawn from `seed`.
+    pub fn new(
+        node: &str,
+        relays: impl IntoIterator<Item = String>,
+        limits: RelayChoiceLimits,
+        seed: u64,
+    ) -> Result<Self, NoRelays> {
+        let mut names: Vec<String> = relays.into_iter().collect();
+        names.sort();
+        names.dedup();
+        names.sort_by_key(|relay| std::cmp::Reverse(rendezvous_weight(node, relay)));
+        if names.is_empty() {
+            return Err(NoRelays);
+        }
+        let relay = |name| Relay { name, failures: 0, not_before_us: 0 };
+        let relays = names.into_iter().map(relay).collect();
+        Ok(Self { limits, relays, current: 0, random_state: seed, return_at_us: None })
+    }
+
+    /// The relays in the order of this node.
+    pub fn order(&self) -> impl Iterator<Item = &str> {
+        self.relays.iter().map(|relay| relay.name.as_str())
+    }
+
+    /// The relay connected to, or attempted last.
+    pub fn current(&self) -> &str {
+        &self.relays[self.current].name
+    }
+
+    /// Where a node without a connection is to connect to: the first relay of its order that may be attempted, with those
+    /// that failed less often before those that failed more often.
+    pub fn next(&mut self, now_us: u64) -> Choice<'_> {
+        let may_attempt = |index: &usize| self.relays[*index].not_before_us <= now_us;
+        let attempt =
+            (0..self.relays.len()).filter(may_attempt).min_by_key(|index| self.relays[*index].failures);
+        match attempt {
+            Some(index) => {
+                self.current = index;
+                Choice::Connect { relay: &self.relays[index].name }
+            }
+            None => Choice::Wait { until_us: self.earliest_attempt_us() },
+        }
+    }
+
+    fn earliest_attempt_us(&self) -> u64 {
+        self.relays.iter().map(|relay| relay.not_before_us).min().unwrap_or(0)
+    }
+
+    /// The current relay has accepted the node.
+    pub fn connected(&mut self) {
+        self.relays[self.current].failures = 0;
+        if self.current == 0 {
+            self.return_at_us = None;
+        }
+    }
+
+    /// The attempt at the current relay failed, or the connection to it broke.
+    pub fn failed(&mut self, now_us: u64) {
+        self.fail(self.current, now_us);
+    }
+
+    /// The current relay told the node to come back later. It is not attempted before.
+    pub fn retry_later(&mut self, now_us: u64, after_us: u64) {
+        let relay = &mut self.relays[self.current];
+        relay.not_before_us = now_us.saturating_add(after_us);
+    }
+
+    fn fail(&mut self, index: usize, now_us: u64) {
+        let backoff_us = self.backoff_us(self.relays[index].failures);
+        let relay = &mut self.relays[index];
+        relay.failures = relay.failures.saturating_add(1);
+        relay.not_before_us = now_us.saturating_add(backoff_us);
+        if index == 0 {
+            self.return_at_us = None;
+        }
+    }
+
+    /// Between half and all of the exponential backoff after `failures` earlier ones.
+    fn backoff_us(&mut self, failures: u32) -> u64 {
+        let doublings = failures.min(MAX_BACKOFF_DOUBLINGS);
+        let longest_us = self.limits.min_backoff_us.saturating_mul(1 << doublings);
+        let longest_us = longest_us.min(self.limits.max_backoff_us);
+        let half_us = longest_us / 2;
+        half_us + self.random_below(longest_us - half_us + 1)
+    }
+
+    /// The first choice, where the node is connected to another one and the first may be probed: by a connection that is
+    /// closed again, whose result is told to [`probed`](Self::probed).
+    pub fn probe_due(&self, now_us: u64) -> Option<&str> {
+        let first = &self.relays[0];
+        let is_due = self.current != 0 && first.not_before_us <= now_us;
+        is_due.then_some(first.name.as_str())
+    }
+
+    /// The first choice was probed. The next probe is due after the longest backoff, or at once when the node may return.
+    pub fn probed(&mut self, is_well: bool, now_us: u64) {
+        if !is_well {
+            return self.fail(0, now_us);
+        }
+        self.relays[0].failures = 0;
+        self.relays[0].not_before_us = now_us.saturating_add(self.limits.max_backoff_us);
+        if self.return_at_us.is_none() {
+            let jitter_us = self.random_below(self.limits.return_jitter_us.saturating_add(1));
+            let wait_us = self.limits.well_us.saturating_add(jitter_us);
+            self.return_at_us = Some(now_us.saturating_add(wait_us));
+        }
+    }
+
+    /// Whether the node, connected to another relay, is to go back to its first choice now: it was well at all probes for
+    /// a while. The node connects to the first before it leaves the other.
+    pub fn should_return(&self, now_us: u64) -> bool {
+        self.current != 0 && self.return_at_us.is_some_and(|return_at_us| return_at_us <= now_us)
+    }
+
+    /// The node has gone back to its first choice.
+    pub fn returned(&mut self) {
+        self.current = 0;
+        self.connected();
+    }
+
+    /// A number below `bound`, or 0 where that is 0 (SplitMix64).
+    fn random_below(&mut self, bound: u64) -> u64 {
+        self.random_state = self.random_state.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut mixed = self.random_state;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        mixed ^= mixed >> 31;
+        mixed.checked_rem(bound).unwrap_or(0)
+    }
+}
+
+/// The weight of `relay` for `node`: the same everywhere, and independent between relays.
+fn rendezvous_weight(node: &str, relay: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(node.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(relay.as_bytes());
+    hasher.finish()
+}
