Publisher, relay and agent of the control plane on sockets, with a durable log

Need: configuration in force on thousands of nodes within seconds; the state machines decide, these move bytes. Change: crate ochrewalk-control-plane: frames, one event loop each for publisher and relay (mio), the agent of a subscriber, a log on redb where a batch and its state are one transaction, the operators' control socket. Store: prepare and replay a batch, so that it is durable before it is in force; the order of changes is kept and restored; resources of one kind.

--- /dev/null
+++ b/crates/ochrewalk-control-plane/src/frame.rs
@@ -0,0 +1,92 @@
+//! Envelopes on a byte stream: each stands behind its length as a varint. Pure, as bytes in and messages out.
+
+use ochrewalk_distribution::messages::{Body, Envelope};
+use prost::encoding::decode_varint;
+use prost::Message;
+
+/// The longest envelope between servers and subscribers: guards against a peer that announces what no memory holds.
+pub const MAX_SUBSCRIBER_FRAME: usize = 1024 * 1024;
+/// The longest envelope of an operator: a whole batch of changes.
+pub const MAX_OPERATOR_FRAME: usize = 16 * 1024 * 1024;
+/// A varint of 64 bits has at most so many bytes.
+const MAX_VARINT_BYTES: usize = 10;
+
+/// Why a stream cannot be read on.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    #[error("a message of {length} bytes, {most} at most are taken")]
+    TooLong { length: u64, most: usize },
+    #[error("a message that cannot be decoded")]
+    Malformed,
+}
+
+/// Appends a message with its length to `out`.
+pub fn encode(body: Body, out: &mut Vec<u8>) {
+    let envelope = Envelope { body: Some(body) };
+    out.reserve(envelope.encoded_len() + MAX_VARINT_BYTES);
+    envelope.encode_length_delimited(out).expect("a vector has room");
+}
+
+/// Puts bytes together to messages, however they were parted.
+#[derive(Debug)]
+pub struct FrameDecoder {
+    buffer: Vec<u8>,
+    /// Bytes of `buffer` that were decoded already.
+    consumed: usize,
+    most: usize,
+}
+
+impl FrameDecoder {
+    /// Takes messages of at most `most` bytes.
+    pub fn new(most: usize) -> FrameDecoder {
+        FrameDecoder { buffer: Vec::new(), consumed: 0, most }
+    }
+
+    /// Bytes that came.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole message; none where more bytes are needed. An envelope whose body is not known to this version
+    /// is passed over.
+    pub fn next_message(&mut self) -> Result<Option<Body>, FrameError> {
+        loop {
+            let Some((start, end)) = self.whole_frame()? else {
+                self.compact();
+                return Ok(None);
+            };
+            let decoded = Envelope::decode(&self.buffer[start..end]);
+            self.consumed = end;
+            match decoded.map_err(|_| FrameError::Malformed)?.body {
+                Some(body) => return Ok(Some(body)),
+                None => continue,
+            }
+        }
+    }
+
+    /// Where the next frame's message begins and ends in the buffer, once all of it is there.
+    fn whole_frame(&self) -> Result<Option<(usize, usize)>, FrameError> {
+        let rest = &self.buffer[self.consumed..];
+        let has_length = rest.iter().take(MAX_VARINT_BYTES).any(|byte| byte & 0x80 == 0);
+        if !has_length {
+            return if rest.len() < MAX_VARINT_BYTES { Ok(None) } else { Err(FrameError::Malformed) };
+        }
+        let mut after_length = rest;
+        let length = decode_varint(&mut after_length).map_err(|_| FrameError::Malformed)?;
+        if length > self.most as u64 {
+            return Err(FrameError::TooLong { length, most: self.most });
+        }
+        let start = self.buffer.len() - after_length.len();
+        let end = start + length as usize;
+        Ok((end <= self.buffer.len()).then_some((start, end)))
+    }
+
+    fn compact(&mut self) {
+        self.buffer.drain(..self.consumed);
+        self.consumed = 0;
+        if self.buffer.is_empty() {
+            // A large message is seldom followed by another: its memory is given back.
+            self.buffer = Vec::new();
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-control-plane/src/publisher.rs
@@ -0,0 +1,238 @@
+//! The publisher as a program: one event loop over its subscribers and the requests of operators. A batch is durable before
+//! anybody hears of it; where that fails, the batch is refused and no further one is taken until the program begins anew.
+
+use crate::clock::{unix_ms, Clock};
+use crate::control::{self, Request};
+use crate::log::{LogError, PublisherLog};
+use crate::subscriber_server::SubscriberServer;
+use mio::{Events, Poll, Token, Waker};
+use ochrewalk_distribution::messages::{
+    Body, Fetch, Fetched, Position, Publish, Published, Refused, Resource, Rollback, Status,
+};
+use ochrewalk_distribution::{
+    merge, rollback_changes, Batch, PublishError, RollbackError, Server, ServerLimits, Store, StoreLimits,
+};
+use ochrewalk_operators::resources::check;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Receiver;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The token by which requests wake the event loop.
+const WAKER: Token = Token(1);
+const EVENTS_AT_ONCE: usize = 1024;
+/// Rejections that a status lists for each region.
+const MAX_REJECTIONS: usize = 100;
+/// Reasons that a refusal lists.
+const MAX_REASONS: usize = 100;
+
+/// Where a publisher listens and what it keeps.
+#[derive(Clone, Debug)]
+pub struct PublisherSettings {
+    /// For relays.
+    pub listen: SocketAddr,
+    /// The socket of operators.
+    pub control: PathBuf,
+    pub log: PathBuf,
+    /// Begin an epoch above all others: this publisher takes over from another one.
+    pub takes_over: bool,
+    pub max_connections: usize,
+}
+
+/// Why a publisher cannot begin or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum PublisherError {
+    #[error("{path}: {source}")]
+    Log { path: PathBuf, source: LogError },
+    #[error("cannot listen on {address}: {source}")]
+    Listen { address: SocketAddr, source: io::Error },
+    #[error("{path}: {source}")]
+    Control { path: PathBuf, source: io::Error },
+    #[error("the event loop: {0}")]
+    EventLoop(#[from] io::Error),
+}
+
+/// Why a request of an operator is refused.
+#[derive(Debug, thiserror::Error)]
+enum RequestError {
+    #[error("{}", .0.join("; "))]
+    Unsound(Vec<String>),
+    #[error(transparent)]
+    Publish(#[from] PublishError),
+    #[error(transparent)]
+    Rollback(#[from] RollbackError),
+    #[error("not accepted: {0}")]
+    Log(#[from] LogError),
+    #[error("not a request of an operator")]
+    Unknown,
+}
+
+impl RequestError {
+    fn reasons(&self) -> Vec<String> {
+        match self {
+            RequestError::Unsound(reasons) => reasons.clone(),
+            RequestError::Publish(refused) => refused.reasons.iter().map(|why| why.to_string()).collect(),
+            other => vec![other.to_string()],
+        }
+    }
+}
+
+/// A publisher that is ready to run.
+pub struct Publisher {
+    poll: Poll,
+    subscribers: SubscriberServer,
+    log: PublisherLog,
+    requests: Receiver<Request>,
+    waker: Arc<Waker>,
+    clock: Clock,
+}
+
+impl Publisher {
+    /// Opens the log and both listeners.
+    pub fn open(settings: &PublisherSettings) -> Result<Publisher, PublisherError> {
+        let log_fault = |source| PublisherError::Log { path: settings.log.clone(), source };
+        let (mut log, recovered) = PublisherLog::open(&settings.log).map_err(log_fault)?;
+        let kept = recovered.resources.len();
+        let mut store = recovered_store(recovered, &mut log).map_err(log_fault)?;
+        // An empty log begins the first epoch; a publisher that takes over begins the next one.
+        if store.position().epoch == 0 || settings.takes_over {
+            let begun = store.new_epoch();
+            log.append(&begun, &store.order(), unix_ms()).map_err(log_fault)?;
+        }
+        let position = store.position();
+        tracing::info!(part = "config", "{kept} names kept, at {}.{}", position.epoch, position.revision);
+        let poll = Poll::new()?;
+        let limits = ServerLimits { max_subscribers: settings.max_connections, ..ServerLimits::default() };
+        let server = Server::new("publisher", "", store, limits);
+        let listen_fault = |source| PublisherError::Listen { address: settings.listen, source };
+        let subscribers =
+            SubscriberServer::listen(settings.listen, server, settings.max_connections, poll.registry())
+                .map_err(listen_fault)?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
+        let control_fault = |source| PublisherError::Control { path: settings.control.clone(), source };
+        let requests = control::listen(&settings.control, waker.clone()).map_err(control_fault)?;
+        Ok(Publisher { poll, subscribers, log, requests, waker, clock: Clock::start() })
+    }
+
+    /// Where relays connect to.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.subscribers.address()
+    }
+
+    /// What wakes the event loop, to have it look at `stop`.
+    pub fn waker(&self) -> Arc<Waker> {
+        self.waker.clone()
+    }
+
+    /// Serves until `stop` is set.
+    pub fn run(&mut self, stop: &AtomicBool) -> Result<(), PublisherError> {
+        let mut events = Events::with_capacity(EVENTS_AT_ONCE);
+        while !stop.load(Ordering::Relaxed) {
+            let now_us = self.clock.now_us();
+            let due_us = self.subscribers.drive(self.poll.registry(), now_us, 0);
+            let wait = (due_us != u64::MAX).then(|| Duration::from_micros(due_us.saturating_sub(now_us)));
+            match self.poll.poll(&mut events, wait) {
+                Err(err) if err.kind() == io::ErrorKind::Interrupted => continue,
+                polled => polled?,
+            }
+            let now_us = self.clock.now_us();
+            for event in &events {
+                self.subscribers.on_event(event.token(), self.poll.registry(), now_us);
+            }
+            while let Ok(request) = self.requests.try_recv() {
+                let answer = self.answer(request.body);
+                let _ = request.answer.send(answer);
+            }
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, body: Body) -> Body {
+        let answered = match body {
+            Body::Publish(publish) => self.publish(&publish).map(published),
+            Body::Rollback(rollback) => self.roll_back(&rollback).map(published),
+            Body::StatusRequest(_) => Ok(Body::Status(self.status())),
+            Body::Fetch(fetch) => Ok(Body::Fetched(self.fetch(&fetch))),
+            _ => Err(RequestError::Unknown),
+        };
+        answered.unwrap_or_else(|why| {
+            let reasons: Vec<String> = why.reasons().into_iter().take(MAX_REASONS).collect();
+            tracing::warn!(part = "config", "refused: {}", reasons.join("; "));
+            Body::Refused(Refused { reasons })
+        })
+    }
+
+    fn publish(&mut self, publish: &Publish) -> Result<Position, RequestError> {
+        let unsound: Vec<String> = publish
+            .changes
+            .iter()
+            .filter_map(|change| check(change).err())
+            .map(|why| why.to_string())
+            .collect();
+        if !unsound.is_empty() {
+            return Err(RequestError::Unsound(unsound));
+        }
+        self.accept(&publish.changes, publish.expected)
+    }
+
+    fn roll_back(&mut self, rollback: &Rollback) -> Result<Position, RequestError> {
+        let history = self.log.batches_after(rollback.to.revision)?;
+        let changes = rollback_changes(&history, rollback.to)?;
+        self.accept(&changes, None)
+    }
+
+    /// Makes the batch durable, then lets everybody hear of it.
+    fn accept(&mut self, changes: &[Resource], expected: Option<Position>) -> Result<Position, RequestError> {
+        let store = self.subscribers.server.store_mut();
+        let batch = store.prepare(changes, expected)?;
+        let order =
+            ochrewalk_distribution::ChangeOrder { revision: batch.position.revision, ..store.order() };
+        self.log.append(&batch, &order, unix_ms())?;
+        self.take_over(&batch);
+        let Position { epoch, revision } = batch.position;
+        tracing::info!(part = "config", "accepted {} changes as {epoch}.{revision}", changes.len());
+        Ok(batch.position)
+    }
+
+    fn take_over(&mut self, batch: &Batch) {
+        let replayed = self.subscribers.server.store_mut().replay(batch);
+        // It was prepared from this very state.
+        debug_assert!(replayed.is_ok());
+        self.subscribers.state_changed();
+    }
+
+    fn status(&self) -> Status {
+        let store = self.subscribers.server.store();
+        let regions = merge(self.subscribers.regions().cloned(), MAX_REJECTIONS);
+        Status { position: store.position(), resources: store.len() as u64, regions }
+    }
+
+    fn fetch(&self, fetch: &Fetch) -> Fetched {
+        let store = self.subscribers.server.store();
+        let resources = fetch.names.iter().filter_map(|name| store.get(name).cloned()).collect();
+        Fetched { position: store.position(), resources }
+    }
+}
+
+fn published(position: Position) -> Body {
+    Body::Published(Published { position })
+}
+
+/// The state as it was kept. Deletions that it no longer remembers are taken out of the log, too.
+fn recovered_store(recovered: crate::log::Recovered, log: &mut PublisherLog) -> Result<Store, LogError> {
+    let deleted: Vec<_> = recovered
+        .resources
+        .iter()
+        .filter(|resource| resource.value.is_none())
+        .map(|resource| resource.name.clone())
+        .collect();
+    let store = Store::restore(&recovered.order, recovered.resources, StoreLimits::default());
+    let forgotten: Vec<_> = deleted.into_iter().filter(|name| store.newest(name).is_none()).collect();
+    if !forgotten.is_empty() {
+        log.forget(&forgotten)?;
+    }
+    Ok(store)
+}
--- /dev/null
+++ b/crates/ochrewalk-control-plane/src/relay.rs
@@ -0,0 +1,141 @@
+//! A relay as a program: a subscriber of everything at its publisher, and a server of it to the nodes of its region. It
+//! keeps nothing on disk: one that begins anew fetches all, and nodes go on with what they have meanwhile.
+
+use crate::agent::{Agent, AgentSettings, ConfigurationSink};
+use crate::clock::Clock;
+use crate::subscriber_server::{SubscriberServer, FIRST_PEER};
+use mio::{Events, Poll, Token};
+use ochrewalk_distribution::messages::Position;
+use ochrewalk_distribution::{
+    CompleteUpdate, Interest, RelayChoiceLimits, Server, ServerLimits, Store, StoreLimits, SubscriptionLimits,
+};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// The agent's tokens: this one and the next.
+const UPSTREAM: Token = Token(FIRST_PEER - 2);
+const EVENTS_AT_ONCE: usize = 1024;
+/// How often the publisher is told of the region at most.
+const STATUS_INTERVAL_US: u64 = 500_000;
+/// The longest that a relay waits before it tries a publisher again: with a second one, and thousands of nodes behind it,
+/// a relay has no herd to fear among a few dozen relays.
+const MAX_BACKOFF_US: u64 = 1_000_000;
+
+/// Where a relay listens and whom it follows.
+#[derive(Clone, Debug)]
+pub struct RelaySettings {
+    pub name: String,
+    pub region: String,
+    /// For nodes.
+    pub listen: SocketAddr,
+    /// The publisher, and others that may take over from it.
+    pub publishers: Vec<SocketAddr>,
+    pub max_connections: usize,
+    pub seed: u64,
+}
+
+/// Why a relay cannot begin or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum RelayError {
+    #[error("cannot listen on {address}: {source}")]
+    Listen { address: SocketAddr, source: io::Error },
+    #[error("no publisher is named")]
+    NoPublisher,
+    #[error("the event loop: {0}")]
+    EventLoop(#[from] io::Error),
+}
+
+/// A relay that is ready to run.
+pub struct Relay {
+    poll: Poll,
+    subscribers: SubscriberServer,
+    upstream: Agent,
+    clock: Clock,
+    told_us: u64,
+}
+
+/// Takes what comes from the publisher into what is served.
+struct Downstream<'a> {
+    subscribers: &'a mut SubscriberServer,
+}
+
+impl ConfigurationSink for Downstream<'_> {
+    fn apply(&mut self, update: &CompleteUpdate) -> Result<(), String> {
+        self.subscribers.server.store_mut().apply(update).map_err(|why| why.to_string())?;
+        self.subscribers.state_changed();
+        let Position { epoch, revision } = update.position;
+        tracing::debug!(part = "config", "{} changes lead to {epoch}.{revision}", update.resources.len());
+        Ok(())
+    }
+}
+
+impl Relay {
+    /// Opens the listener; the publisher is connected to once it runs.
+    pub fn open(settings: &RelaySettings) -> Result<Relay, RelayError> {
+        let poll = Poll::new()?;
+        let limits = ServerLimits { max_subscribers: settings.max_connections, ..ServerLimits::default() };
+        let store = Store::new(0, StoreLimits::default());
+        let server = Server::new(settings.name.as_str(), settings.region.as_str(), store, limits);
+        let listen_fault = |source| RelayError::Listen { address: settings.listen, source };
+        let subscribers =
+            SubscriberServer::listen(settings.listen, server, settings.max_connections, poll.registry())
+                .map_err(listen_fault)?;
+        let agent = AgentSettings {
+            node: settings.name.clone(),
+            region: settings.region.clone(),
+            relays: settings.publishers.clone(),
+            interest: Interest::everything(),
+            limits: SubscriptionLimits { bytes_per_second: 0, ..SubscriptionLimits::default() },
+            choice: RelayChoiceLimits { max_backoff_us: MAX_BACKOFF_US, ..RelayChoiceLimits::default() },
+            max_names: 1,
+            seed: settings.seed,
+        };
+        let upstream = Agent::new(agent, None, UPSTREAM).map_err(|_| RelayError::NoPublisher)?;
+        Ok(Relay { poll, subscribers, upstream, clock: Clock::start(), told_us: 0 })
+    }
+
+    /// Where nodes connect to.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.subscribers.address()
+    }
+
+    /// What it serves, for measurements.
+    pub fn subscribers(&self) -> &SubscriberServer {
+        &self.subscribers
+    }
+
+    /// Serves until `stop` is set; it is looked at twice a second at least.
+    pub fn run(&mut self, stop: &AtomicBool) -> Result<(), RelayError> {
+        let mut events = Events::with_capacity(EVENTS_AT_ONCE);
+        while !stop.load(Ordering::Relaxed) {
+            let due_us = self.drive();
+            let now_us = self.clock.now_us();
+            let wait = Duration::from_micros(due_us.saturating_sub(now_us).min(STATUS_INTERVAL_US));
+            match self.poll.poll(&mut events, Some(wait)) {
+                Err(err) if err.kind() == io::ErrorKind::Interrupted => continue,
+                polled => polled?,
+            }
+            let now_us = self.clock.now_us();
+            for event in events.iter().filter(|event| !self.upstream.owns(event.token())) {
+                self.subscribers.on_event(event.token(), self.poll.registry(), now_us);
+            }
+        }
+        Ok(())
+    }
+
+    fn drive(&mut self) -> u64 {
+        let now_us = self.clock.now_us();
+        let registry = self.poll.registry();
+        let mut downstream = Downstream { subscribers: &mut self.subscribers };
+        let upstream_due_us = self.upstream.drive(registry, now_us, &mut downstream);
+        let age_ms = self.upstream.age_ms(now_us).unwrap_or(0);
+        let subscribers_due_us = self.subscribers.drive(registry, now_us, age_ms);
+        if now_us >= self.told_us + STATUS_INTERVAL_US {
+            self.told_us = now_us;
+            self.upstream.send_status(self.subscribers.server.status());
+        }
+        upstream_due_us.min(subscribers_due_us)
+    }
+}
--- a/crates/ochrewalk-distribution/src/epochs.rs
+++ b/crates/ochrewalk-distribution/src/epochs.rs
@@ -5,11 +5,12 @@
 /// The most epochs remembered. Subscribers of an older epoch are sent a snapshot.
 const MAX_EPOCHS: usize = 64;
 
+/// Where an epoch began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct EpochStart {
-    epoch: u64,
+pub struct EpochStart {
+    pub epoch: u64,
     /// The last revision before the epoch.
-    after_revision: u64,
+    pub after_revision: u64,
 }
 
 /// The epochs of one line of changes, oldest first. It is never empty.
@@ -27,6 +28,11 @@
         self.starts.last().map_or(0, |start| start.epoch)
     }
 
+    /// All epochs that are remembered.
+    pub(crate) fn starts(&self) -> Vec<EpochStart> {
+        self.starts.clone()
+    }
+
     /// `epoch` begins after `after_revision`. Its number must be above all others.
     pub(crate) fn begin(&mut self, epoch: u64, after_revision: u64) {
         debug_assert!(epoch > self.current());
--- a/crates/ochrewalk-distribution/src/lib.rs
+++ b/crates/ochrewalk-distribution/src/lib.rs
@@ -52,12 +52,13 @@
 
 pub use admission::CatchUpLimits;
 pub use demand::{DemandSet, DemandState};
+pub use epochs::EpochStart;
 pub use interest::Interest;
 pub use relay_choice::{Choice, NoRelays, RelayChoice, RelayChoiceLimits};
 pub use rollback::{rollback_changes, RollbackError};
 pub use server::{Admission, Next, RefusedSubscriber, Server, ServerLimits, SubscriberId};
 pub use status::merge;
-pub use store::{ApplyError, Batch, Start, Store, StoreLimits};
+pub use store::{ApplyError, Batch, ChangeOrder, Start, Store, StoreLimits};
 pub use subscription::{CompleteUpdate, Received, Subscription, SubscriptionLimits, UpdateError};
 pub use validation::{
     ChangeProblem, PublishError, RefusalReason, MAX_BATCH_CHANGES, MAX_NAME_BYTES, MAX_PATH_BYTES,
--- a/crates/ochrewalk-distribution/src/messages.rs
+++ b/crates/ochrewalk-distribution/src/messages.rs
@@ -282,10 +282,26 @@
     pub to: Position,
 }
 
+/// An operator asks what is published under these names.
+#[derive(Clone, PartialEq, Message)]
+pub struct Fetch {
+    #[prost(message, repeated, tag = "1")]
+    pub names: Vec<ResourceName>,
+}
+
+/// What there is under the names asked for.
+#[derive(Clone, PartialEq, Message)]
+pub struct Fetched {
+    #[prost(message, required, tag = "1")]
+    pub position: Position,
+    #[prost(message, repeated, tag = "2")]
+    pub resources: Vec<Resource>,
+}
+
 /// One message on a stream.
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub body: Option<Body>,
 }
 
@@ -318,4 +334,8 @@
     Status(Status),
     #[prost(message, tag = "13")]
     Rollback(Rollback),
+    #[prost(message, tag = "14")]
+    Fetch(Fetch),
+    #[prost(message, tag = "15")]
+    Fetched(Fetched),
 }
--- a/crates/ochrewalk-distribution/src/store.rs
+++ b/crates/ochrewalk-distribution/src/store.rs
@@ -9,9 +9,9 @@
 
 use prost::Message;
 
-use crate::epochs::EpochHistory;
+use crate::epochs::{EpochHistory, EpochStart};
 use crate::interest::Interest;
-use crate::messages::{Position, Resource, ResourceName, Value};
+use crate::messages::{Position, Resource, ResourceKind, ResourceName, Value};
 use crate::subscription::CompleteUpdate;
 use crate::validation::{change_problems, ChangeProblem, PublishError, RefusalReason};
 use crate::validation::{MAX_BATCH_CHANGES, MAX_REASONS};
@@ -47,6 +47,17 @@
     Snapshot,
 }
 
+/// The order of all changes, without the changes themselves.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ChangeOrder {
+    pub revision: u64,
+    /// Each epoch and the revision that its own changes follow, oldest first.
+    pub epochs: Vec<EpochStart>,
+    /// The oldest revision from which differences are complete.
+    pub horizon: u64,
+    pub highest_epoch: u64,
+}
+
 /// Why an update or a recorded batch wasn't applied. The store is as it was.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ApplyError {
@@ -201,6 +212,15 @@
         self.names.iter().map(|held| held.0.as_ref()).filter(|resource| resource.value.is_some())
     }
 
+    /// The resources of a kind, without deleted ones.
+    pub fn of_kind(&self, kind: ResourceKind) -> impl Iterator<Item = &Resource> {
+        // Names are in the order of their kinds first.
+        let first = ResourceName { kind: kind as i32, scope: String::new(), name: String::new() };
+        let of_kind = move |held: &&ByName| held.0.name.kind == kind as i32;
+        let held = self.names.range::<ResourceName, _>(first..).take_while(of_kind);
+        held.map(|held| held.0.as_ref()).filter(|resource| resource.value.is_some())
+    }
+
     /// The newest changes of names from `from` on, in the order of names, deletions included.
     pub(crate) fn names_from(&self, from: Bound<&ResourceName>) -> impl Iterator<Item = &Arc<Resource>> {
         self.names.range::<ResourceName, _>((from, Bound::Unbounded)).map(|held| &held.0)
@@ -236,6 +256,14 @@
         changes: &[Resource],
         expected: Option<Position>,
     ) -> Result<Batch, PublishError> {
+        let batch = self.prepare(changes, expected)?;
+        self.apply_batch(&batch);
+        Ok(batch)
+    }
+
+    /// The batch that `changes` would be, or why they are refused. The state stays as it is until the batch is handed to
+    /// [`replay`](Self::replay), once it is durable.
+    pub fn prepare(&self, changes: &[Resource], expected: Option<Position>) -> Result<Batch, PublishError> {
         let reasons = self.refusal_reasons(changes, expected);
         if !reasons.is_empty() {
             return Err(PublishError { reasons });
@@ -245,9 +273,38 @@
             changes.iter().map(|change| self.get(&change.name).and_then(|held| held.value.clone()));
         let previous = previous.collect();
         let at_revision = |change: &Resource| Resource { revision: position.revision, ..change.clone() };
-        let batch = Batch { position, resources: changes.iter().map(at_revision).collect(), previous };
-        self.apply_batch(&batch);
-        Ok(batch)
+        Ok(Batch { position, resources: changes.iter().map(at_revision).collect(), previous })
+    }
+
+    /// The order of changes as a whole, to be kept beside the resources.
+    pub fn order(&self) -> ChangeOrder {
+        ChangeOrder {
+            revision: self.revision,
+            epochs: self.epochs.starts(),
+            horizon: self.horizon,
+            highest_epoch: self.highest_epoch,
+        }
+    }
+
+    /// The state that was kept: the newest change of each name, deletions included, and their order. Deletions beyond the
+    /// bound are forgotten again.
+    pub fn restore(
+        order: &ChangeOrder,
+        resources: impl IntoIterator<Item = Resource>,
+        limits: StoreLimits,
+    ) -> Self {
+        let mut store = Self::new(order.epochs.first().map_or(0, |start| start.epoch), limits);
+        for start in order.epochs.iter().skip(1) {
+            store.epochs.begin(start.epoch, start.after_revision);
+        }
+        store.revision = order.revision;
+        store.horizon = order.horizon;
+        store.highest_epoch = order.highest_epoch.max(store.epochs.current());
+        for resource in resources {
+            store.insert(Arc::new(resource));
+        }
+        store.forget_tombstones();
+        store
     }
 
     fn refusal_reasons(&self, changes: &[Resource], expected: Option<Position>) -> Vec<RefusalReason> {
