The node's agent of the control plane, its commands, and tests of frames, log and state file

Need: what is in force is kept for the next start, and a log that lost what it acknowledged would be worse than none. Not in the running node yet.

--- a/crates/ochrewalk-control-plane/src/lib.rs
+++ b/crates/ochrewalk-control-plane/src/lib.rs
@@ -10,5 +10,5 @@
 pub mod publisher;
 pub mod records;
 pub mod relay;
-pub mod snapshot;
+pub mod state_file;
 pub mod subscriber_server;
--- a/crates/ochrewalk-control-plane/src/records.rs
+++ b/crates/ochrewalk-control-plane/src/records.rs
@@ -74,18 +74,22 @@
     }
 }
 
-/// All that a node has in force.
+/// A step of what a node has in force: an update, or names that it no longer holds.
 #[derive(Clone, PartialEq, Message)]
-pub struct StoredSnapshot {
+pub struct StoredUpdate {
     #[prost(message, required, tag = "1")]
     pub position: Position,
-    #[prost(message, repeated, tag = "2")]
+    #[prost(bool, tag = "2")]
+    pub is_snapshot: bool,
+    #[prost(message, repeated, tag = "3")]
     pub resources: Vec<Resource>,
     /// Names that were asked for and are not there.
-    #[prost(message, repeated, tag = "3")]
+    #[prost(message, repeated, tag = "4")]
     pub absent: Vec<ResourceName>,
-    #[prost(string, tag = "4")]
+    #[prost(string, tag = "5")]
     pub node: String,
-    #[prost(uint64, tag = "5")]
+    #[prost(uint64, tag = "6")]
     pub unix_ms: u64,
+    #[prost(message, repeated, tag = "7")]
+    pub forgotten: Vec<ResourceName>,
 }
--- /dev/null
+++ b/crates/ochrewalk-control-plane/src/state_file.rs
@@ -0,0 +1,208 @@
+//! What a node has in force, kept in a file for its next start: a snapshot, then each update since, every one with its
+//! length and checksum. A record that is torn or damaged ends what is read: the updates before it are an older state, from
+//! which differences lead on; nothing after it is believed. Where updates have outgrown the snapshot the file is written
+//! anew beside itself and renamed.
+
+use crate::records::StoredUpdate;
+use ochrewalk_distribution::messages::{Position, Resource, ResourceName};
+use ochrewalk_distribution::CompleteUpdate;
+use prost::Message;
+use std::fs::File;
+use std::io::{self, Seek, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// What a file begins with: its kind, and the version of its form.
+const MAGIC: &[u8; 8] = b"OCHRCFG1";
+/// Before each record: its length and its CRC-32, four bytes each, most significant first.
+const RECORD_HEADER_BYTES: usize = 8;
+/// Updates are appended until they take this much, and more than the snapshot before them.
+const MIN_REWRITE_BYTES: u64 = 64 * 1024;
+
+/// Why a file is not taken up.
+#[derive(Debug, thiserror::Error)]
+pub enum StateFileError {
+    #[error("{path}: {source}")]
+    Io { path: PathBuf, source: io::Error },
+    #[error("{0}: no state of this version")]
+    OtherForm(PathBuf),
+    #[error("{path}: the state of node {node}")]
+    OtherNode { path: PathBuf, node: String },
+}
+
+/// One step of what was in force.
+#[derive(Clone, Debug, PartialEq)]
+pub enum KeptStep {
+    Update(CompleteUpdate),
+    /// These names were no longer held from then on.
+    Forgotten(Vec<ResourceName>),
+}
+
+/// What a file held.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct KeptState {
+    /// In their order, the first update a snapshot.
+    pub steps: Vec<KeptStep>,
+    /// When the last one was written, by Unix time.
+    pub unix_ms: u64,
+    /// Bytes at the end that are no whole record.
+    pub damaged_bytes: u64,
+}
+
+/// The file of a running node.
+#[derive(Debug)]
+pub struct StateFile {
+    path: PathBuf,
+    node: String,
+    file: Option<File>,
+    snapshot_bytes: u64,
+    appended_bytes: u64,
+}
+
+impl StateFile {
+    /// Reads what stands at `path`. Nothing is written before the first update.
+    pub fn open(path: &Path, node: &str) -> Result<(StateFile, KeptState), StateFileError> {
+        let kept = match std::fs::read(path) {
+            Ok(bytes) => read(path, node, &bytes)?,
+            Err(err) if err.kind() == io::ErrorKind::NotFound => KeptState::default(),
+            Err(source) => return Err(StateFileError::Io { path: path.into(), source }),
+        };
+        Ok((StateFile::new(path, node), kept))
+    }
+
+    /// A file whose old content, if any, is replaced with the first snapshot.
+    pub fn new(path: &Path, node: &str) -> StateFile {
+        let (path, node) = (path.to_path_buf(), node.to_string());
+        StateFile { path, node, file: None, snapshot_bytes: 0, appended_bytes: 0 }
+    }
+
+    /// Whether the next thing to be written is a snapshot: none was yet, or updates have outgrown it.
+    pub fn wants_snapshot(&self) -> bool {
+        self.file.is_none() || self.appended_bytes > self.snapshot_bytes.max(MIN_REWRITE_BYTES)
+    }
+
+    /// Writes all that is in force in place of what stands there.
+    pub fn write_snapshot<'a>(
+        &mut self,
+        position: Position,
+        resources: impl Iterator<Item = &'a Resource>,
+        absent: Vec<ResourceName>,
+        unix_ms: u64,
+    ) -> io::Result<()> {
+        let resources = resources.cloned().collect();
+        let stored = StoredUpdate {
+            position,
+            is_snapshot: true,
+            resources,
+            absent,
+            node: self.node.clone(),
+            unix_ms,
+            forgotten: Vec::new(),
+        };
+        let mut beside = self.path.as_os_str().to_owned();
+        beside.push(".new");
+        let beside = PathBuf::from(beside);
+        let mut file = File::create(&beside)?;
+        file.write_all(MAGIC)?;
+        self.snapshot_bytes = write_record(&mut file, &stored)?;
+        file.sync_data()?;
+        std::fs::rename(&beside, &self.path)?;
+        self.file = Some(file);
+        self.appended_bytes = 0;
+        Ok(())
+    }
+
+    /// Adds an update that is in force now.
+    pub fn append(&mut self, update: &CompleteUpdate, unix_ms: u64) -> io::Result<()> {
+        self.append_record(&StoredUpdate {
+            position: update.position,
+            is_snapshot: update.is_snapshot,
+            resources: update.resources.iter().map(|resource| (**resource).clone()).collect(),
+            absent: update.absent.clone(),
+            node: self.node.clone(),
+            unix_ms,
+            forgotten: Vec::new(),
+        })
+    }
+
+    /// Adds that names are no longer held.
+    pub fn append_forgotten(
+        &mut self,
+        position: Position,
+        forgotten: Vec<ResourceName>,
+        unix_ms: u64,
+    ) -> io::Result<()> {
+        let node = self.node.clone();
+        self.append_record(&StoredUpdate { position, node, unix_ms, forgotten, ..StoredUpdate::default() })
+    }
+
+    fn append_record(&mut self, stored: &StoredUpdate) -> io::Result<()> {
+        let Some(file) = &mut self.file else { return Ok(()) };
+        let end = file.stream_position()?;
+        let written = write_record(file, stored).and_then(|bytes| file.sync_data().map(|()| bytes));
+        match written {
+            Ok(bytes) => {
+                self.appended_bytes += bytes;
+                Ok(())
+            }
+            Err(err) => {
+                // What is half written would hide all that comes after it: the next thing is a whole snapshot.
+                let _ = file.set_len(end);
+                self.file = None;
+                Err(err)
+            }
+        }
+    }
+}
+
+fn write_record(file: &mut File, stored: &StoredUpdate) -> io::Result<u64> {
+    let encoded = stored.encode_to_vec();
+    let length = u32::try_from(encoded.len()).map_err(|_| io::Error::from(io::ErrorKind::FileTooLarge))?;
+    let mut record = Vec::with_capacity(RECORD_HEADER_BYTES + encoded.len());
+    record.extend_from_slice(&length.to_be_bytes());
+    record.extend_from_slice(&crc32fast::hash(&encoded).to_be_bytes());
+    record.extend_from_slice(&encoded);
+    file.write_all(&record)?;
+    Ok(record.len() as u64)
+}
+
+fn read(path: &Path, node: &str, bytes: &[u8]) -> Result<KeptState, StateFileError> {
+    let Some(mut rest) = bytes.strip_prefix(MAGIC) else {
+        return Err(StateFileError::OtherForm(path.into()));
+    };
+    let mut kept = KeptState::default();
+    while let Some((stored, after)) = next_record(rest) {
+        if stored.node != node {
+            return Err(StateFileError::OtherNode { path: path.into(), node: stored.node });
+        }
+        kept.unix_ms = stored.unix_ms;
+        kept.steps.push(step(stored));
+        rest = after;
+    }
+    kept.damaged_bytes = rest.len() as u64;
+    Ok(kept)
+}
+
+fn step(stored: StoredUpdate) -> KeptStep {
+    if !stored.forgotten.is_empty() {
+        return KeptStep::Forgotten(stored.forgotten);
+    }
+    KeptStep::Update(CompleteUpdate {
+        position: stored.position,
+        is_snapshot: stored.is_snapshot,
+        resources: stored.resources.into_iter().map(Arc::new).collect(),
+        absent: stored.absent,
+        horizon: 0,
+    })
+}
+
+fn next_record(bytes: &[u8]) -> Option<(StoredUpdate, &[u8])> {
+    let (header, rest) = bytes.split_at_checked(RECORD_HEADER_BYTES)?;
+    let (length, checksum) = header.split_at(4);
+    let length = u32::from_be_bytes(length.try_into().ok()?) as usize;
+    let (encoded, rest) = rest.split_at_checked(length)?;
+    if crc32fast::hash(encoded).to_be_bytes() != checksum {
+        return None;
+    }
+    Some((StoredUpdate::decode(encoded).ok()?, rest))
+}
--- /dev/null
+++ b/crates/ochrewalk-control-plane/tests/frames.rs
@@ -0,0 +1,60 @@
+//! Envelopes on a stream, however their bytes are parted.
+
+use ochrewalk_control_plane::frame::{encode, FrameDecoder, FrameError};
+use ochrewalk_distribution::messages::{Body, Heartbeat, Position, RetryLater};
+
+fn heartbeat(revision: u64) -> Body {
+    Body::Heartbeat(Heartbeat { position: Position { epoch: 1, revision }, age_ms: revision / 2 })
+}
+
+fn decode_all(decoder: &mut FrameDecoder) -> Result<Vec<Body>, FrameError> {
+    let mut bodies = Vec::new();
+    while let Some(body) = decoder.next_message()? {
+        bodies.push(body);
+    }
+    Ok(bodies)
+}
+
+#[test]
+fn messages_come_out_whole_however_their_bytes_are_parted() {
+    let sent = vec![heartbeat(1), Body::RetryLater(RetryLater { after_ms: 300 }), heartbeat(u64::MAX)];
+    let mut bytes = Vec::new();
+    sent.iter().cloned().for_each(|body| encode(body, &mut bytes));
+    for first in 0..=bytes.len() {
+        for second in first..=bytes.len() {
+            let mut decoder = FrameDecoder::new(64);
+            let mut received = Vec::new();
+            for part in [&bytes[..first], &bytes[first..second], &bytes[second..]] {
+                decoder.push(part);
+                received.extend(decode_all(&mut decoder).unwrap());
+            }
+            assert_eq!(received, sent, "parted at {first} and {second}");
+        }
+    }
+}
+
+#[test]
+fn what_cannot_be_a_message_is_refused_before_it_is_held() {
+    let cases: [(&[u8], FrameError); 3] = [
+        (&[0x80, 0x80, 0x04], FrameError::TooLong { length: 65_536, most: 64 }),
+        (&[0xff; 10], FrameError::Malformed),
+        // A field that runs over the message's end.
+        (&[0x02, 0x0a, 0x05], FrameError::Malformed),
+    ];
+    for (bytes, wanted) in cases {
+        let mut decoder = FrameDecoder::new(64);
+        decoder.push(bytes);
+        assert_eq!(decode_all(&mut decoder), Err(wanted), "{bytes:x?}");
+    }
+}
+
+#[test]
+fn a_message_of_a_later_version_is_passed_over() {
+    let mut bytes = Vec::new();
+    // Field 900 of an envelope, with two bytes.
+    bytes.extend([0x05, 0xa2, 0x38, 0x02, 0x01, 0x02]);
+    encode(heartbeat(7), &mut bytes);
+    let mut decoder = FrameDecoder::new(64);
+    decoder.push(&bytes);
+    assert_eq!(decode_all(&mut decoder), Ok(vec![heartbeat(7)]));
+}
--- /dev/null
+++ b/crates/ochrewalk-control-plane/tests/log.rs
@@ -0,0 +1,245 @@
+//! The publisher's log on a storage that fails: what was acknowledged is there again, whenever it was killed.
+
+use ochrewalk_control_plane::log::{LogError, PublisherLog, Recovered};
+use ochrewalk_distribution::messages::{Quota, Resource, Value};
+use ochrewalk_distribution::{rollback_changes, Store, StoreLimits};
+use ochrewalk_operators::resources::quota_name;
+use redb::StorageBackend;
+use std::io;
+use std::sync::{Arc, Mutex};
+
+/// A disk: what is on it for good, and what was written since the last sync.
+#[derive(Debug, Default)]
+struct Disk {
+    synced: Vec<u8>,
+    current: Vec<u8>,
+    operations: u64,
+    /// After so many operations the power goes.
+    dies_after: u64,
+    /// No file may be longer than this.
+    capacity: u64,
+    /// This sync fails, once.
+    failing_sync: Option<u64>,
+    syncs: u64,
+}
+
+#[derive(Clone, Debug)]
+struct FaultyStorage(Arc<Mutex<Disk>>);
+
+impl FaultyStorage {
+    fn new(content: Vec<u8>, dies_after: u64, capacity: u64) -> FaultyStorage {
+        let disk =
+            Disk { synced: content.clone(), current: content, dies_after, capacity, ..Disk::default() };
+        FaultyStorage(Arc::new(Mutex::new(disk)))
+    }
+
+    /// What is on the disk after the power went: what was synced, and of the rest, written in whole sectors, what `chance`
+    /// lets through.
+    fn after_power_loss(&self, chance: &mut fastrand::Rng) -> Vec<u8> {
+        const SECTOR: usize = 512;
+        let disk = self.0.lock().unwrap();
+        let mut content = disk.synced.clone();
+        if chance.bool() {
+            content.resize(disk.current.len(), 0);
+        }
+        for start in (0..content.len().min(disk.current.len())).step_by(SECTOR) {
+            let end = (start + SECTOR).min(content.len()).min(disk.current.len());
+            if chance.bool() {
+                content[start..end].copy_from_slice(&disk.current[start..end]);
+            }
+        }
+        content
+    }
+
+    fn operate<T>(&self, act: impl FnOnce(&mut Disk) -> io::Result<T>) -> io::Result<T> {
+        let mut disk = self.0.lock().unwrap();
+        disk.operations += 1;
+        if disk.operations > disk.dies_after {
+            return Err(io::Error::other("the power is gone"));
+        }
+        act(&mut disk)
+    }
+}
+
+impl StorageBackend for FaultyStorage {
+    fn len(&self) -> io::Result<u64> {
+        self.operate(|disk| Ok(disk.current.len() as u64))
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.operate(|disk| {
+            let from = offset as usize;
+            let bytes = disk.current.get(from..from + out.len());
+            out.copy_from_slice(bytes.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?);
+            Ok(())
+        })
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.operate(|disk| {
+            if len > disk.capacity {
+                return Err(io::Error::from(io::ErrorKind::StorageFull));
+            }
+            disk.current.resize(len as usize, 0);
+            Ok(())
+        })
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        self.operate(|disk| {
+            disk.syncs += 1;
+            if disk.failing_sync == Some(disk.syncs) {
+                return Err(io::Error::other("the sync failed"));
+            }
+            disk.synced = disk.current.clone();
+            Ok(())
+        })
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.operate(|disk| {
+            let from = offset as usize;
+            let to = disk.current.get_mut(from..from + data.len());
+            to.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?.copy_from_slice(data);
+            Ok(())
+        })
+    }
+}
+
+/// The tenth tenant's quota is set anew with each batch, and another one is set and deleted in turn.
+fn changes(store: &Store) -> Vec<Resource> {
+    let next = store.position().revision + 1;
+    let set = |tenant: String| Resource {
+        name: quota_name(&tenant),
+        revision: 0,
+        value: Some(Value::Quota(Quota { per_second: next as f64 })),
+    };
+    let mut changes = vec![set("ten".into()), set(format!("tenant-{next}"))];
+    if next % 3 == 0 {
+        changes.push(Resource {
+            name: quota_name(&format!("tenant-{}", next - 1)),
+            revision: 0,
+            value: None,
+        });
+    }
+    changes
+}
+
+/// Publishes until something fails or `batches` were acknowledged. Gives how many were.
+fn publish(log: &mut PublisherLog, store: &mut Store, batches: u64) -> (u64, Option<LogError>) {
+    for acknowledged in 0..batches {
+        let batch = store.prepare(&changes(store), None).unwrap();
+        let mut after = store.clone();
+        after.replay(&batch).unwrap();
+        if let Err(why) = log.append(&batch, &after.order(), 0) {
+            return (acknowledged, Some(why));
+        }
+        *store = after;
+    }
+    (batches, None)
+}
+
+fn fresh() -> Store {
+    Store::new(1, StoreLimits::default())
+}
+
+fn restored(recovered: Recovered) -> Store {
+    if recovered.order.epochs.is_empty() {
+        return fresh();
+    }
+    Store::restore(&recovered.order, recovered.resources, StoreLimits::default())
+}
+
+/// The state that so many batches lead to.
+fn state_after(batches: u64) -> Store {
+    let mut store = fresh();
+    for _ in 0..batches {
+        let changes = changes(&store);
+        store.publish(&changes, None).unwrap();
+    }
+    store
+}
+
+fn contents(store: &Store) -> (Vec<Resource>, u64) {
+    (store.iter().cloned().collect(), store.position().revision)
+}
+
+#[test]
+fn killed_at_any_operation_it_has_what_it_acknowledged_and_nothing_half() {
+    let unharmed = FaultyStorage::new(Vec::new(), u64::MAX, u64::MAX);
+    let (mut log, recovered) = PublisherLog::open_on(unharmed.clone()).unwrap();
+    publish(&mut log, &mut restored(recovered), 6);
+    drop(log);
+    let operations = unharmed.0.lock().unwrap().operations;
+    let mut chance = fastrand::Rng::with_seed(7);
+    for dies_after in 1..operations {
+        let storage = FaultyStorage::new(Vec::new(), dies_after, u64::MAX);
+        let mut acknowledged = 0;
+        if let Ok((mut log, recovered)) = PublisherLog::open_on(storage.clone()) {
+            acknowledged = publish(&mut log, &mut restored(recovered), 6).0;
+        }
+        let left = storage.after_power_loss(&mut chance);
+        let after = FaultyStorage::new(left, u64::MAX, u64::MAX);
+        let (_, recovered) = match PublisherLog::open_on(after) {
+            Ok(opened) => opened,
+            // Before the file was ever whole there is nothing to lose.
+            Err(_) if acknowledged == 0 => continue,
+            Err(why) => panic!("after operation {dies_after}, {acknowledged} acknowledged: {why}"),
+        };
+        let store = restored(recovered);
+        let revision = store.position().revision;
+        // The last batch may be durable although nobody was told.
+        assert!((acknowledged..=acknowledged + 1).contains(&revision), "after operation {dies_after}");
+        assert_eq!(contents(&store), contents(&state_after(revision)), "after operation {dies_after}");
+    }
+}
+
+#[test]
+fn a_full_disk_refuses_a_batch_and_what_was_acknowledged_stays() {
+    let storage = FaultyStorage::new(Vec::new(), u64::MAX, 1536 * 1024);
+    let (mut log, recovered) = PublisherLog::open_on(storage.clone()).unwrap();
+    let mut store = restored(recovered);
+    let (acknowledged, failed) = publish(&mut log, &mut store, 5_000);
+    assert!(matches!(failed, Some(LogError::Storage(_))), "{acknowledged} fit: {failed:?}");
+    assert!(acknowledged > 0);
+    // It is not simply tried again: what is on the disk is not known any more.
+    assert!(matches!(publish(&mut log, &mut store, 1), (0, Some(LogError::Failed))));
+    drop(log);
+    let left = storage.0.lock().unwrap().current.clone();
+    let (_, recovered) = PublisherLog::open_on(FaultyStorage::new(left, u64::MAX, u64::MAX)).unwrap();
+    let store = restored(recovered);
+    assert_eq!(contents(&store), contents(&state_after(acknowledged)));
+}
+
+#[test]
+fn a_sync_that_fails_once_is_the_last_thing_the_log_does() {
+    let storage = FaultyStorage::new(Vec::new(), u64::MAX, u64::MAX);
+    let (mut log, recovered) = PublisherLog::open_on(storage.clone()).unwrap();
+    let mut store = restored(recovered);
+    assert!(publish(&mut log, &mut store, 2).1.is_none());
+    {
+        let mut disk = storage.0.lock().unwrap();
+        disk.failing_sync = Some(disk.syncs + 1);
+    }
+    assert!(matches!(publish(&mut log, &mut store, 1), (0, Some(LogError::Storage(_)))));
+    assert!(matches!(publish(&mut log, &mut store, 1), (0, Some(LogError::Failed))));
+}
+
+#[test]
+fn batches_are_kept_for_rollbacks_and_a_second_process_is_kept_out() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("log");
+    let (mut log, recovered) = PublisherLog::open(&path).unwrap();
+    let mut store = restored(recovered);
+    publish(&mut log, &mut store, 5);
+    assert!(matches!(PublisherLog::open(&path), Err(LogError::Open(_))));
+    drop(log);
+    let (log, recovered) = PublisherLog::open(&path).unwrap();
+    let mut store = restored(recovered);
+    let to = state_after(2).position();
+    let undo = rollback_changes(&log.batches_after(to.revision).unwrap(), to).unwrap();
+    store.publish(&undo, None).unwrap();
+    let values =
+        |store: &Store| -> Vec<_> { store.iter().map(|r| (r.name.clone(), r.value.clone())).collect() };
+    assert_eq!(values(&store), values(&state_after(2)));
+}
--- /dev/null
+++ b/crates/ochrewalk-node/src/configuration/mod.rs
@@ -0,0 +1,4 @@
+//! Configuration that comes from the control plane while the node runs.
+
+pub mod agent;
+pub mod state;
--- /dev/null
+++ b/crates/ochrewalk-node/src/configuration/state.rs
@@ -0,0 +1,281 @@
+//! Decides what an update of the distributed configuration changes in this node: it is checked as a whole against the node's
+//! methods and its own file, and either all of it is in force or nothing of it.
+
+use ochrewalk_distribution::messages::{Position, Resource, ResourceKind, Value};
+use ochrewalk_distribution::{ApplyError, CompleteUpdate, Store, StoreLimits};
+use ochrewalk_fronts::guests::Guests;
+use ochrewalk_fronts::judge::Rules;
+use ochrewalk_fronts::routes::Routes;
+use ochrewalk_operators::resources::{
+    check, check_route_at, describe, endpoint_address, MethodTable, ResourceFault, LIMIT_USUAL_MEMORY,
+};
+use ochrewalk_operators::PlaceBelow;
+use ochrewalk::host::Tenant;
+use ochrewalk_distribution::messages::ResourceName;
+use ochrewalk_operators::resources::quota_name;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// A node serves no differences, so that it remembers no deletions.
+const STORE_LIMITS: StoreLimits = StoreLimits { tombstones: 0 };
+
+/// What the node's own files say; distributed resources come on top of it.
+#[derive(Clone, Debug, Default)]
+pub struct FileConfiguration {
+    pub guests: Guests,
+    pub rules: Rules,
+    /// Where calls go by AJP; none where they do not go by AJP.
+    pub endpoints: Option<Vec<PlaceBelow>>,
+    /// The zone of this node.
+    pub zone: Option<String>,
+    /// There is a front whose routes can change.
+    pub has_front: bool,
+}
+
+/// A tenant whose quota was asked for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct KnownTenant {
+    /// Its number here, as long as it is held.
+    id: u32,
+    /// RPCs a second over the whole fleet; none where it is known to have no quota.
+    per_second: Option<f64>,
+}
+
+impl KnownTenant {
+    /// What the decision module is told of an RPC of this tenant; nothing where it has no quota.
+    pub fn quota(&self) -> Option<Tenant> {
+        self.per_second.map(|per_second| Tenant { id: self.id, per_second })
+    }
+}
+
+/// Tenants that are held. One that is not there was not asked for yet: its RPCs count as within their quota until the
+/// answer comes.
+pub type Quotas = BTreeMap<Arc<str>, KnownTenant>;
+
+/// What is in force, taken over as one.
+#[derive(Clone, Debug)]
+pub struct InForce {
+    pub guests: Guests,
+    pub rules: Rules,
+    pub quotas: Arc<Quotas>,
+    pub endpoints: Option<Vec<PlaceBelow>>,
+}
+
+/// Why an update is not taken: the last good state stays in force.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum UpdateFault {
+    #[error(transparent)]
+    Resource(#[from] ResourceFault),
+    #[error("{route}: {why}")]
+    RouteConflict { route: String, why: String },
+    #[error("{0}: this node has no front that is routed")]
+    NoFront(String),
+    #[error("{0}: this node calls nothing by AJP")]
+    NoEndpoints(String),
+    #[error("{0}: a kind that this version does not know")]
+    UnknownKind(String),
+    #[error(transparent)]
+    Order(#[from] ApplyError),
+}
+
+/// The node's methods by name: their positions, and whether each may happen twice.
+pub type Methods = HashMap<String, (usize, bool)>;
+
+/// The configuration of a node: its files, what was distributed to it, and what both come to.
+#[derive(Debug)]
+pub struct NodeConfiguration {
+    methods: Methods,
+    file: FileConfiguration,
+    distributed: Store,
+    routes: Routes,
+    quotas: Arc<Quotas>,
+    /// The number of the next tenant: one is not given twice.
+    next_tenant: u32,
+}
+
+/// An update that was found good and is not in force yet.
+#[derive(Debug)]
+pub struct Staged {
+    routes: Routes,
+    quotas: Arc<Quotas>,
+    next_tenant: u32,
+}
+
+impl NodeConfiguration {
+    /// What the files say alone.
+    pub fn new(methods: Methods, file: FileConfiguration) -> NodeConfiguration {
+        let routes = file.rules.routes.clone();
+        let distributed = Store::new(0, STORE_LIMITS);
+        NodeConfiguration { methods, file, distributed, routes, quotas: Arc::default(), next_tenant: 0 }
+    }
+
+    /// The position in force.
+    pub fn position(&self) -> Position {
+        self.distributed.position()
+    }
+
+    /// Resources that were distributed to this node.
+    pub fn resources(&self) -> impl Iterator<Item = &Resource> {
+        self.distributed.iter()
+    }
+
+    /// Tenants that are known to have no quota.
+    pub fn absent_quotas(&self) -> Vec<ResourceName> {
+        let absent = self.quotas.iter().filter(|(_, known)| known.per_second.is_none());
+        absent.map(|(tenant, _)| quota_name(tenant)).collect()
+    }
+
+    /// The names of the first `most` tenants that are held, and whether each has a quota.
+    pub fn held_quotas(&self, most: usize) -> Vec<(ResourceName, bool)> {
+        let held = self.quotas.iter().take(most);
+        held.map(|(tenant, known)| (quota_name(tenant), known.per_second.is_some())).collect()
+    }
+
+    /// Checks an update and brings it into force, or leaves all as it is and says why.
+    pub fn apply(&mut self, update: &CompleteUpdate) -> Result<InForce, UpdateFault> {
+        let staged = self.stage(update)?;
+        self.distributed.apply(update)?;
+        self.routes = staged.routes;
+        self.quotas = staged.quotas;
+        self.next_tenant = staged.next_tenant;
+        Ok(self.in_force())
+    }
+
+    /// What is in force now.
+    pub fn in_force(&self) -> InForce {
+        let mut rules = Rules { routes: self.routes.clone(), ..self.file.rules.clone() };
+        if let Some(amount) = self.limit(LIMIT_USUAL_MEMORY) {
+            rules.usual_kb = Some(amount);
+        }
+        InForce {
+            guests: self.file.guests.clone(),
+            rules,
+            quotas: self.quotas.clone(),
+            endpoints: self.endpoints(),
+        }
+    }
+
+    /// Quotas of these tenants are no longer watched: they would go stale.
+    pub fn forget_quotas<'a>(&mut self, tenants: impl IntoIterator<Item = &'a str>) -> InForce {
+        let quotas = Arc::make_mut(&mut self.quotas);
+        for tenant in tenants {
+            quotas.remove(tenant);
+            self.distributed.forget(&quota_name(tenant));
+        }
+        self.in_force()
+    }
+
+    /// The node's files have changed. A distributed route that the file now has, too, is left out and named.
+    pub fn replace_file(&mut self, file: FileConfiguration) -> (InForce, Vec<UpdateFault>) {
+        let mut routes = file.rules.routes.clone();
+        let mut faults = Vec::new();
+        for resource in self.distributed.iter() {
+            if let Err(fault) = self.add_route(&mut routes, resource) {
+                faults.push(fault);
+            }
+        }
+        self.routes = routes;
+        self.file = file;
+        (self.in_force(), faults)
+    }
+
+    fn stage(&self, update: &CompleteUpdate) -> Result<Staged, UpdateFault> {
+        for resource in &update.resources {
+            self.check(resource)?;
+        }
+        let mut routes = if update.is_snapshot { self.file.rules.routes.clone() } else { self.routes.clone() };
+        // What goes makes room first: a path may move from one name to another within an update.
+        if !update.is_snapshot {
+            update.resources.iter().for_each(|resource| self.remove_route(&mut routes, resource));
+        }
+        for resource in &update.resources {
+            self.add_route(&mut routes, resource)?;
+        }
+        let (quotas, next_tenant) = self.staged_quotas(update);
+        Ok(Staged { routes, quotas, next_tenant })
+    }
+
+    fn check(&self, resource: &Resource) -> Result<(), UpdateFault> {
+        check(resource)?;
+        match resource.name.kind() {
+            ResourceKind::Unknown => Err(UpdateFault::UnknownKind(describe(&resource.name))),
+            ResourceKind::Route if !self.file.has_front => {
+                Err(UpdateFault::NoFront(describe(&resource.name)))
+            }
+            ResourceKind::Endpoint if self.file.endpoints.is_none() => {
+                Err(UpdateFault::NoEndpoints(describe(&resource.name)))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn remove_route(&self, routes: &mut Routes, resource: &Resource) {
+        let before = self.distributed.get(&resource.name).and_then(|before| before.value.as_ref());
+        if let Some(Value::Route(route)) = before {
+            routes.remove(&route.http_method, &route.path);
+        }
+    }
+
+    fn add_route(&self, routes: &mut Routes, resource: &Resource) -> Result<(), UpdateFault> {
+        let Some(Value::Route(route)) = &resource.value else { return Ok(()) };
+        let methods: MethodTable =
+            self.methods.get_key_value(&route.method).map(|(name, at)| (name.as_str(), *at)).into_iter().collect();
+        let method = check_route_at(&resource.name, route, &methods)?;
+        let added = routes.add(&route.http_method, &route.path, method);
+        added.map_err(|why| UpdateFault::RouteConflict { route: describe(&resource.name), why })
+    }
+
+    fn staged_quotas(&self, update: &CompleteUpdate) -> (Arc<Quotas>, u32) {
+        let is_quota = |name: &ResourceName| name.kind() == ResourceKind::Quota;
+        let changed = update.resources.iter().filter(|resource| is_quota(&resource.name));
+        let changed = changed.map(|resource| match &resource.value {
+            Some(Value::Quota(quota)) => (&resource.name, Some(quota.per_second)),
+            _ => (&resource.name, None),
+        });
+        let absent = update.absent.iter().filter(|name| is_quota(name)).map(|name| (name, None));
+        let mut changed = changed.chain(absent).peekable();
+        if !update.is_snapshot && changed.peek().is_none() {
+            return (self.quotas.clone(), self.next_tenant);
+        }
+        let mut quotas = if update.is_snapshot { Quotas::new() } else { (*self.quotas).clone() };
+        let mut next_tenant = self.next_tenant;
+        for (name, per_second) in changed {
+            // A tenant keeps its number over a change, and with it what the module holds against its quota.
+            let id = self.quotas.get(name.name.as_str()).map_or(next_tenant, |known| known.id);
+            if id == next_tenant {
+                next_tenant = next_tenant.wrapping_add(1);
+            }
+            quotas.insert(name.name.as_str().into(), KnownTenant { id, per_second });
+        }
+        (Arc::new(quotas), next_tenant)
+    }
+
+    fn limit(&self, limit: &str) -> Option<f64> {
+        let of = |resource: &Resource| match &resource.value {
+            Some(Value::Limit(value)) if resource.name.name == limit => Some(value.amount),
+            _ => None,
+        };
+        // Where several scopes set it, the lowest holds.
+        let limits = self.distributed.of_kind(ResourceKind::Limit);
+        limits.filter_map(of).min_by(f64::total_cmp)
+    }
+
+    fn endpoints(&self) -> Option<Vec<PlaceBelow>> {
+        let mut endpoints = self.file.endpoints.clone()?;
+        for resource in self.distributed.of_kind(ResourceKind::Endpoint) {
+            let (Some(Value::Endpoint(endpoint)), Some(at)) =
+                (&resource.value, endpoint_address(&resource.name))
+            else {
+                continue;
+            };
+            let is_near = self.file.zone.as_ref().is_none_or(|zone| *zone == endpoint.zone);
+            let place = PlaceBelow { at, weight: endpoint.weight, is_near };
+            // A distributed endpoint says the newer of what a file says, too.
+            match endpoints.iter_mut().find(|known| known.at == at) {
+                Some(known) => *known = place,
+                None => endpoints.push(place),
+            }
+        }
+        Some(endpoints)
+    }
+}
--- a/crates/ochrewalk-node/src/main.rs
+++ b/crates/ochrewalk-node/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the real node.
 
 use clap::{Parser, Subcommand, ValueEnum};
+use ochrewalk_node::config_command::{self, ConfigCommand};
 use ochrewalk_node::logger::{Form, Logs};
 use ochrewalk_node::node::Files;
 use ochrewalk_node::rollout::{self, End, Wish};
@@ -66,6 +67,17 @@
         #[arg(long, value_name = "PATH")]
         control: PathBuf,
     },
+    /// Publish configuration to a fleet, relay it, and see what is in force where
+    Config {
+        /// The least serious lines that are logged: error, warn, info, debug
+        #[arg(long, env = "OCHREWALK_LOG", default_value = "info", value_name = "LEVEL")]
+        log: LevelFilter,
+        /// How lines are written
+        #[arg(long, env = "OCHREWALK_LOG_FORMAT", default_value = "plain", value_enum)]
+        log_format: Form,
+        #[command(subcommand)]
+        command: ConfigCommand,
+    },
     /// Say which version this is
     Version,
 }
@@ -137,6 +149,12 @@
         Command::Places { control } => {
             ochrewalk_node::net::status::ask(&control).map(|table| print!("{table}"))
         }
+        Command::Config { log, log_format, command } => {
+            ochrewalk_node::logger::start(Logs { level: log, form: log_format });
+            let done = config_command::run(command).map(|text| print!("{text}"));
+            ochrewalk_node::logger::flush();
+            done.map_err(|why| why.to_string())
+        }
         Command::Check { config, operators, against } => {
             let files = Files { node: config, operators };
             files.read().and_then(|(placement, operators)| {
