--- a/crates/ochrewalk-distribution/tests/common/mod.rs
+++ b/crates/ochrewalk-distribution/tests/common/mod.rs
@@ -45,6 +45,18 @@
     Position { epoch, revision }
 }
 
+/// A publisher whose snapshot has several parts.
+pub fn filled_publisher() -> Server {
+    let mut server = publisher();
+    let changes: Vec<Resource> = (0..400).map(|n| quota("a", &format!("tenant-{n:03}"), 1.0)).collect();
+    server.store_mut().publish(&changes, None).unwrap();
+    server
+}
+
+pub fn publish(server: &mut Server, changes: &[Resource]) {
+    server.store_mut().publish(changes, None).unwrap();
+}
+
 /// Limits under which no subscriber waits to be caught up.
 pub fn unbounded_limits() -> ServerLimits {
     let catch_up = CatchUpLimits { bytes_per_second: 0, max_at_once: usize::MAX, ..CatchUpLimits::default() };
--- /dev/null
+++ b/crates/ochrewalk-distribution/tests/demand.rs
@@ -0,0 +1,117 @@
+//! Names watched because a node used them.
+
+mod common;
+
+use common::*;
+use ochrewalk_distribution::messages::{ResourceName, Watch};
+use ochrewalk_distribution::{CompleteUpdate, DemandSet, DemandState, Interest};
+use proptest::prelude::*;
+
+fn name(number: usize) -> ResourceName {
+    quota_name("a", &format!("tenant-{number:03}"))
+}
+
+#[test]
+fn a_name_is_asked_for_once_and_the_least_recently_used_goes_first() {
+    let mut demand = DemandSet::new(2);
+    let added = |number| Some(Watch { add: vec![name(number)], remove: Vec::new() });
+    assert_eq!(demand.want(&name(1), 1), added(1));
+    assert_eq!(demand.want(&name(2), 2), added(2));
+    assert_eq!(demand.want(&name(1), 3), None);
+    let watch = Watch { add: vec![name(3)], remove: vec![name(2)] };
+    assert_eq!(demand.want(&name(3), 4), Some(watch));
+    assert_eq!(demand.names().collect::<Vec<_>>(), [&name(1), &name(3)]);
+    assert_eq!(demand.state(&name(2)), None);
+}
+
+#[test]
+fn a_name_is_known_as_absent_until_it_is_made() {
+    let mut demand = DemandSet::new(2);
+    demand.want(&name(1), 1);
+    assert_eq!(demand.state(&name(1)), Some(DemandState::Asked));
+    let mut update = CompleteUpdate {
+        position: position(1, 1),
+        is_snapshot: false,
+        resources: Vec::new(),
+        absent: vec![name(1), name(2)],
+        horizon: 0,
+    };
+    demand.applied(&update);
+    assert_eq!(demand.state(&name(1)), Some(DemandState::Absent));
+    assert_eq!((demand.state(&name(2)), demand.want(&name(1), 2)), (None, None));
+    update.absent.clear();
+    update.resources = vec![quota("a", "tenant-001", 1.0).into()];
+    demand.applied(&update);
+    assert_eq!(demand.state(&name(1)), Some(DemandState::Present));
+    update.resources = vec![deletion("a", "tenant-001").into()];
+    demand.applied(&update);
+    assert_eq!(demand.state(&name(1)), Some(DemandState::Absent));
+}
+
+#[test]
+fn names_restored_are_not_asked_for_again() {
+    let mut demand = DemandSet::new(2);
+    for (number, is_present) in [(1, true), (2, false), (3, true)] {
+        demand.restore(&name(number), is_present, 0);
+    }
+    assert_eq!(demand.len(), 2);
+    assert_eq!(demand.state(&name(1)), Some(DemandState::Present));
+    assert_eq!(demand.state(&name(2)), Some(DemandState::Absent));
+    assert_eq!(demand.want(&name(1), 1), None);
+}
+
+#[test]
+fn a_node_that_watches_on_demand_holds_what_it_watches_and_nothing_else() {
+    let mut server = filled_publisher();
+    let mut node = Node::new("one", Interest::default());
+    node.connect(&mut server);
+    let mut demand = DemandSet::new(20);
+    for step in 0..200 {
+        let wanted = name(step * step % 450);
+        if let Some(watch) = demand.want(&wanted, step as u64) {
+            node.watch(&mut server, &watch);
+        }
+        if step % 9 == 0 {
+            publish(&mut server, &[quota("a", &name(step * 2).name, step as f64)]);
+        }
+        for update in node.catch_up(&mut server) {
+            demand.applied(&update);
+        }
+        node.assert_equals(server.store());
+        let is_there = server.store().get(&wanted).is_some();
+        let state = if is_there { DemandState::Present } else { DemandState::Absent };
+        assert_eq!(demand.state(&wanted), Some(state));
+    }
+    assert!(node.store.len() <= 20);
+}
+
+proptest! {
+    #[test]
+    fn as_many_as_the_bound_that_were_used_last_are_watched(
+        uses in proptest::collection::vec(0..12_usize, 1..60),
+        limit in 1..6_usize,
+    ) {
+        let mut demand = DemandSet::new(limit);
+        let mut watched: Vec<ResourceName> = Vec::new();
+        let mut last_used: Vec<ResourceName> = Vec::new();
+        for (step, number) in uses.into_iter().enumerate() {
+            let name = name(number);
+            if let Some(watch) = demand.want(&name, step as u64) {
+                watched.retain(|name| !watch.remove.contains(name));
+                watched.extend(watch.add);
+            }
+            last_used.retain(|used| *used != name);
+            last_used.push(name);
+            if last_used.len() > limit {
+                last_used.remove(0);
+            }
+            let sorted = |names: &[ResourceName]| {
+                let mut names = names.to_vec();
+                names.sort();
+                names
+            };
+            prop_assert_eq!(sorted(&watched), sorted(&last_used));
+            prop_assert_eq!(demand.names().cloned().collect::<Vec<_>>(), sorted(&last_used));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-distribution/tests/watches.rs
@@ -0,0 +1,149 @@
+//! What a subscriber asks for and reports: single names, rejections, and requests that are refused.
+
+mod common;
+
+use common::*;
+use ochrewalk_distribution::messages::{ResourceKind, ResourceName, Subscribe, Watch, PROTOCOL_VERSION};
+use ochrewalk_distribution::{Admission, Interest, Next, RefusedSubscriber};
+
+fn node(name: &str) -> Node {
+    Node::new(name, Interest::scopes(["a"]))
+}
+
+#[test]
+fn a_rejected_update_is_not_sent_again_until_there_is_a_later_one() {
+    let mut server = filled_publisher();
+    let mut node = node("one");
+    node.connect(&mut server);
+    node.catch_up(&mut server);
+    publish(&mut server, &[quota("a", "tenant-000", 2.0)]);
+    let update = node.next_update(&mut server);
+    let report = node.subscription.rejected(update.position, "it does not fit");
+    let id = node.id.unwrap();
+    server.report(id, report);
+    assert_eq!(server.next(id, 0), Next::Idle);
+    let status = server.status();
+    assert_eq!((status.in_force[0].position, status.rejections.len()), (position(1, 1), 1));
+    publish(&mut server, &[quota("a", "tenant-001", 2.0)]);
+    // From what is applied, so the rejected change comes again together with the new one.
+    let updates = node.catch_up(&mut server);
+    assert!(updates.len() == 1 && updates[0].resources.len() == 2);
+    node.assert_equals(server.store());
+    assert!(server.status().rejections.is_empty());
+}
+
+#[test]
+fn nothing_further_is_sent_before_the_report_on_an_update() {
+    let mut server = filled_publisher();
+    let mut node = node("one");
+    node.connect(&mut server);
+    let update = node.next_update(&mut server);
+    publish(&mut server, &[quota("a", "tenant-000", 2.0)]);
+    assert_eq!(server.next(node.id.unwrap(), 0), Next::Idle);
+    node.apply(&mut server, &update);
+    assert_eq!(node.catch_up(&mut server).len(), 1);
+    node.assert_equals(server.store());
+}
+
+#[test]
+fn a_name_asked_for_is_answered_by_its_value_or_as_absent() {
+    let mut server = filled_publisher();
+    publish(&mut server, &[quota("b", "present", 1.0), quota("b", "deleted", 1.0)]);
+    publish(&mut server, &[deletion("b", "deleted")]);
+    let mut node = node("one");
+    node.connect(&mut server);
+    node.catch_up(&mut server);
+    let add = ["absent", "deleted", "present"].map(|tenant| quota_name("b", tenant));
+    node.watch(&mut server, &Watch { add: add.to_vec(), remove: Vec::new() });
+    let updates = node.catch_up(&mut server);
+    assert_eq!(updates.len(), 1);
+    assert_eq!(updates[0].absent, add[..2]);
+    assert_eq!(updates[0].resources.len(), 1);
+    node.assert_equals(server.store());
+    publish(&mut server, &[quota("b", "absent", 2.0), quota("b", "unwatched", 2.0)]);
+    assert_eq!(node.catch_up(&mut server)[0].resources.len(), 1);
+    node.watch(&mut server, &Watch { add: Vec::new(), remove: add.to_vec() });
+    publish(&mut server, &[quota("b", "present", 2.0)]);
+    assert!(node.catch_up(&mut server)[0].resources.is_empty());
+    node.assert_equals(server.store());
+}
+
+#[test]
+fn a_name_whose_answer_was_lost_is_asked_for_again() {
+    let mut server = filled_publisher();
+    publish(&mut server, &[quota("b", "tenant", 1.0)]);
+    let mut node = node("one");
+    node.connect(&mut server);
+    node.catch_up(&mut server);
+    node.watch(&mut server, &Watch { add: vec![quota_name("b", "tenant")], remove: Vec::new() });
+    node.next_update(&mut server);
+    node.disconnect(&mut server);
+    node.connect(&mut server);
+    assert_eq!(node.catch_up(&mut server).len(), 1);
+    node.assert_equals(server.store());
+    // Once it is applied, it is not.
+    node.disconnect(&mut server);
+    node.connect(&mut server);
+    assert!(node.catch_up(&mut server).is_empty());
+}
+
+#[test]
+fn an_answer_in_a_rejected_update_comes_again() {
+    let mut server = filled_publisher();
+    publish(&mut server, &[quota("b", "tenant", 1.0)]);
+    let mut node = node("one");
+    node.connect(&mut server);
+    node.catch_up(&mut server);
+    node.watch(&mut server, &Watch { add: vec![quota_name("b", "tenant")], remove: Vec::new() });
+    let update = node.next_update(&mut server);
+    let report = node.subscription.rejected(update.position, "it does not fit");
+    server.report(node.id.unwrap(), report);
+    publish(&mut server, &[quota("a", "tenant-000", 2.0)]);
+    node.catch_up(&mut server);
+    node.assert_equals(server.store());
+    assert!(node.store.get(&quota_name("b", "tenant")).is_some());
+}
+
+#[test]
+fn a_snapshot_answers_each_single_name_and_holds_it_once() {
+    let mut server = filled_publisher();
+    publish(&mut server, &[quota("b", "present", 1.0)]);
+    let mut interest = Interest::scopes(["a"]);
+    interest.names = ["present", "absent"].map(|tenant| quota_name("b", tenant)).into();
+    interest.names.insert(quota_name("a", "tenant-000"));
+    let mut node = Node::new("one", interest);
+    node.connect(&mut server);
+    let updates = node.catch_up(&mut server);
+    assert_eq!(updates[0].absent, [quota_name("b", "absent")]);
+    assert_eq!(updates[0].resources.len(), 401);
+    node.assert_equals(server.store());
+}
+
+#[test]
+fn subscribers_of_a_later_version_with_wrong_names_or_too_many_are_refused() {
+    let mut server = filled_publisher();
+    let limit = unbounded_limits().max_interest;
+    let message = node("one").subscription.subscribe_message();
+    let version = PROTOCOL_VERSION + 1;
+    let names = |count: usize| (0..count).map(|n| quota_name("a", &n.to_string())).collect::<Vec<_>>();
+    let cases = [
+        (Subscribe { version, ..message.clone() }, RefusedSubscriber::UnknownVersion { version }),
+        (
+            Subscribe { names: names(limit), ..message.clone() },
+            RefusedSubscriber::TooManyNames { count: limit + 1, limit },
+        ),
+        (
+            Subscribe { names: vec![ResourceName::new(ResourceKind::Quota, "a", "")], ..message },
+            RefusedSubscriber::InvalidName,
+        ),
+    ];
+    for (message, reason) in cases {
+        assert_eq!(server.subscribe(0, message), Admission::Refused { reason });
+    }
+    let mut node = node("one");
+    node.connect(&mut server);
+    let watch = Watch { add: names(limit), remove: Vec::new() };
+    assert!(server.watch(node.id.unwrap(), &watch).is_err());
+    node.catch_up(&mut server);
+    node.assert_equals(server.store());
+}
