Updates tell which watches they answer, so that no answer is taken for a later one

A name that was removed and added again while an update was on its way could keep an old value after a lost connection. Update gains the number of watches taken over when it began; a subscription drops what it no longer wants or what a later watch asked for.

--- a/crates/ochrewalk-distribution/src/messages.rs
+++ b/crates/ochrewalk-distribution/src/messages.rs
@@ -214,6 +214,10 @@
     /// was sent everything, deletions included.
     #[prost(uint64, tag = "9")]
     pub horizon: u64,
+    /// On the last part: how many messages `Watch` of this stream had been taken over when the update began. It answers
+    /// the names of all of these.
+    #[prost(uint64, tag = "10")]
+    pub watches: u64,
 }
 
 /// What a server of updates says while it has nothing to send, so that silence means a broken path.
--- a/crates/ochrewalk-distribution/src/server.rs
+++ b/crates/ochrewalk-distribution/src/server.rs
@@ -109,6 +109,8 @@
     rejected: Option<Position>,
     /// Watched names that the next update is to answer.
     asked: BTreeSet<ResourceName>,
+    /// How many watches were taken over.
+    watches: u64,
     activity: Activity,
 }
 
@@ -182,6 +184,7 @@
             applied: message.applied,
             rejected: None,
             asked: BTreeSet::new(),
+            watches: 0,
             activity: Activity::Ready,
         };
         self.subscribers.insert(id, subscriber);
@@ -262,6 +265,7 @@
             subscriber.asked.remove(name);
         }
         subscriber.asked.extend(watch.add.iter().cloned());
+        subscriber.watches += 1;
         Ok(())
     }
 
@@ -318,11 +322,12 @@
         let progress = match &mut subscriber.activity {
             Activity::Ready if lacks_something => {
                 let asked = std::mem::take(&mut subscriber.asked);
-                UpdateProgress::begin(&self.store, &subscriber.interest, subscriber.applied, asked)
+                let applied = subscriber.applied;
+                UpdateProgress::begin(&self.store, &subscriber.interest, applied, asked, subscriber.watches)
             }
             Activity::Receiving(progress) if !progress.can_continue(&self.store) => {
                 let answers = progress.take_answers();
-                UpdateProgress::begin(&self.store, &subscriber.interest, None, answers)
+                UpdateProgress::begin(&self.store, &subscriber.interest, None, answers, subscriber.watches)
             }
             _ => return,
         };
--- a/crates/ochrewalk-distribution/src/subscription.rs
+++ b/crates/ochrewalk-distribution/src/subscription.rs
@@ -1,6 +1,6 @@
 //! Decides what a subscriber applies: parts of an update are gathered and checked, and are applied only together.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crc32fast::Hasher;
@@ -96,14 +96,16 @@
     node: String,
     region: String,
     interest: Interest,
-    /// Watched names that no applied update has answered.
-    unanswered: BTreeSet<ResourceName>,
+    /// Watched names that no applied update has answered, with the number of the watch on this stream that asked for them.
+    unanswered: BTreeMap<ResourceName, u64>,
+    /// How many watches were sent on this stream.
+    watches: u64,
     applied: Option<Position>,
     highest_epoch: u64,
     limits: SubscriptionLimits,
     partial: Option<PartialUpdate>,
-    /// Names answered by the update that was completed last.
-    answered: Vec<ResourceName>,
+    /// How many watches the update answers that was completed last.
+    answered_watches: Option<u64>,
     last_heard_us: Option<u64>,
 }
 
@@ -121,12 +123,13 @@
             node: node.into(),
             region: region.into(),
             interest,
-            unanswered: BTreeSet::new(),
+            unanswered: BTreeMap::new(),
+            watches: 0,
             applied: saved,
             highest_epoch: saved.map_or(0, |position| position.epoch),
             limits,
             partial: None,
-            answered: Vec::new(),
+            answered_watches: None,
             last_heard_us: None,
         }
     }
@@ -153,7 +156,7 @@
 
     /// The first message of a stream. [`unanswered_watch`](Self::unanswered_watch) is to follow it on the same stream.
     pub fn subscribe_message(&self) -> Subscribe {
-        let is_held = |name: &&ResourceName| self.applied.is_none() || !self.unanswered.contains(*name);
+        let is_held = |name: &&ResourceName| self.applied.is_none() || !self.unanswered.contains_key(*name);
         Subscribe {
             version: PROTOCOL_VERSION,
             node: self.node.clone(),
@@ -167,21 +170,23 @@
         }
     }
 
-    /// Names watched whose answer was not applied before the last stream ended.
-    pub fn unanswered_watch(&self) -> Option<Watch> {
-        if self.applied.is_none() || self.unanswered.is_empty() {
-            return None;
-        }
-        Some(Watch { add: self.unanswered.iter().cloned().collect(), remove: Vec::new() })
+    /// Names watched whose answer was not applied before the last stream ended. Call this once on each stream, right after
+    /// [`subscribe_message`](Self::subscribe_message).
+    pub fn unanswered_watch(&mut self) -> Option<Watch> {
+        let is_asked_again = self.applied.is_some() && !self.unanswered.is_empty();
+        self.watches = u64::from(is_asked_again);
+        self.unanswered.values_mut().for_each(|watch| *watch = self.watches);
+        is_asked_again.then(|| Watch { add: self.unanswered.keys().cloned().collect(), remove: Vec::new() })
     }
 
-    /// Names are added to or removed from what is wanted. The caller sends `watch` to the server.
+    /// Names are added to or removed from what is wanted. The caller sends `watch` on the stream, if there is one.
     pub fn watch(&mut self, watch: &Watch) {
+        self.watches += 1;
         self.interest.update(watch);
         for name in &watch.remove {
             self.unanswered.remove(name);
         }
-        self.unanswered.extend(watch.add.iter().cloned());
+        self.unanswered.extend(watch.add.iter().map(|name| (name.clone(), self.watches)));
     }
 
     /// A part of an update came.
@@ -232,7 +237,7 @@
             return Ok(Received::More);
         }
         check_whole(&partial, update.checksum)?;
-        Ok(Received::Complete(self.complete(partial, update.horizon)))
+        Ok(Received::Complete(self.complete(partial, update.horizon, update.watches)))
     }
 
     fn check_order(&self, partial: &PartialUpdate, update: &Update) -> Result<(), UpdateError> {
@@ -251,11 +256,10 @@
         Ok(())
     }
 
-    fn complete(&mut self, partial: PartialUpdate, horizon: u64) -> CompleteUpdate {
-        let names = partial.resources.iter().map(|resource| &resource.name);
-        let unanswered = &self.unanswered;
-        self.answered =
-            names.chain(&partial.absent).filter(|name| unanswered.contains(*name)).cloned().collect();
+    fn complete(&mut self, mut partial: PartialUpdate, horizon: u64, watches: u64) -> CompleteUpdate {
+        self.answered_watches = Some(watches);
+        partial.resources.retain(|resource| self.is_kept(&resource.name, watches));
+        partial.absent.retain(|name| self.is_kept(name, watches));
         CompleteUpdate {
             position: partial.position,
             is_snapshot: partial.is_snapshot,
@@ -265,20 +269,28 @@
         }
     }
 
+    /// Whether what an update that answers `watches` watches tells of `name` is to be applied. A name that was removed
+    /// meanwhile would go stale; so would one that was added again, until the server has taken that over.
+    fn is_kept(&self, name: &ResourceName, watches: u64) -> bool {
+        let is_of_scope = self.interest.everything || self.interest.scopes.contains(&name.scope);
+        let is_answered = self.unanswered.get(name).is_none_or(|watch| *watch <= watches);
+        is_of_scope || (self.interest.names.contains(name) && is_answered)
+    }
+
     /// The complete update of `position` is in force. The report is to be sent to the server, which sends no further
     /// update before it.
     pub fn applied(&mut self, position: Position) -> Report {
         self.applied = Some(position);
         self.heard_epoch(position.epoch);
-        for name in self.answered.drain(..) {
-            self.unanswered.remove(&name);
+        if let Some(answered) = self.answered_watches.take() {
+            self.unanswered.retain(|_, watch| *watch > answered);
         }
         Report { applied: position, rejected: None }
     }
 
     /// The complete update of `position` is wrong for this subscriber, which keeps what it has.
     pub fn rejected(&mut self, position: Position, reason: impl Into<String>) -> Report {
-        self.answered.clear();
+        self.answered_watches = None;
         let rejection = Rejection { position, node: self.node.clone(), reason: reason.into() };
         Report { applied: self.applied.unwrap_or_default(), rejected: Some(rejection) }
     }
@@ -302,7 +314,7 @@
     /// The stream ended: a half-received update is dropped.
     pub fn reset(&mut self) {
         self.partial = None;
-        self.answered.clear();
+        self.answered_watches = None;
     }
 }
 
--- a/crates/ochrewalk-distribution/src/update_builder.rs
+++ b/crates/ochrewalk-distribution/src/update_builder.rs
@@ -60,6 +60,8 @@
     target: Position,
     rounds: u32,
     answers: BTreeSet<ResourceName>,
+    /// How many watches of the subscriber were taken over when the update began.
+    watches: u64,
 }
 
 impl UpdateProgress {
@@ -69,6 +71,7 @@
         interest: &Interest,
         applied: Option<Position>,
         mut asked: BTreeSet<ResourceName>,
+        watches: u64,
     ) -> Self {
         let target = store.position();
         let start = store.differences_from(applied);
@@ -80,8 +83,18 @@
         if is_snapshot {
             asked.extend(interest.names.iter().cloned());
         }
-        let stage = Stage::Answers { from: None };
-        Self { base, is_snapshot, part: 0, checksum: 0, stage, cursor, target, rounds: 0, answers: asked }
+        Self {
+            base,
+            is_snapshot,
+            part: 0,
+            checksum: 0,
+            stage: Stage::Answers { from: None },
+            cursor,
+            target,
+            rounds: 0,
+            answers: asked,
+            watches,
+        }
     }
 
     pub(crate) fn is_snapshot(&self) -> bool {
@@ -130,6 +143,7 @@
             checksum: if is_last { self.checksum } else { 0 },
             base: self.base.filter(|_| is_first),
             horizon: self.horizon(store, interest, is_last),
+            watches: if is_last { self.watches } else { 0 },
         })
     }
 
--- a/crates/ochrewalk-distribution/tests/watches.rs
+++ b/crates/ochrewalk-distribution/tests/watches.rs
@@ -147,3 +147,31 @@
     node.catch_up(&mut server);
     node.assert_equals(server.store());
 }
+
+#[test]
+fn an_answer_to_a_watch_before_a_name_was_removed_and_added_again_is_not_taken_for_the_later_one() {
+    let mut server = filled_publisher();
+    publish(&mut server, &[quota("b", "tenant", 1.0)]);
+    let mut node = node("one");
+    node.connect(&mut server);
+    node.catch_up(&mut server);
+    let name = quota_name("b", "tenant");
+    let add = Watch { add: vec![name.clone()], remove: Vec::new() };
+    let remove = Watch { add: Vec::new(), remove: vec![name.clone()] };
+    node.watch(&mut server, &add);
+    let part = node.next_part(&mut server, &mut 0).unwrap();
+    // Both are on their way while the answer to the first one is.
+    node.subscription.watch(&remove);
+    node.subscription.watch(&add);
+    node.receive(&mut server, part).unwrap();
+    assert!(node.store.get(&name).is_none());
+    // The server takes over the removal only, and the connection ends.
+    server.watch(node.id.unwrap(), &remove).unwrap();
+    publish(&mut server, &[quota("b", "tenant", 2.0)]);
+    node.catch_up(&mut server);
+    node.disconnect(&mut server);
+    node.connect(&mut server);
+    node.catch_up(&mut server);
+    node.assert_equals(server.store());
+    assert!(node.store.get(&name).is_some());
+}
