--- a/crates/ochrewalk-distribution/src/server.rs
+++ b/crates/ochrewalk-distribution/src/server.rs
@@ -24,7 +24,7 @@
 /// Bounds of a [`Server`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ServerLimits {
-    /// The largest part of an update, in encoded bytes; 4,096 where it is less.
+    /// The largest part of an update in encoded bytes, unless a single resource takes more.
     pub chunk_bytes: usize,
     pub max_subscribers: usize,
     /// The most scopes and single names of one subscriber together.
--- a/crates/ochrewalk-distribution/src/update_builder.rs
+++ b/crates/ochrewalk-distribution/src/update_builder.rs
@@ -14,8 +14,6 @@
 
 /// Bytes of a part apart from its resources and names.
 const PART_OVERHEAD_BYTES: usize = 128;
-/// The smallest part that holds any one resource.
-pub(crate) const MIN_CHUNK_BYTES: usize = 4_096;
 /// The most resources looked at for one part, so that one call doesn't hold others up.
 const MAX_VISITED: usize = 20_000;
 /// Kinds in the order in which the store holds them.
@@ -120,7 +118,7 @@
         store.position() >= self.target && store.differences_from(Some(reached)) != Start::Snapshot
     }
 
-    /// Builds the next part of at most `chunk_bytes`.
+    /// Builds the next part, of at most `chunk_bytes` unless a single resource takes more.
     pub(crate) fn next_part(&mut self, store: &Store, interest: &Interest, chunk_bytes: usize) -> Built {
         let mut part = PartBuilder::new(chunk_bytes);
         let is_last = self.fill(store, interest, &mut part);
@@ -286,7 +284,7 @@
 
 impl PartBuilder {
     fn new(chunk_bytes: usize) -> Self {
-        let bytes_left = chunk_bytes.max(MIN_CHUNK_BYTES) - PART_OVERHEAD_BYTES;
+        let bytes_left = chunk_bytes.saturating_sub(PART_OVERHEAD_BYTES);
         Self { resources: Vec::new(), absent: Vec::new(), bytes_left, visits_left: MAX_VISITED }
     }
 
@@ -317,10 +315,11 @@
         has_room
     }
 
+    /// Takes room of `bytes` if there is so much. There always is for the first, so that each part holds something.
     fn take(&mut self, bytes: usize) -> bool {
-        let has_room = bytes <= self.bytes_left;
+        let has_room = bytes <= self.bytes_left || self.is_empty();
         if has_room {
-            self.bytes_left -= bytes;
+            self.bytes_left = self.bytes_left.saturating_sub(bytes);
         }
         has_room
     }
