--- a/crates/ochrewalk-distribution/src/update_builder.rs
+++ b/crates/ochrewalk-distribution/src/update_builder.rs
@@ -14,8 +14,6 @@
 
 /// Bytes of a part apart from its resources and names.
 const PART_OVERHEAD_BYTES: usize = 128;
-/// The smallest part that holds any one resource.
-pub(crate) const MIN_CHUNK_BYTES: usize = 4_096;
 /// The most resources looked at for one part, so that one call doesn't hold others up.
 const MAX_VISITED: usize = 20_000;
 /// Kinds in the order in which the store holds them.
@@ -60,6 +58,8 @@
     target: Position,
     rounds: u32,
     answers: BTreeSet<ResourceName>,
+    /// How many watches of the subscriber were taken over when the update began.
+    watches: u64,
 }
 
 impl UpdateProgress {
@@ -69,6 +69,7 @@
         interest: &Interest,
         applied: Option<Position>,
         mut asked: BTreeSet<ResourceName>,
+        watches: u64,
     ) -> Self {
         let target = store.position();
         let start = store.differences_from(applied);
@@ -80,8 +81,18 @@
         if is_snapshot {
             asked.extend(interest.names.iter().cloned());
         }
-        let stage = Stage::Answers { from: None };
-        Self { base, is_snapshot, part: 0, checksum: 0, stage, cursor, target, rounds: 0, answers: asked }
+        Self {
+            base,
+            is_snapshot,
+            part: 0,
+            checksum: 0,
+            stage: Stage::Answers { from: None },
+            cursor,
+            target,
+            rounds: 0,
+            answers: asked,
+            watches,
+        }
     }
 
     pub(crate) fn is_snapshot(&self) -> bool {
@@ -107,7 +118,7 @@
         store.position() >= self.target && store.differences_from(Some(reached)) != Start::Snapshot
     }
 
-    /// Builds the next part of at most `chunk_bytes`.
+    /// Builds the next part, of at most `chunk_bytes` unless a single resource takes more.
     pub(crate) fn next_part(&mut self, store: &Store, interest: &Interest, chunk_bytes: usize) -> Built {
         let mut part = PartBuilder::new(chunk_bytes);
         let is_last = self.fill(store, interest, &mut part);
@@ -130,6 +141,7 @@
             checksum: if is_last { self.checksum } else { 0 },
             base: self.base.filter(|_| is_first),
             horizon: self.horizon(store, interest, is_last),
+            watches: if is_last { self.watches } else { 0 },
         })
     }
 
@@ -272,7 +284,7 @@
 
 impl PartBuilder {
     fn new(chunk_bytes: usize) -> Self {
-        let bytes_left = chunk_bytes.max(MIN_CHUNK_BYTES) - PART_OVERHEAD_BYTES;
+        let bytes_left = chunk_bytes.saturating_sub(PART_OVERHEAD_BYTES);
         Self { resources: Vec::new(), absent: Vec::new(), bytes_left, visits_left: MAX_VISITED }
     }
 
@@ -303,10 +315,11 @@
         has_room
     }
 
+    /// Takes room of `bytes` if there is so much. There always is for the first, so that each part holds something.
     fn take(&mut self, bytes: usize) -> bool {
-        let has_room = bytes <= self.bytes_left;
+        let has_room = bytes <= self.bytes_left || self.is_empty();
         if has_room {
-            self.bytes_left -= bytes;
+            self.bytes_left = self.bytes_left.saturating_sub(bytes);
         }
         has_room
     }
