Quotas of tenants, in place of shares of customers, in code and docs

The field says tenant and quota. Names only: `Tenant`, `Quotas`, `over_quota`; what the wire and the deployments' files call these stays in their readers. No decision changes; the tests of ochrewalk and ochrewalk-wirehost pass.

--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -390,7 +390,7 @@
                 effort_us: None,
                 repeats,
                 further_try: false,
-                customer: None,
+                tenant: None,
             };
             module.arrived(now_us, arrival);
             Ok(())
--- a/crates/ochrewalk-node/tests/crossings/main.rs
+++ b/crates/ochrewalk-node/tests/crossings/main.rs
@@ -6,7 +6,6 @@
 
 mod bad_input;
 mod below;
-mod customers;
 mod executor;
 mod keys;
 mod leaving;
@@ -14,6 +13,7 @@
 mod panics;
 mod room;
 mod streams;
+mod tenants;
 
 const WARM: &str = r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#;
 
--- a/crates/ochrewalk-node/tests/crossings/customers.rs
+++ b/crates/ochrewalk-node/tests/crossings/tenants.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 
 /// A deployment of so many methods, none named as any other's, of all effects in turn.
-fn deployment(methods: usize, deadline_us: u64, window_us: u64, customers: usize) -> Value {
+fn deployment(methods: usize, deadline_us: u64, window_us: u64, tenants: usize) -> Value {
     let method = |at: usize| {
         let effect = ["guarded", "free", "single_shot"][at % 3];
         json!({"name": format!("m{methods}-{at}"), "idempotency": effect, "worth": 0.5 + at as f64,
@@ -16,23 +16,22 @@
     settings["extra"]["calls-by-class"] = (0..methods).map(|at| json!(at % 2 == 0)).collect();
     settings["extra"]["class-skip-worth"] = (0..methods).map(|at| json!((at % 3) as f64 / 4.0)).collect();
     settings["extra"]["stop-mode"] = if methods == 1 { "drop" } else { "pause" }.into();
-    if customers > 0 {
-        let customer =
-            |at: usize| json!({"name": format!("c{at}"), "allowance-per-s": 500.0 / customers as f64});
-        settings["tenants"] = (0..customers).map(customer).collect();
+    if tenants > 0 {
+        let tenant = |at: usize| json!({"name": format!("c{at}"), "allowance-per-s": 500.0 / tenants as f64});
+        settings["tenants"] = (0..tenants).map(tenant).collect();
     }
     settings
 }
 
-/// One method and twenty, customers absent and many, a window of 50 ms, deadlines shorter than the work: every RPC has one
+/// One method and twenty, tenants absent and many, a window of 50 ms, deadlines shorter than the work: every RPC has one
 /// answer, those that no run answers by their deadline, too, and each start names its own method.
 #[test]
 fn the_rules_hold_for_deployments_with_nothing_in_common() {
-    for (methods, deadline_us, window_us, customers) in
+    for (methods, deadline_us, window_us, tenants) in
         [(1, 200_000, 50_000, 0), (20, 150_000, 50_000, 40), (3, 8_000_000, 20_000_000, 1)]
     {
         let stand = Stand::with(|config| {
-            config["settings"] = deployment(methods, deadline_us, window_us, customers);
+            config["settings"] = deployment(methods, deadline_us, window_us, tenants);
         });
         let mut executor = stand.executor();
         executor.say(WARM);
--- a/crates/ochrewalk-wirehost/src/wire.rs
+++ b/crates/ochrewalk-wirehost/src/wire.rs
@@ -92,9 +92,7 @@
                         .map(|ns| ns / 1_000),
                     repeats: fields.maybe_text("repeats")?.map(Into::into),
                     further_try: bits & 2 != 0,
-                    customer: fields
-                        .maybe_text("customer")?
-                        .and_then(|name| server.deployment.customer(name)),
+                    tenant: fields.maybe_text("customer")?.and_then(|name| server.deployment.tenant(name)),
                 };
                 server.module.arrived(now_us, arrival);
             }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,8 +8,8 @@
 pub use kept::Kept;
 
 use crate::host::{
-    Advice, Arrival, Below, Crowd, Customer, Effect, Gauges, Host, Machine, Method, Outcome, RpcId, SentBack,
-    Shares, Stopping,
+    Advice, Arrival, Below, Crowd, Effect, Gauges, Host, Machine, Method, Outcome, Quotas, RpcId, SentBack,
+    Stopping, Tenant,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -150,8 +150,8 @@
     target_us: u64,
     kb: f64,
     effort_us: Option<u64>,
-    customer: Option<usize>,
-    /// Criticality as the deployment counts it, less beyond a customer's share.
+    tenant: Option<usize>,
+    /// Criticality as the deployment counts it, less beyond a tenant's quota.
     value: f64,
     stage: Stage,
     answered: bool,
@@ -388,7 +388,7 @@
     at_us: u64,
 }
 
-/// Each customer's share here, as a bucket of started RPCs that fills at its part of the fleet's rate.
+/// Each tenant's quota here, as a bucket of started RPCs that fills at its part of the fleet's rate.
 struct Buckets {
     /// The rate and the level of each.
     of: Vec<(f64, f64)>,
@@ -396,26 +396,26 @@
 }
 
 impl Buckets {
-    /// Seconds of its rate that a customer may save up, as traffic reaches servers unevenly.
+    /// Seconds of its rate that a tenant may save up, as traffic reaches servers unevenly.
     const SAVED: f64 = 8.0;
 
-    fn new(customers: &[Customer], servers: u32) -> Buckets {
-        let rates = customers.iter().map(|c| c.per_second / f64::from(servers.max(1)));
+    fn new(tenants: &[Tenant], servers: u32) -> Buckets {
+        let rates = tenants.iter().map(|tenant| tenant.per_second / f64::from(servers.max(1)));
         Buckets { of: rates.map(|rate| (rate, rate * Self::SAVED)).collect(), at_us: 0 }
     }
 
-    fn within(&mut self, customer: Option<usize>, now_us: u64) -> bool {
+    fn within(&mut self, tenant: Option<usize>, now_us: u64) -> bool {
         let passed = (now_us - self.at_us) as f64 / 1e6;
         self.at_us = now_us;
         for (rate, level) in &mut self.of {
             *level = (*level + *rate * passed).min(*rate * Self::SAVED);
         }
-        customer.and_then(|c| self.of.get(c)).is_none_or(|(_, level)| *level > 0.0)
+        tenant.and_then(|tenant| self.of.get(tenant)).is_none_or(|(_, level)| *level > 0.0)
     }
 
-    /// Only what is started counts: further tries of what was pushed back would use up a share for nothing.
-    fn charge(&mut self, customer: Option<usize>) {
-        if let Some((_, level)) = customer.and_then(|c| self.of.get_mut(c)) {
+    /// Only what is started counts: further tries of what was pushed back would use up a quota for nothing.
+    fn charge(&mut self, tenant: Option<usize>) {
+        if let Some((_, level)) = tenant.and_then(|tenant| self.of.get_mut(tenant)) {
             *level -= 1.0;
         }
     }
@@ -430,7 +430,7 @@
     below: Below,
     advice: Advice,
     by_work: bool,
-    over_share: f64,
+    over_quota: f64,
     buckets: Buckets,
     drain_grace_us: u64,
     /// All RPCs that hold memory here, oldest first, and where to find them.
@@ -477,7 +477,7 @@
         methods: Vec<Method>,
         below: Below,
         advice: Advice,
-        shares: Shares,
+        quotas: Quotas,
         drain_grace_us: u64,
     ) -> Decide<H> {
         // Methods that call are taken to call once until they are seen.
@@ -492,9 +492,9 @@
             longest_us: vec![0; methods.len()],
             cores: Cores::new(machine.cores, crowd, machine.idle_most_us, now_us),
             control: Loop::new(now_us),
-            buckets: Buckets::new(&shares.customers, shares.servers),
-            by_work: shares.by_work,
-            over_share: shares.over_share,
+            buckets: Buckets::new(&quotas.tenants, quotas.servers),
+            by_work: quotas.by_work,
+            over_quota: quotas.over_quota,
             machine,
             methods,
             below,
@@ -541,8 +541,8 @@
         let age_us = new.left_us.filter(|_| new.further_try).map_or(0, |l| longest_us.saturating_sub(l));
         let work_us = self.core_time(new.method, new.effort_us).max(1);
         let mut value = method.criticality / if self.by_work { 1.0 } else { work_us as f64 / 1e6 };
-        if !self.buckets.within(new.customer, now_us) {
-            value *= self.over_share;
+        if !self.buckets.within(new.tenant, now_us) {
+            value *= self.over_quota;
         }
         let rpc = Rpc {
             id: new.id.clone(),
@@ -553,7 +553,7 @@
             target_us: (came_us + wanted_us.saturating_sub(age_us)).min(now_us + left_us),
             kb: new.kb,
             effort_us: new.effort_us,
-            customer: new.customer,
+            tenant: new.tenant,
             value,
             ..Rpc::default()
         };
@@ -729,7 +729,7 @@
             rpc.callless = !room;
             (rpc.stage, rpc.started_us, rpc.on_core_us) = (Stage::Running, now_us, now_us);
             self.host.run(&rpc.id);
-            self.buckets.charge(rpc.customer);
+            self.buckets.charge(rpc.tenant);
             self.tried(seq, 0.0);
         }
         // Those already under way go on to their calls, oldest first.
--- a/src/decide/kept.rs
+++ b/src/decide/kept.rs
@@ -2,7 +2,7 @@
 //! here: each value is written down and read back as it stands. What the deployment states is not kept, but read anew.
 
 use super::{Buckets, Cores, Decide, Hands, Hist, Lanes, Loop, Rpc, Stage, Times};
-use crate::host::{Advice, Below, Crowd, Host, Machine, Method, RpcId, Shares};
+use crate::host::{Advice, Below, Crowd, Host, Machine, Method, Quotas, RpcId};
 use std::collections::BTreeMap;
 
 /// All that one [`Decide`] knows, in protobuf. What a newer program adds is passed over by an older one.
@@ -19,7 +19,7 @@
     cores: KeptCores,
     #[prost(message, required, tag = "5")]
     hands: KeptHands,
-    /// Levels of the customers' buckets, and when they were last filled.
+    /// Levels of the tenants' buckets, and when they were last filled.
     #[prost(double, repeated, tag = "6")]
     buckets: Vec<f64>,
     #[prost(uint64, tag = "7")]
@@ -177,7 +177,7 @@
     #[prost(uint64, optional, tag = "9")]
     effort_us: Option<u64>,
     #[prost(uint32, optional, tag = "10")]
-    customer: Option<u32>,
+    tenant: Option<u32>,
     #[prost(double, tag = "11")]
     value: f64,
     /// 0 held, 1 sharing, 2 running, 3 at its call, 4 calling.
@@ -242,7 +242,7 @@
             target_us: self.target_us,
             kb: self.kb,
             effort_us: self.effort_us,
-            customer: self.customer.map(|c| c as u32),
+            tenant: self.tenant.map(|tenant| tenant as u32),
             value: self.value,
             stage,
             at_call_us,
@@ -277,7 +277,7 @@
             target_us: kept.target_us,
             kb: kept.kb,
             effort_us: kept.effort_us,
-            customer: kept.customer.map(|c| c as usize),
+            tenant: kept.tenant.map(|tenant| tenant as usize),
             value: kept.value,
             stage,
             answered: kept.answered,
@@ -377,7 +377,7 @@
         methods: Vec<Method>,
         below: Below,
         advice: Advice,
-        shares: Shares,
+        quotas: Quotas,
         drain_grace_us: u64,
         kept: Kept,
     ) -> Result<Decide<H>, String> {
@@ -392,9 +392,9 @@
         let key_id =
             |id: String| by_id.get_key_value(id.as_str()).map_or_else(|| id.into(), |(id, _)| id.clone());
         let keys = kept.keys.into_iter().map(|key| (key.lapses_us, key_id(key.id))).collect();
-        let mut buckets = Buckets::new(&shares.customers, shares.servers);
+        let mut buckets = Buckets::new(&quotas.tenants, quotas.servers);
         for ((_, level), was) in
-            buckets.of.iter_mut().zip(sized("buckets", kept.buckets, shares.customers.len())?)
+            buckets.of.iter_mut().zip(sized("buckets", kept.buckets, quotas.tenants.len())?)
         {
             *level = was;
         }
@@ -413,8 +413,8 @@
             methods,
             below,
             advice,
-            by_work: shares.by_work,
-            over_share: shares.over_share,
+            by_work: quotas.by_work,
+            over_quota: quotas.over_quota,
             buckets,
             drain_grace_us,
             rpcs,
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -3,7 +3,7 @@
 
 use crate::decide::{Decide, Kept};
 use crate::host::{
-    Advice, Below, Crowd, Customer, Effect, Host, Machine, Method, Outcome, SentBack, Shares, Stopping,
+    Advice, Below, Crowd, Effect, Host, Machine, Method, Outcome, Quotas, SentBack, Stopping, Tenant,
 };
 use serde_json::Value;
 use std::borrow::Cow;
@@ -19,11 +19,11 @@
     pub methods: Vec<Method>,
     pub below: Below,
     pub advice: Advice,
-    pub shares: Shares,
+    pub quotas: Quotas,
     pub drain_grace_us: u64,
     /// Names by the position that the module knows them by.
     pub method_names: Vec<String>,
-    pub customer_names: Vec<String>,
+    pub tenant_names: Vec<String>,
     /// The order of the gauges.
     pub gauges: Vec<String>,
     /// RPCs tell how long their caller still waits.
@@ -37,11 +37,11 @@
         let limits = options.object("policy-limits")?;
         let below = read_below(&extra)?;
         let (method_names, methods) = read_methods(options, &extra, below != Below::Nothing)?;
-        let (mut customer_names, mut customers) = (Vec::new(), Vec::new());
+        let (mut tenant_names, mut tenants) = (Vec::new(), Vec::new());
         for tenant in options.maybe_list("tenants")? {
             let tenant = options.part("tenants", tenant);
-            customer_names.push(tenant.text("name")?.to_string());
-            customers.push(Customer { per_second: tenant.at_least("allowance-per-s", 0.0)? });
+            tenant_names.push(tenant.text("name")?.to_string());
+            tenants.push(Tenant { per_second: tenant.at_least("allowance-per-s", 0.0)? });
         }
         let heeds = limits.maybe_bool("retry-after")?.unwrap_or(false);
         let machine = Machine {
@@ -83,10 +83,10 @@
                 _ => 0,
             },
         };
-        let shares = Shares {
+        let quotas = Quotas {
             by_work: options.maybe_text("value-by")? == Some("work"),
-            over_share: options.maybe_number("over-share-worth")?.unwrap_or(1.0),
-            customers,
+            over_quota: options.maybe_number("over-share-worth")?.unwrap_or(1.0),
+            tenants,
             servers: options.maybe_whole("servers")?.unwrap_or(1) as u32,
         };
         let names = extra.maybe_list("gauges")?.iter().filter_map(|g| g.as_str().map(String::from));
@@ -99,32 +99,32 @@
             methods,
             below,
             advice,
-            shares,
+            quotas,
             method_names,
-            customer_names,
+            tenant_names,
         })
     }
 
     /// A module for one server of this deployment.
     pub fn start<H: Host>(&self, host: H, now_us: u64, seed: u64) -> Decide<H> {
         let (machine, crowd, below, advice) = (self.machine, self.crowd, self.below, self.advice);
-        let (methods, shares) = (self.methods.clone(), self.shares.clone());
-        Decide::start(host, now_us, seed, machine, crowd, methods, below, advice, shares, self.drain_grace_us)
+        let (methods, quotas) = (self.methods.clone(), self.quotas.clone());
+        Decide::start(host, now_us, seed, machine, crowd, methods, below, advice, quotas, self.drain_grace_us)
     }
 
     /// A module that goes on from what another wrote down.
     pub fn resume<H: Host>(&self, host: H, kept: Kept) -> Result<Decide<H>, String> {
         let (machine, crowd, below, advice) = (self.machine, self.crowd, self.below, self.advice);
-        let (methods, shares) = (self.methods.clone(), self.shares.clone());
-        Decide::resume(host, machine, crowd, methods, below, advice, shares, self.drain_grace_us, kept)
+        let (methods, quotas) = (self.methods.clone(), self.quotas.clone());
+        Decide::resume(host, machine, crowd, methods, below, advice, quotas, self.drain_grace_us, kept)
     }
 
     pub fn method(&self, name: &str) -> Option<usize> {
         self.method_names.iter().position(|n| n == name)
     }
 
-    pub fn customer(&self, name: &str) -> Option<usize> {
-        self.customer_names.iter().position(|n| n == name)
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenant_names.iter().position(|n| n == name)
     }
 
     /// The module's gauges from a row in the deployment's order.
--- a/src/host.rs
+++ b/src/host.rs
@@ -142,20 +142,20 @@
     pub max_come_back_us: u64,
 }
 
-/// A customer's share: RPCs a second over the whole fleet, beyond which its RPCs count for little.
+/// A tenant's quota: RPCs a second over the whole fleet, beyond which its RPCs count for little.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Customer {
+pub struct Tenant {
     pub per_second: f64,
 }
 
 /// How criticality is counted, and between whom the fleet is shared.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Shares {
+pub struct Quotas {
     /// Criticality counts for each unit of work, not for each RPC.
     pub by_work: bool,
-    /// What an RPC beyond its customer's share still counts for.
-    pub over_share: f64,
-    pub customers: Vec<Customer>,
+    /// What an RPC beyond its tenant's quota still counts for.
+    pub over_quota: f64,
+    pub tenants: Vec<Tenant>,
     /// Servers of this tier.
     pub servers: u32,
 }
@@ -177,8 +177,8 @@
     pub repeats: Option<RpcId>,
     /// Marked as a further try.
     pub further_try: bool,
-    /// Position in the list of customers.
-    pub customer: Option<usize>,
+    /// Position in the list of tenants.
+    pub tenant: Option<usize>,
 }
 
 /// The server's own gauges, where it has them.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -83,7 +83,7 @@
     pub methods: Vec<Method>,
     pub below: Below,
     pub sent_back: SentBack,
-    pub customers: Vec<Customer>,
+    pub tenants: Vec<Tenant>,
     pub marks_tries: bool,
 }
 
@@ -107,7 +107,7 @@
             ],
             below: Below::Tier,
             sent_back: SentBack::Weight,
-            customers: vec![],
+            tenants: vec![],
             marks_tries: true,
         }
     }
@@ -121,7 +121,7 @@
             marks_tries: self.marks_tries,
             max_come_back_us: 1_000_000,
         };
-        let shares = Shares { by_work: true, over_share: 0.1, customers: self.customers, servers: 10 };
+        let quotas = Quotas { by_work: true, over_quota: 0.1, tenants: self.tenants, servers: 10 };
         let mut server = Server {
             it: Decide::start(
                 Tape::default(),
@@ -132,7 +132,7 @@
                 self.methods,
                 self.below,
                 advice,
-                shares,
+                quotas,
                 2_000_000,
             ),
             now: 0,
@@ -152,7 +152,7 @@
         effort_us: Some(100_000),
         repeats: None,
         further_try: false,
-        customer: None,
+        tenant: None,
     }
 }
 
--- a/tests/kept.rs
+++ b/tests/kept.rs
@@ -15,7 +15,7 @@
     methods: Vec<Method>,
     below: Below,
     advice: Advice,
-    shares: Shares,
+    quotas: Quotas,
 }
 
 fn fixed(seed: u64) -> Fixed {
@@ -49,10 +49,10 @@
             marks_tries: seed % 2 == 1,
             max_come_back_us: 1_000_000,
         },
-        shares: Shares {
+        quotas: Quotas {
             by_work: seed.is_multiple_of(4),
-            over_share: 0.25,
-            customers: vec![Customer { per_second: 5.0 }, Customer { per_second: 50.0 }],
+            over_quota: 0.25,
+            tenants: vec![Tenant { per_second: 5.0 }, Tenant { per_second: 50.0 }],
             servers: 2,
         },
     }
@@ -87,7 +87,7 @@
                 effort_us: rng.bool().then(|| rng.u64(500..40_000)),
                 repeats: None,
                 further_try: rng.u32(0..4) == 0,
-                customer: rng.bool().then(|| rng.usize(0..2)),
+                tenant: rng.bool().then(|| rng.usize(0..2)),
             };
             Box::new(move |m| m.arrived(now, arrival.clone()))
         }
@@ -146,7 +146,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let (mut now, mut count, mut known) = (1_000_000, 0, BTreeMap::new());
         let start = |f: &Fixed| {
-            let (methods, shares) = (f.methods.clone(), f.shares.clone());
+            let (methods, quotas) = (f.methods.clone(), f.quotas.clone());
             Decide::start(
                 Tape::default(),
                 1_000_000,
@@ -156,7 +156,7 @@
                 methods,
                 f.below,
                 f.advice,
-                shares,
+                quotas,
                 300_000,
             )
         };
@@ -189,10 +189,10 @@
                 let bytes = other.keep().encode_to_vec();
                 let kept = Kept::decode(&bytes[..]).unwrap();
                 let tape = std::mem::take(other.host());
-                let (methods, shares) = (f.methods.clone(), f.shares.clone());
+                let (methods, quotas) = (f.methods.clone(), f.quotas.clone());
                 let crowd = Crowd { cold: false, ..f.crowd };
                 let resumed =
-                    Decide::resume(tape, f.machine, crowd, methods, f.below, f.advice, shares, 300_000, kept);
+                    Decide::resume(tape, f.machine, crowd, methods, f.below, f.advice, quotas, 300_000, kept);
                 other = resumed.unwrap();
                 // What was kept is what is kept again.
                 assert_eq!(other.keep().encode_to_vec(), bytes, "seed {seed}");
@@ -206,14 +206,14 @@
 fn what_does_not_fit_the_deployment_is_refused() {
     let f = fixed(1);
     let start = || {
-        let (methods, shares) = (f.methods.clone(), f.shares.clone());
-        Decide::start(Tape::default(), 0, 1, f.machine, f.crowd, methods, f.below, f.advice, shares, 300_000)
+        let (methods, quotas) = (f.methods.clone(), f.quotas.clone());
+        Decide::start(Tape::default(), 0, 1, f.machine, f.crowd, methods, f.below, f.advice, quotas, 300_000)
     };
     let mut fewer = f.methods.clone();
     fewer.pop();
-    let shares = f.shares.clone();
+    let quotas = f.quotas.clone();
     let kept = start().keep();
     let refused =
-        Decide::resume(Tape::default(), f.machine, f.crowd, fewer, f.below, f.advice, shares, 300_000, kept);
+        Decide::resume(Tape::default(), f.machine, f.crowd, fewer, f.below, f.advice, quotas, 300_000, kept);
     assert_eq!(refused.err().unwrap(), "runs seen of 4 methods, 3 here");
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -272,19 +272,19 @@
 }
 
 #[test]
-fn beyond_its_share_a_customer_counts_less() {
+fn beyond_its_quota_a_tenant_counts_less() {
     // One RPC a second here, eight saved up; only what is started counts.
     for (started, want) in [(7, "push b"), (8, "push a")] {
-        let mut given = Given { customers: vec![Customer { per_second: 10.0 }], ..Given::default() };
+        let mut given = Given { tenants: vec![Tenant { per_second: 10.0 }], ..Given::default() };
         given.machine.memory_kb = 66.0;
         let mut s = given.start();
         for i in 0..started {
-            s.arrives(Arrival { customer: Some(0), ..rpc(&format!("x{i}"), IDEM) });
+            s.arrives(Arrival { tenant: Some(0), ..rpc(&format!("x{i}"), IDEM) });
             s.settle(&format!("x{i}"));
         }
         s.fill();
         s.arrive("b", IDEM);
-        s.arrives(Arrival { customer: Some(0), ..rpc("a", IDEM) });
+        s.arrives(Arrival { tenant: Some(0), ..rpc("a", IDEM) });
         assert_eq!(s.arrive("other", IDEM), [want], "{started} started");
     }
 }
