Configuration from the control plane in the running node

Need: a change of configuration reached a node by a file and a signal, machine by machine. Change: where the operators' file names relays, a thread follows one of them, checks updates against the node's methods and file, and brings routes, quotas, limits and endpoints into force; quotas of tenants are fetched on first use; what is in force is kept for the next start. AJP requests name their tenant by a header. Off unless the file names relays.

--- a/crates/ochrewalk-control-plane/src/agent.rs
+++ b/crates/ochrewalk-control-plane/src/agent.rs
@@ -225,7 +225,7 @@
     }
 
     /// Connects and says what is wanted; the system holds it until the connection stands.
-    fn open(&self, address: SocketAddr, registry: &Registry) -> Result<Connection, ConnectionError> {
+    fn open(&mut self, address: SocketAddr, registry: &Registry) -> Result<Connection, ConnectionError> {
         let mut connection = Connection::connect(address, self.token, registry, MAX_SUBSCRIBER_FRAME)?;
         connection.send(Body::Subscribe(self.subscription.subscribe_message()))?;
         if let Some(watch) = self.subscription.unanswered_watch() {
--- a/crates/ochrewalk-control-plane/src/publisher.rs
+++ b/crates/ochrewalk-control-plane/src/publisher.rs
@@ -206,7 +206,9 @@
 
     fn status(&self) -> Status {
         let store = self.subscribers.server.store();
-        let regions = merge(self.subscribers.regions().cloned(), MAX_REJECTIONS);
+        // The relays themselves are told of as subscribers of the publisher, under no region.
+        let relays = self.subscribers.server.status();
+        let regions = merge(self.subscribers.regions().cloned().chain([relays]), MAX_REJECTIONS);
         Status { position: store.position(), resources: store.len() as u64, regions }
     }
 
--- a/crates/ochrewalk-control-plane/tests/log.rs
+++ b/crates/ochrewalk-control-plane/tests/log.rs
@@ -115,7 +115,7 @@
         value: Some(Value::Quota(Quota { per_second: next as f64 })),
     };
     let mut changes = vec![set("ten".into()), set(format!("tenant-{next}"))];
-    if next % 3 == 0 {
+    if next.is_multiple_of(3) {
         changes.push(Resource {
             name: quota_name(&format!("tenant-{}", next - 1)),
             revision: 0,
--- a/crates/ochrewalk-node/src/config_command.rs
+++ b/crates/ochrewalk-node/src/config_command.rs
@@ -134,10 +134,12 @@
         ConfigCommand::Publish(arguments) => publish(&arguments),
         ConfigCommand::Diff(arguments) => diff(&arguments),
         ConfigCommand::Status { control } => status(&control),
-        ConfigCommand::Rollback { control, to } => match request(&control, Body::Rollback(Rollback { to }))? {
-            Body::Published(published) => Ok(format!("published as {}\n", show(published.position))),
-            _ => Err(ConfigCommandError::OtherAnswer),
-        },
+        ConfigCommand::Rollback { control, to } => {
+            match request(&control, Body::Rollback(Rollback { to }))? {
+                Body::Published(published) => Ok(format!("published as {}\n", show(published.position))),
+                _ => Err(ConfigCommandError::OtherAnswer),
+            }
+        }
     }
 }
 
@@ -254,9 +256,6 @@
 /// The fleet's state as operators read it: a line for each region, then one for each rejection.
 pub fn show_status(status: &Status) -> String {
     let mut text = format!("published: {}, {} resources\n", show(status.position), status.resources);
-    if status.regions.is_empty() {
-        text.push_str("no relay has told anything\n");
-    }
     for region in &status.regions {
         let _ = writeln!(text, "{}", show_region(region, status.position));
     }
--- a/crates/ochrewalk-node/src/configuration/agent.rs
+++ b/crates/ochrewalk-node/src/configuration/agent.rs
@@ -7,9 +7,7 @@
 use ochrewalk_control_plane::clock::{unix_ms, Clock};
 use ochrewalk_control_plane::state_file::{KeptState, KeptStep, StateFile};
 use ochrewalk_distribution::messages::{Position, ResourceKind, ResourceName};
-use ochrewalk_distribution::{
-    CompleteUpdate, DemandState, Interest, RelayChoiceLimits, SubscriptionLimits,
-};
+use ochrewalk_distribution::{CompleteUpdate, Interest, RelayChoiceLimits, SubscriptionLimits};
 use ochrewalk_operators::resources::quota_name;
 use ochrewalk_operators::ConfigAgent;
 use std::collections::BTreeSet;
@@ -65,6 +63,11 @@
         take_over(in_force);
     }
 
+    /// A tenant's quota was used, so that it is held on to. Some of many uses at once may be passed over.
+    pub fn used_quota(&self, tenant: Arc<str>) {
+        let _ = self.wanted.try_send(tenant);
+    }
+
     /// Asks for a tenant's quota, unless too many wait already.
     pub fn want_quota(&self, tenant: Arc<str>) {
         if self.wanted.try_send(tenant).is_ok() {
@@ -97,7 +100,11 @@
         })?;
         self.handle.take_over(in_force);
         let Position { epoch, revision } = update.position;
-        tracing::debug!(part = "config", "{epoch}.{revision} is in force, {} changes", update.resources.len());
+        tracing::debug!(
+            part = "config",
+            "{epoch}.{revision} is in force, {} changes",
+            update.resources.len()
+        );
         let kept = self.file.as_mut().map_or(Ok(()), |file| keep(file, &state, update));
         if let Err(why) = kept {
             tracing::warn!(part = "config", "not kept for the next start: {why}");
@@ -147,7 +154,10 @@
         region: config.region.clone(),
         relays: config.relays.clone(),
         interest,
-        limits: SubscriptionLimits { bytes_per_second: config.bytes_per_second, ..SubscriptionLimits::default() },
+        limits: SubscriptionLimits {
+            bytes_per_second: config.bytes_per_second,
+            ..SubscriptionLimits::default()
+        },
         choice: RelayChoiceLimits::default(),
         max_names: config.max_tenants,
         seed,
@@ -171,7 +181,10 @@
 fn restore(state: &mut NodeConfiguration, kept: KeptState) {
     if kept.damaged_bytes > 0 {
         let bytes = kept.damaged_bytes;
-        tracing::warn!(part = "config", "the last {bytes} bytes of what was kept are damaged and passed over");
+        tracing::warn!(
+            part = "config",
+            "the last {bytes} bytes of what was kept are damaged and passed over"
+        );
     }
     for step in kept.steps {
         let restored = match step {
@@ -228,10 +241,7 @@
     fn fetch_wanted(&mut self, now_us: u64) {
         let mut removed: Vec<ResourceName> = Vec::new();
         while let Ok(tenant) = self.wanted.try_recv() {
-            let name = quota_name(&tenant);
-            if self.agent.name_state(&name) != Some(DemandState::Present) {
-                removed.extend(self.agent.want(&name, now_us));
-            }
+            removed.extend(self.agent.want(&quota_name(&tenant), now_us));
         }
         if removed.is_empty() {
             return;
@@ -257,7 +267,10 @@
                 tracing::warn!(part = "config", "no relay is heard; {epoch}.{revision} is {age_s} s old");
             }
             None => {
-                tracing::warn!(part = "config", "no relay was heard since the start; {epoch}.{revision} was kept")
+                tracing::warn!(
+                    part = "config",
+                    "no relay was heard since the start; {epoch}.{revision} was kept"
+                )
             }
         }
     }
--- a/crates/ochrewalk-node/src/configuration/state.rs
+++ b/crates/ochrewalk-node/src/configuration/state.rs
@@ -1,19 +1,19 @@
 //! Decides what an update of the distributed configuration changes in this node: it is checked as a whole against the node's
 //! methods and its own file, and either all of it is in force or nothing of it.
 
+use ochrewalk::host::Tenant;
+use ochrewalk_distribution::messages::ResourceName;
 use ochrewalk_distribution::messages::{Position, Resource, ResourceKind, Value};
 use ochrewalk_distribution::{ApplyError, CompleteUpdate, Store, StoreLimits};
 use ochrewalk_fronts::guests::Guests;
 use ochrewalk_fronts::judge::Rules;
 use ochrewalk_fronts::routes::Routes;
+use ochrewalk_operators::resources::quota_name;
 use ochrewalk_operators::resources::{
     check, check_route_at, describe, endpoint_address, MethodTable, ResourceFault, LIMIT_USUAL_MEMORY,
 };
 use ochrewalk_operators::PlaceBelow;
-use ochrewalk::host::Tenant;
-use ochrewalk_distribution::messages::ResourceName;
-use ochrewalk_operators::resources::quota_name;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// A node serves no differences, so that it remembers no deletions.
@@ -88,6 +88,8 @@
     file: FileConfiguration,
     distributed: Store,
     routes: Routes,
+    /// Distributed routes that the node's file has, too: the file's is in force, and theirs is not taken out.
+    left_out: BTreeSet<ResourceName>,
     quotas: Arc<Quotas>,
     /// The number of the next tenant: one is not given twice.
     next_tenant: u32,
@@ -102,11 +104,19 @@
 }
 
 impl NodeConfiguration {
-    /// What the files say alone.
-    pub fn new(methods: Methods, file: FileConfiguration) -> NodeConfiguration {
+    /// What the files say alone. Numbers of tenants below `first_tenant` are the node file's own.
+    pub fn new(methods: Methods, file: FileConfiguration, first_tenant: u32) -> NodeConfiguration {
         let routes = file.rules.routes.clone();
         let distributed = Store::new(0, STORE_LIMITS);
-        NodeConfiguration { methods, file, distributed, routes, quotas: Arc::default(), next_tenant: 0 }
+        NodeConfiguration {
+            methods,
+            file,
+            distributed,
+            routes,
+            left_out: BTreeSet::new(),
+            quotas: Arc::default(),
+            next_tenant: first_tenant,
+        }
     }
 
     /// The position in force.
@@ -136,6 +146,12 @@
         let staged = self.stage(update)?;
         self.distributed.apply(update)?;
         self.routes = staged.routes;
+        if update.is_snapshot {
+            self.left_out.clear();
+        }
+        for resource in &update.resources {
+            self.left_out.remove(&resource.name);
+        }
         self.quotas = staged.quotas;
         self.next_tenant = staged.next_tenant;
         Ok(self.in_force())
@@ -169,12 +185,15 @@
     pub fn replace_file(&mut self, file: FileConfiguration) -> (InForce, Vec<UpdateFault>) {
         let mut routes = file.rules.routes.clone();
         let mut faults = Vec::new();
+        let mut left_out = BTreeSet::new();
         for resource in self.distributed.iter() {
             if let Err(fault) = self.add_route(&mut routes, resource) {
                 faults.push(fault);
+                left_out.insert(resource.name.clone());
             }
         }
         self.routes = routes;
+        self.left_out = left_out;
         self.file = file;
         (self.in_force(), faults)
     }
@@ -183,7 +202,8 @@
         for resource in &update.resources {
             self.check(resource)?;
         }
-        let mut routes = if update.is_snapshot { self.file.rules.routes.clone() } else { self.routes.clone() };
+        let mut routes =
+            if update.is_snapshot { self.file.rules.routes.clone() } else { self.routes.clone() };
         // What goes makes room first: a path may move from one name to another within an update.
         if !update.is_snapshot {
             update.resources.iter().for_each(|resource| self.remove_route(&mut routes, resource));
@@ -211,15 +231,20 @@
 
     fn remove_route(&self, routes: &mut Routes, resource: &Resource) {
         let before = self.distributed.get(&resource.name).and_then(|before| before.value.as_ref());
-        if let Some(Value::Route(route)) = before {
+        let is_in_force = !self.left_out.contains(&resource.name);
+        if let (Some(Value::Route(route)), true) = (before, is_in_force) {
             routes.remove(&route.http_method, &route.path);
         }
     }
 
     fn add_route(&self, routes: &mut Routes, resource: &Resource) -> Result<(), UpdateFault> {
         let Some(Value::Route(route)) = &resource.value else { return Ok(()) };
-        let methods: MethodTable =
-            self.methods.get_key_value(&route.method).map(|(name, at)| (name.as_str(), *at)).into_iter().collect();
+        let methods: MethodTable = self
+            .methods
+            .get_key_value(&route.method)
+            .map(|(name, at)| (name.as_str(), *at))
+            .into_iter()
+            .collect();
         let method = check_route_at(&resource.name, route, &methods)?;
         let added = routes.add(&route.http_method, &route.path, method);
         added.map_err(|why| UpdateFault::RouteConflict { route: describe(&resource.name), why })
--- a/crates/ochrewalk-node/src/core.rs
+++ b/crates/ochrewalk-node/src/core.rs
@@ -9,7 +9,7 @@
 use crate::seam::{Answer, Asker, Beneath};
 use crate::tally::Tally;
 use ochrewalk::deployment::Deployment;
-use ochrewalk::host::{Effect, RpcId};
+use ochrewalk::host::{Effect, RpcId, Tenant};
 use siphasher::sip::SipHasher13;
 use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
@@ -49,6 +49,8 @@
     /// How long its caller still waits, where that is conveyed.
     pub left_us: Option<u64>,
     pub token: Option<&'a str>,
+    /// The quota that it counts against, where its protocol names a tenant.
+    pub tenant: Option<Tenant>,
     /// A JSON string of base64.
     pub body: &'a str,
 }
@@ -95,8 +97,8 @@
             return Err("no token");
         }
         let id: RpcId = asked.id.into();
-        let Asked { method, kb, ts_ms, left_us, .. } = *asked;
-        Ok(Incoming { id, method, kb, ts_ms, left_us, token })
+        let Asked { method, kb, ts_ms, left_us, tenant, .. } = *asked;
+        Ok(Incoming { id, method, kb, ts_ms, left_us, token, tenant })
     }
 
     fn print(&self, method: usize, body: &str) -> u64 {
--- a/crates/ochrewalk-node/src/gate.rs
+++ b/crates/ochrewalk-node/src/gate.rs
@@ -11,7 +11,7 @@
 use may::sync::mpsc::{channel, Receiver, Sender};
 use ochrewalk::decide::Decide;
 use ochrewalk::deployment::Deployment;
-use ochrewalk::host::{Arrival, Gauges, Host, Outcome, RpcId};
+use ochrewalk::host::{Arrival, Gauges, Host, Outcome, RpcId, Tenant};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -31,6 +31,8 @@
     /// How long its caller still waits, where that is conveyed.
     pub left_us: Option<u64>,
     pub token: Option<Token>,
+    /// The quota that it counts against, where its protocol names a tenant.
+    pub tenant: Option<Tenant>,
 }
 
 /// The mark by which repeats are known, and a print of the work that all of them bring.
@@ -390,7 +392,7 @@
                 effort_us: None,
                 repeats,
                 further_try: false,
-                tenant: None,
+                tenant: new.tenant,
             };
             module.arrived(now_us, arrival);
             Ok(())
--- a/crates/ochrewalk-node/src/lib.rs
+++ b/crates/ochrewalk-node/src/lib.rs
@@ -1,6 +1,8 @@
 //! The real node's parts, round the module. See docs/architecture.md.
 
 pub mod clock;
+pub mod config_command;
+pub mod configuration;
 pub mod core;
 pub mod ending;
 pub mod gate;
--- a/crates/ochrewalk-node/src/moving/records.rs
+++ b/crates/ochrewalk-node/src/moving/records.rs
@@ -262,6 +262,8 @@
     pub kb: f64,
     #[prost(uint64, tag = "7")]
     pub ts_ms: u64,
+    #[prost(string, optional, tag = "8")]
+    pub tenant: Option<String>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/ochrewalk-node/src/net/ajp_front.rs
+++ b/crates/ochrewalk-node/src/net/ajp_front.rs
@@ -3,13 +3,15 @@
 
 use super::front::{Front, ENDING};
 use super::link::{adopt, carry, let_go, Finish, Outbox, Reader};
+use crate::configuration::agent::ConfigurationHandle;
+use crate::configuration::state::Quotas;
 use crate::core::{Asked, Core};
 use crate::ending::Ending;
 use crate::moving::records::{KeptAjp, KeptAjps, KeptAsks, Whereabouts};
 use crate::seam::{Answer, Asker};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use may::net::TcpStream;
-use ochrewalk::host::RpcId;
+use ochrewalk::host::{RpcId, Tenant};
 use ochrewalk_ajp::answerer::{Acts, Bounds, End, Life, Plain, Refusal, State};
 use ochrewalk_ajp::reply::{self, Head};
 use ochrewalk_ajp::request::{self, BodyLength, Message};
@@ -19,7 +21,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::IpAddr;
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 /// The largest body that the protocols in front allow.
@@ -41,6 +43,8 @@
 pub struct Open {
     pub guests: Guests,
     pub rules: Rules,
+    /// Tenants whose quotas came from the control plane.
+    pub quotas: Arc<Quotas>,
 }
 
 pub struct AjpFront {
@@ -51,6 +55,8 @@
     open: Mutex<Arc<Open>>,
     ids: Mutex<fastrand::Rng>,
     table: Mutex<Table>,
+    /// Whom to ask for the quotas of tenants, where there is a control plane.
+    configuration: OnceLock<ConfigurationHandle>,
 }
 
 #[derive(Default)]
@@ -69,8 +75,8 @@
 
 struct Carried {
     life: Life,
-    /// What the request in hand, or the one whose body is coming, asks for; and when its head was read.
-    asks: Option<(Asks, u64)>,
+    /// The request in hand, or the one whose body is coming.
+    asks: Option<PendingRequest>,
     body: Vec<u8>,
     /// The RPC that is owed an answer, and how many came before it here.
     rpc: Option<RpcId>,
@@ -82,6 +88,15 @@
     over: bool,
 }
 
+/// A request whose head was read.
+struct PendingRequest {
+    asks: Asks,
+    /// When its head was read, in Unix time.
+    read_ms: u64,
+    /// The quota that it counts against, as it was in force then.
+    tenant: Option<Tenant>,
+}
+
 impl AjpFront {
     /// `most` connections at a time, with packets of `packet` bytes at most.
     pub fn new(
@@ -94,7 +109,27 @@
     ) -> Arc<AjpFront> {
         let ids = Mutex::new(fastrand::Rng::with_seed(seed ^ 0x616a_7031_332f_6964));
         let (open, table) = (Mutex::new(Arc::new(open)), Mutex::default());
-        Arc::new(AjpFront { core, packet, most, idle_us, open, ids, table })
+        let configuration = OnceLock::new();
+        Arc::new(AjpFront { core, packet, most, idle_us, open, ids, table, configuration })
+    }
+
+    /// Quotas of tenants are asked for here from now on.
+    pub fn fetch_quotas_by(&self, configuration: ConfigurationHandle) {
+        let _ = self.configuration.set(configuration);
+    }
+
+    /// The quota that an RPC of this tenant counts against: as distributed, else as the node's file says. A tenant whose
+    /// quota is only being fetched counts as within it.
+    fn quota(&self, open: &Open, tenant: &str) -> Option<Tenant> {
+        let Some(configuration) = self.configuration.get() else {
+            return self.core.deployment.tenant(tenant);
+        };
+        if let Some((tenant, known)) = open.quotas.get_key_value(tenant) {
+            configuration.used_quota(tenant.clone());
+            return known.quota();
+        }
+        configuration.want_quota(tenant.into());
+        self.core.deployment.tenant(tenant)
     }
 
     /// Who may connect and what requests stand for, from now on.
@@ -195,7 +230,7 @@
                 flag,
                 spoke,
                 faults,
-                asks: state.asks.as_ref().map(|(asks, ts_ms)| kept_asks(asks, *ts_ms)),
+                asks: state.asks.as_ref().map(kept_asks),
                 body: state.body.clone(),
                 rpc: state.rpc.as_ref().map(|id| id.to_string()),
                 serial: state.serial,
@@ -437,10 +472,11 @@
     }
 }
 
-fn kept_asks(asks: &Asks, ts_ms: u64) -> KeptAsks {
-    match asks {
+fn kept_asks(pending: &PendingRequest) -> KeptAsks {
+    let ts_ms = pending.read_ms;
+    match &pending.asks {
         Asks::Health => KeptAsks { health: true, ts_ms, ..KeptAsks::default() },
-        Asks::Method(Method { method, id, token, left_us, kb }) => KeptAsks {
+        Asks::Method(Method { method, id, token, left_us, kb, tenant }) => KeptAsks {
             health: false,
             method: *method as u32,
             id: id.clone(),
@@ -448,16 +484,20 @@
             left_us: *left_us,
             kb: *kb,
             ts_ms,
+            tenant: tenant.clone(),
         },
     }
 }
 
-fn asks_again(kept: KeptAsks) -> (Asks, u64) {
-    let KeptAsks { health, method, id, token, left_us, kb, ts_ms } = kept;
-    if health {
-        return (Asks::Health, ts_ms);
-    }
-    (Asks::Method(Method { method: method as usize, id, token, left_us, kb }), ts_ms)
+/// Its quota is not passed on: a request whose body crosses a hand-over counts as within it.
+fn asks_again(kept: KeptAsks) -> PendingRequest {
+    let KeptAsks { health, method, id, token, left_us, kb, ts_ms, tenant } = kept;
+    let asks = if health {
+        Asks::Health
+    } else {
+        Asks::Method(Method { method: method as usize, id, token, left_us, kb, tenant })
+    };
+    PendingRequest { asks, read_ms: ts_ms, tenant: None }
 }
 
 /// The bytes of a JSON string of base64, in which the solidus may be escaped.
@@ -649,14 +689,23 @@
         let Some((message, taken)) = request::read(input, self.front.packet)? else { return Ok(0) };
         let plain = match message {
             Message::Request(request) => {
-                let judged = self.front.rules().rules.judge(&request);
+                // What is in force now holds for all of this request.
+                let open = self.front.rules();
+                let judged = open.rules.judge(&request);
                 if !state.life.owes() {
                     state.body.clear();
                     state.asks = None;
                 }
                 match judged {
                     Ok((asks, body)) if !state.life.owes() => {
-                        state.asks = Some((asks, self.front.core.clock.unix_ms()));
+                        let tenant = match &asks {
+                            Asks::Method(Method { tenant: Some(tenant), .. }) => {
+                                self.front.quota(&open, tenant)
+                            }
+                            _ => None,
+                        };
+                        let read_ms = self.front.core.clock.unix_ms();
+                        state.asks = Some(PendingRequest { asks, read_ms, tenant });
                         state.life.request(now_us, Ok(body), wanted);
                     }
                     Ok((_, body)) => state.life.request(now_us, Ok(body), wanted),
@@ -713,13 +762,13 @@
     /// The request and its body are whole.
     fn start(&self) {
         let front = self.front;
-        let (asks, ts_ms, body, serial) = {
+        let (pending, body, serial) = {
             let mut state = self.connection.lock();
-            let Some((asks, ts_ms)) = state.asks.take() else { return };
+            let Some(pending) = state.asks.take() else { return };
             state.serial += 1;
-            (asks, ts_ms, std::mem::take(&mut state.body), state.serial)
+            (pending, std::mem::take(&mut state.body), state.serial)
         };
-        let method = match asks {
+        let method = match pending.asks {
             Asks::Method(method) => method,
             Asks::Health => {
                 if let Some(reuse) = self.answered(false) {
@@ -737,9 +786,10 @@
             id: &id,
             method: method.method,
             kb: method.kb,
-            ts_ms,
+            ts_ms: pending.read_ms,
             left_us: method.left_us,
             token: method.token.as_deref(),
+            tenant: pending.tenant,
             body: &body,
         };
         match front.core.check(&asked) {
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -540,6 +540,7 @@
                     ts_ms: rpc.ts_ms,
                     left_us: None,
                     token: rpc.opkey.as_deref(),
+                    tenant: None,
                     body: rpc.body.get(),
                 };
                 let incoming = match self.core.check(&asked) {
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -1,6 +1,8 @@
 //! One node: its parts put together, started, and brought to an end on a signal.
 
 use crate::clock::Clock;
+use crate::configuration::agent::{self, ConfigurationHandle, PreparedAgent};
+use crate::configuration::state::{FileConfiguration, InForce, NodeConfiguration};
 use crate::core::Core;
 use crate::ending::{CallEnd, Ending};
 use crate::gate::{Gate, Incoming, Next, Post, Stirred, Ticket, Token};
@@ -81,6 +83,8 @@
     pub memory_bytes: usize,
     pub descriptors: usize,
     pub digest: u64,
+    /// What comes from the control plane, where there is one.
+    pub configuration: Option<ConfigurationHandle>,
     /// A print of the operators' file that it goes by, 0 where there is none or parts of it wait.
     settings: AtomicU64,
 }
@@ -349,12 +353,14 @@
     if waiting.is_empty() {
         *operators_text = text;
     }
-    if let (Some(front), Some(newer)) = (&node.ajp, operators.ajp) {
-        // Who may connect and what requests stand for; the rest takes effect with the next start.
-        front.change(Open { guests: newer.guests, rules: newer.rules });
-    }
-    if let (Some(by_ajp), Some(newer)) = (&node.by_ajp, &operators.below) {
-        by_ajp.relist(&newer.places);
+    // Who may connect, what requests stand for, and where calls go; the rest takes effect with the next start.
+    match &node.configuration {
+        Some(configuration) => {
+            for fault in configuration.replace_file(file_configuration(operators)) {
+                tracing::warn!("SIGHUP: distributed configuration left out: {fault}");
+            }
+        }
+        None => take_over_file(node, operators),
     }
     node.core.executor.move_to(executor);
     if let (Some(links), Some(at)) = (&node.store, below) {
@@ -365,6 +371,63 @@
     true
 }
 
+fn take_over_file(node: &Node, operators: Operators) {
+    if let (Some(front), Some(newer)) = (&node.ajp, operators.ajp) {
+        front.change(Open { guests: newer.guests, rules: newer.rules, quotas: Arc::default() });
+    }
+    if let (Some(by_ajp), Some(newer)) = (&node.by_ajp, &operators.below) {
+        by_ajp.relist(&newer.places);
+    }
+}
+
+/// What of the operators' file distributed configuration comes on top of.
+fn file_configuration(operators: Operators) -> FileConfiguration {
+    let has_front = operators.ajp.is_some();
+    let (guests, rules) = operators.ajp.map(|front| (front.guests, front.rules)).unwrap_or_default();
+    let zone = operators.below.as_ref().and_then(|below| below.here.clone());
+    let endpoints = operators.below.map(|below| below.places);
+    FileConfiguration { guests, rules, endpoints, zone, has_front }
+}
+
+/// The agent of the control plane, where the operators' file names one.
+fn prepare_configuration(
+    placement: &Placement,
+    operators: &Operators,
+    ajp: Option<Arc<AjpFront>>,
+    by_ajp: Option<AjpBelow>,
+) -> Result<Option<PreparedAgent>, String> {
+    let Some(config) = &operators.config else { return Ok(None) };
+    let deployment = &placement.deployment;
+    let effects = deployment.methods.iter().map(|method| method.effect == Effect::Idempotent);
+    let names = deployment.method_names.iter().map(|name| name.to_string());
+    let methods = names.zip(effects.enumerate()).collect();
+    let state = NodeConfiguration::new(
+        methods,
+        file_configuration(operators.clone()),
+        deployment.tenant_quotas.len() as u32,
+    );
+    let in_force_endpoints = Mutex::new(operators.below.as_ref().map(|below| below.places.clone()));
+    let front = ajp.clone();
+    let take_over = move |in_force: InForce| {
+        if let Some(front) = &front {
+            let InForce { guests, rules, quotas, .. } = in_force;
+            front.change(Open { guests, rules, quotas });
+        }
+        let mut before = in_force_endpoints.lock().unwrap_or_else(|broken| broken.into_inner());
+        if let (Some(by_ajp), Some(endpoints)) = (&by_ajp, &in_force.endpoints) {
+            if before.as_ref() != Some(endpoints) {
+                by_ajp.relist(endpoints);
+            }
+        }
+        *before = in_force.endpoints;
+    };
+    let prepared = agent::prepare(&placement.name, config, state, placement.seed, Box::new(take_over))?;
+    if let Some(front) = &ajp {
+        front.fetch_quotas_by(prepared.handle.clone());
+    }
+    Ok(Some(prepared))
+}
+
 /// A node that is put together and does nothing yet.
 struct Built {
     node: Arc<Node>,
@@ -374,6 +437,7 @@
     ajp_listener: Option<TcpListener>,
     status: Option<PathBuf>,
     resumed: Resumed,
+    agent: Option<PreparedAgent>,
 }
 
 /// What goes on from the process before.
@@ -449,7 +513,7 @@
         None => (Executor::new(placement.executor, pauses), None),
     };
     let status = operators.below.as_ref().and_then(|below| below.status.clone());
-    let by_ajp = operators.below.map(|told| AjpBelow::new(told, clock, placement.seed));
+    let by_ajp = operators.below.clone().map(|told| AjpBelow::new(told, clock, placement.seed));
     let store = placement.below.filter(|_| by_ajp.is_none()).map(|at| Below::new(at, clock, most_links));
     let below: Option<Arc<dyn Beneath>> = match (&by_ajp, &store) {
         (Some(by_ajp), _) => Some(Arc::new(by_ajp.clone())),
@@ -466,11 +530,13 @@
     }
     let dispatchers = Arc::new(Dispatchers::new(core.clone(), most));
     let directory = Mutex::new(placement.directory);
-    let ajp = operators.ajp.map(|front| {
-        let open = Open { guests: front.guests, rules: front.rules };
+    let ajp = operators.ajp.clone().map(|front| {
+        let open = Open { guests: front.guests, rules: front.rules, quotas: Arc::default() };
         let most = front.connections;
         AjpFront::new(core.clone(), open, front.packet, most, front.idle_us, placement.seed)
     });
+    let agent = prepare_configuration(placement, &operators, ajp.clone(), by_ajp.clone())?;
+    let configuration = agent.as_ref().map(|agent| agent.handle.clone());
     let mut resumed = Resumed { link, ..Resumed::default() };
     if let Some(taken) = taken {
         resumed.json = dispatchers.resume(taken.json.0, taken.json.1, &ids);
@@ -511,15 +577,18 @@
         descriptors,
         digest,
         settings: AtomicU64::new(0),
+        configuration,
     });
     let name = placement.name.clone();
-    Ok(Built { node, name, stirred, listener: json_listener, ajp_listener, status, resumed })
+    Ok(Built { node, name, stirred, listener: json_listener, ajp_listener, status, resumed, agent })
 }
 
 fn incoming(kept: &KeptRpc) -> Incoming {
     let token = kept.token.as_ref().map(|key| Token { key: key.as_str().into(), work: kept.work });
     let (method, left_us) = (kept.method as usize, kept.left_us);
-    Incoming { id: kept.id.as_str().into(), method, kb: kept.kb, ts_ms: kept.ts_ms, left_us, token }
+    // The module has counted it already.
+    let (id, tenant) = (kept.id.as_str().into(), None);
+    Incoming { id, method, kb: kept.kb, ts_ms: kept.ts_ms, left_us, token, tenant }
 }
 
 fn call(kept: KeptCall) -> Call {
@@ -544,7 +613,10 @@
 
 /// Starts every part. What is sent to the sender makes the directory hear of the present health at once.
 fn begin(built: Built, placement: &Placement) -> (Arc<Node>, Sender<()>) {
-    let Built { node, name, stirred, listener, ajp_listener, status, resumed } = built;
+    let Built { node, name, stirred, listener, ajp_listener, status, resumed, agent } = built;
+    if let Some(Err(why)) = agent.map(PreparedAgent::start) {
+        tracing::error!(part = "config", "no changes come: {why}");
+    }
     tracing::info!(part = "json-rpc", place = %placement.listen, "node {name} listens");
     if let (Some(front), Some(listener)) = (node.ajp.clone(), ajp_listener) {
         tracing::info!(part = "ajp", "node {name} listens");
--- /dev/null
+++ b/crates/ochrewalk-node/tests/configuration_state.rs
@@ -0,0 +1,182 @@
+//! What an update of the distributed configuration changes in a node, and what is refused as a whole.
+
+use ochrewalk_distribution::messages::{Position, Resource};
+use ochrewalk_distribution::CompleteUpdate;
+use ochrewalk_fronts::judge::Rules;
+use ochrewalk_fronts::routes::{Found, Routes};
+use ochrewalk_node::configuration::state::{FileConfiguration, InForce, NodeConfiguration, UpdateFault};
+use ochrewalk_operators::resources::{quota_name, read_changes};
+use ochrewalk_operators::PlaceBelow;
+use std::sync::Arc;
+
+const FIRST_TENANT: u32 = 100;
+
+fn file(routes: &[(&str, &str, usize)]) -> FileConfiguration {
+    let mut table = Routes::default();
+    routes.iter().for_each(|(http, path, method)| table.add(http, path, *method).unwrap());
+    FileConfiguration {
+        rules: Rules { routes: table, ..Rules::default() },
+        endpoints: Some(Vec::new()),
+        zone: Some("east".into()),
+        has_front: true,
+        ..FileConfiguration::default()
+    }
+}
+
+fn node() -> NodeConfiguration {
+    let methods = [("look".to_string(), (0, true)), ("sale".to_string(), (1, false))].into();
+    NodeConfiguration::new(methods, file(&[("GET", "/file", 0)]), FIRST_TENANT)
+}
+
+fn update(revision: u64, changes: &str) -> CompleteUpdate {
+    let changes = read_changes(changes, "changes").unwrap().into_iter();
+    CompleteUpdate {
+        position: Position { epoch: 1, revision },
+        is_snapshot: false,
+        resources: changes.map(|change| Arc::new(Resource { revision, ..change })).collect(),
+        absent: Vec::new(),
+        horizon: 0,
+    }
+}
+
+fn snapshot(revision: u64, changes: &str) -> CompleteUpdate {
+    CompleteUpdate { is_snapshot: true, ..update(revision, changes) }
+}
+
+fn finds(in_force: &InForce, http: &str, path: &str) -> Found {
+    in_force.rules.routes.find(http.as_bytes(), path.as_bytes()).unwrap()
+}
+
+#[test]
+fn routes_come_change_and_go_beside_those_of_the_file() {
+    let mut node = node();
+    let in_force = node.apply(&snapshot(1, "route shop GET /a look\nroute shop POST /b sale")).unwrap();
+    assert_eq!(finds(&in_force, "GET", "/a"), Found::Method(0));
+    assert_eq!(finds(&in_force, "POST", "/b"), Found::Method(1));
+    assert_eq!(finds(&in_force, "GET", "/file"), Found::Method(0));
+    // One goes, and another takes its path in the same update.
+    let in_force = node.apply(&update(2, "delete route shop GET /a\nroute till GET /a/ look")).unwrap();
+    assert_eq!(finds(&in_force, "GET", "/a"), Found::Method(0));
+    let in_force = node.apply(&update(3, "delete route till GET /a/\nroute shop POST /b look")).unwrap();
+    assert_eq!(finds(&in_force, "GET", "/a"), Found::NoRoute);
+    assert_eq!(finds(&in_force, "POST", "/b"), Found::Method(0));
+    // A snapshot replaces all that was distributed, and nothing of the file.
+    let in_force = node.apply(&snapshot(4, "route shop GET /c look")).unwrap();
+    assert_eq!(finds(&in_force, "POST", "/b"), Found::NoRoute);
+    assert_eq!(finds(&in_force, "GET", "/file"), Found::Method(0));
+    assert_eq!(node.position(), Position { epoch: 1, revision: 4 });
+}
+
+#[test]
+fn an_update_with_one_wrong_change_changes_nothing() {
+    let good = "route shop GET /a look\nquota acme 5\n";
+    for (wrong, said) in [
+        (
+            "route shop GET /x lok",
+            "route shop GET /x: lok is no method here; route it to a method of the node's file",
+        ),
+        (
+            "route shop GET /x sale",
+            "route shop GET /x: sale may not happen twice, and GET may be sent again by anybody between; \
+             route it for POST",
+        ),
+        ("route shop GET /file look", "route shop GET /file: GET /file is routed already"),
+        ("route till GET /a/ look", "route till GET /a/: GET /a/ is routed already"),
+    ] {
+        let mut node = node();
+        node.apply(&snapshot(1, good)).unwrap();
+        let fault =
+            node.apply(&update(2, &format!("delete quota acme\nquota other 1\n{wrong}"))).unwrap_err();
+        assert_eq!(fault.to_string(), said);
+        assert_eq!(node.position(), Position { epoch: 1, revision: 1 });
+        let in_force = node.in_force();
+        assert_eq!(finds(&in_force, "GET", "/x"), Found::NoRoute, "{wrong}");
+        assert!(in_force.quotas.contains_key("acme") && !in_force.quotas.contains_key("other"), "{wrong}");
+        assert_eq!(node.resources().count(), 2, "{wrong}");
+    }
+}
+
+#[test]
+fn resources_that_this_node_has_no_use_for_are_refused_with_the_reason() {
+    let methods = || [("look".to_string(), (0, true))].into();
+    let bare = FileConfiguration::default();
+    let mut node = NodeConfiguration::new(methods(), bare, 0);
+    let fault = node.apply(&snapshot(1, "route shop GET /a look")).unwrap_err();
+    assert_eq!(fault, UpdateFault::NoFront("route shop GET /a".into()));
+    let fault = node.apply(&snapshot(1, "endpoint shop 10.0.0.1:80 1 east")).unwrap_err();
+    assert_eq!(fault, UpdateFault::NoEndpoints("endpoint shop 10.0.0.1:80".into()));
+    assert!(node.apply(&snapshot(1, "quota acme 1")).is_ok());
+    // Nothing ever leads back.
+    assert!(matches!(node.apply(&update(0, "quota acme 2")), Err(UpdateFault::Order(_))));
+}
+
+#[test]
+fn a_tenant_keeps_its_number_over_changes_of_its_quota() {
+    let mut node = node();
+    let quota = |in_force: &InForce, tenant: &str| in_force.quotas[tenant].quota();
+    let mut first = snapshot(1, "quota acme 5\nquota other 1");
+    first.absent = vec![quota_name("nobody")];
+    let in_force = node.apply(&first).unwrap();
+    let acme = quota(&in_force, "acme").unwrap();
+    assert_eq!(acme.per_second, 5.0);
+    assert!(acme.id >= FIRST_TENANT);
+    assert_eq!(quota(&in_force, "nobody"), None);
+    assert_eq!(node.absent_quotas(), [quota_name("nobody")]);
+    let in_force = node.apply(&update(2, "quota acme 7\nquota nobody 3")).unwrap();
+    assert_eq!(quota(&in_force, "acme").unwrap().id, acme.id);
+    assert_eq!(quota(&in_force, "acme").unwrap().per_second, 7.0);
+    let ids: std::collections::BTreeSet<u32> =
+        ["acme", "other", "nobody"].iter().map(|tenant| quota(&in_force, tenant).unwrap().id).collect();
+    assert_eq!(ids.len(), 3);
+    // Deleted and made again: the number stays, so that what was charged stays, too.
+    let in_force = node.apply(&update(3, "delete quota acme")).unwrap();
+    assert_eq!(quota(&in_force, "acme"), None);
+    let in_force = node.apply(&update(4, "quota acme 2")).unwrap();
+    assert_eq!(quota(&in_force, "acme").unwrap().id, acme.id);
+    // One that is let go is not there any more, and its number is not given to another.
+    let in_force = node.forget_quotas(["acme"]);
+    assert!(!in_force.quotas.contains_key("acme"));
+    let in_force = node.apply(&update(5, "quota late 1")).unwrap();
+    assert!(!ids.contains(&quota(&in_force, "late").unwrap().id));
+}
+
+#[test]
+fn endpoints_and_limits_come_on_top_of_the_file() {
+    let mut node = node();
+    let at = |text: &str| text.parse::<std::net::SocketAddr>().unwrap();
+    let of_file = PlaceBelow { at: at("10.0.0.1:80"), weight: 1.0, is_near: true };
+    let (_, faults) = node.replace_file(FileConfiguration {
+        endpoints: Some(vec![of_file]),
+        rules: Rules { usual_kb: Some(9.0), ..Rules::default() },
+        ..file(&[])
+    });
+    assert_eq!(faults, []);
+    let changes = "endpoint shop 10.0.0.1:80 3 west\nendpoint shop 10.0.0.2:80 1 east\n\
+                   limit shop usual-memory-kb 20\nlimit till usual-memory-kb 12";
+    let in_force = node.apply(&snapshot(1, changes)).unwrap();
+    let wanted = [
+        PlaceBelow { at: at("10.0.0.1:80"), weight: 3.0, is_near: false },
+        PlaceBelow { at: at("10.0.0.2:80"), weight: 1.0, is_near: true },
+    ];
+    assert_eq!(in_force.endpoints.as_deref(), Some(&wanted[..]));
+    assert_eq!(in_force.rules.usual_kb, Some(12.0));
+    let in_force = node.apply(&snapshot(2, "quota acme 1")).unwrap();
+    assert_eq!((in_force.endpoints, in_force.rules.usual_kb), (Some(vec![of_file]), Some(9.0)));
+}
+
+#[test]
+fn a_changed_file_keeps_what_was_distributed_and_names_what_no_longer_fits() {
+    let mut node = node();
+    node.apply(&snapshot(1, "route shop GET /a look\nroute shop GET /b look")).unwrap();
+    let (in_force, faults) = node.replace_file(file(&[("GET", "/a", 0), ("GET", "/new", 0)]));
+    let said: Vec<String> = faults.iter().map(|fault| fault.to_string()).collect();
+    assert_eq!(said, ["route shop GET /a: GET /a is routed already"]);
+    for path in ["/a", "/b", "/new"] {
+        assert_eq!(finds(&in_force, "GET", path), Found::Method(0), "{path}");
+    }
+    assert_eq!(finds(&in_force, "GET", "/file"), Found::NoRoute);
+    // What is left out does not take the file's route with it when it goes.
+    let in_force = node.apply(&update(2, "delete route shop GET /a\ndelete route shop GET /b")).unwrap();
+    assert_eq!(finds(&in_force, "GET", "/a"), Found::Method(0));
+    assert_eq!(finds(&in_force, "GET", "/b"), Found::NoRoute);
+}
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -46,6 +46,11 @@
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
+/// An address of its own, whose port no other socket is given by chance.
+pub fn own_address(port: u16) -> String {
+    format!("127.{}.{}.1:{port}", 10 + number() % 200, 1 + std::process::id() % 250)
+}
+
 /// A file of its own for each test, with this text.
 pub fn file(text: &str) -> PathBuf {
     let number = number();
@@ -90,8 +95,7 @@
     /// With words in its environment, too.
     pub fn with_all(change: impl FnOnce(&mut Value), operators: &str, environment: &[(&str, &str)]) -> Stand {
         let (executor, below, directory) = (listener(), listener(), listener());
-        // An address of its own, whose port no other socket is given by chance.
-        let at = format!("127.{}.{}.1:7001", 10 + number() % 200, 1 + std::process::id() % 250);
+        let at = own_address(7001);
         let address = |l: &TcpListener| l.local_addr().unwrap().to_string();
         let mut config = json!({
             "name": "n3", "listen": at, "executor": address(&executor), "lookup": address(&directory),
--- a/crates/ochrewalk-operators/src/lib.rs
+++ b/crates/ochrewalk-operators/src/lib.rs
@@ -102,6 +102,8 @@
 #[derive(Clone, Debug)]
 pub struct AjpBelow {
     pub places: Vec<PlaceBelow>,
+    /// The zone of this node, where zones are told apart.
+    pub here: Option<String>,
     /// How calls are spread over them, and when one is left out.
     pub spread: Plan,
     /// The socket by which operators see how places stand.
--- a/crates/ochrewalk-operators/src/read.rs
+++ b/crates/ochrewalk-operators/src/read.rs
@@ -226,6 +226,7 @@
             },
             below: AjpBelow {
                 places: Vec::new(),
+                here: None,
                 spread: Plan::default(),
                 status: None,
                 server_name: "localhost".into(),
@@ -484,7 +485,7 @@
             return fault(first, "nothing listens for AJP", "add a line such as: ajp listen 127.0.0.1:8009");
         }
         if let Some(listen) = line("ajp listen") {
-            if rules.routes.is_empty() {
+            if rules.routes.is_empty() && self.config.relays.is_empty() {
                 return fault(
                     listen,
                     "no request can come in without a route",
@@ -525,6 +526,7 @@
             }
         }
         self.places()?;
+        self.below.here = self.here;
         self.front.listen = self.listen.unwrap_or(self.front.listen);
         Ok(Operators {
             ajp: self.listen.is_some().then_some(self.front),
