--- /dev/null
+++ b/crates/ochrewalk-distribution/tests/memory.rs
@@ -0,0 +1,104 @@
+//! Memory held, counted by the allocator: for subscribers that do not read, and for all that a fleet has.
+
+mod common;
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::cell::Cell;
+
+use common::*;
+use ochrewalk_distribution::messages::{Resource, ResourceKind, ResourceName, Route, Value};
+use ochrewalk_distribution::{Interest, Next, Store, StoreLimits};
+
+thread_local! {
+    /// Bytes held by this thread, so that tests at the same time do not count each other's.
+    static HELD_BYTES: Cell<i64> = const { Cell::new(0) };
+}
+
+struct CountingAllocator;
+
+fn count(bytes: i64) {
+    // The counter is gone while a thread ends.
+    let _ = HELD_BYTES.try_with(|held| held.set(held.get() + bytes));
+}
+
+// SAFETY: all requests go to the system's allocator unchanged.
+unsafe impl GlobalAlloc for CountingAllocator {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        count(layout.size() as i64);
+        System.alloc(layout)
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        count(-(layout.size() as i64));
+        System.dealloc(pointer, layout)
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+fn held_bytes() -> i64 {
+    HELD_BYTES.with(Cell::get)
+}
+
+#[test]
+fn memory_for_a_subscriber_that_never_reads_stays_constant_over_ten_thousand_publishes() {
+    const SUBSCRIBERS: usize = 50;
+    let mut server = filled_publisher();
+    let mut nodes: Vec<Node> =
+        (0..SUBSCRIBERS).map(|n| Node::new(&format!("node-{n}"), Interest::scopes(["a"]))).collect();
+    for node in &mut nodes {
+        node.connect(&mut server);
+    }
+    // Half of them have stopped in the middle of an update.
+    for node in &nodes[..SUBSCRIBERS / 2] {
+        assert!(matches!(server.next(node.id.unwrap(), 0), Next::Send(_)));
+    }
+    let mut round = |first: usize| {
+        for n in first..first + 1_000 {
+            let change = quota("a", &format!("tenant-{:03}", n % 400), n as f64);
+            publish(&mut server, &[change]);
+        }
+        held_bytes()
+    };
+    let after_first = round(0);
+    for first in (1_000..10_000).step_by(1_000) {
+        let grown = round(first) - after_first;
+        // Trees of the store may be of slightly different shapes.
+        assert!(grown.abs() < 16 << 10, "{grown} bytes more after {first} publishes");
+    }
+}
+
+fn tenants() -> impl Iterator<Item = Resource> {
+    (0..410_000).map(|n| quota(&format!("service-{:03}", n % 200), &format!("tenant-{n:08}"), 50.0))
+}
+
+fn routes() -> impl Iterator<Item = Resource> {
+    (0..49_000).map(|n| {
+        let scope = format!("service-{:03}", n % 200);
+        let name = ResourceName::new(ResourceKind::Route, &scope, format!("route-{n:05}"));
+        let (path, method) = (format!("/v1/{scope}/items-{n:05}"), format!("{scope}.Items/Get{n:05}"));
+        Resource::set(name, Value::Route(Route { http_method: "GET".into(), path, method }))
+    })
+}
+
+#[test]
+fn all_quotas_and_routes_of_the_fleet_take_less_than_150_mb() {
+    const BOUND_BYTES: i64 = 150_000_000;
+    let before = held_bytes();
+    let mut store = Store::new(1, StoreLimits::default());
+    let mut batch = Vec::new();
+    for change in tenants().chain(routes()) {
+        batch.push(change);
+        if batch.len() == 5_000 {
+            store.publish(&batch, None).unwrap();
+            batch.clear();
+        }
+    }
+    store.publish(&batch, None).unwrap();
+    drop(batch);
+    let held = held_bytes() - before;
+    println!("{} resources take {held} bytes, {} each", store.len(), held / store.len() as i64);
+    assert_eq!(store.len(), 459_000);
+    assert!(held < BOUND_BYTES, "{held}");
+}
