--- a/crates/ochrewalk-distribution/src/store.rs
+++ b/crates/ochrewalk-distribution/src/store.rs
@@ -4,6 +4,7 @@
 use std::borrow::Borrow;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -87,9 +88,16 @@
 }
 
 /// A resource in the order of revisions, and of names within a revision.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 struct ByRevision(Arc<Resource>);
 
+/// Shows the key alone, as the resource is shown in the order of names.
+impl fmt::Debug for ByRevision {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}", self.0.revision, self.0.name.name)
+    }
+}
+
 impl ByRevision {
     /// What compares as a resource of `name` at `revision` would.
     fn probe(revision: u64, name: ResourceName) -> Self {
