--- a/crates/ochrewalk-distribution/src/store.rs
+++ b/crates/ochrewalk-distribution/src/store.rs
@@ -326,7 +326,7 @@
     /// This publisher takes over: an epoch above all heard of begins. The batch returned has no changes; it is to be
     /// recorded before anything is published, so that the epoch is not used again after a restart.
     pub fn new_epoch(&mut self) -> Batch {
-        let epoch = self.highest_epoch + 1;
+        let epoch = self.highest_epoch.saturating_add(1);
         self.epochs.begin(epoch, self.revision);
         self.highest_epoch = epoch;
         Batch { position: self.position(), resources: Vec::new(), previous: Vec::new() }
--- a/crates/ochrewalk-distribution/tests/store.rs
+++ b/crates/ochrewalk-distribution/tests/store.rs
@@ -262,6 +262,18 @@
     assert_eq!((store.len(), store.position()), (1, position(1, 5)));
 }
 
+#[test]
+fn absent_names_are_dropped_before_resources_are_added() {
+    let mut store = Store::new(0, StoreLimits::default());
+    let resources = ["one", "two"].map(|tenant| Resource { revision: 1, ..quota("a", tenant, 1.0) });
+    store.apply(&update((1, 1), true, resources.to_vec())).unwrap();
+    let mut update = update((1, 2), false, vec![Resource { revision: 2, ..quota("a", "two", 2.0) }]);
+    update.absent = ["one", "two"].map(|tenant| quota_name("a", tenant)).to_vec();
+    store.apply(&update).unwrap();
+    assert!(store.newest(&quota_name("a", "one")).is_none());
+    assert_eq!(store.get(&quota_name("a", "two")).unwrap().value, Some(quota_value(2.0)));
+}
+
 #[test]
 fn a_relay_that_followed_into_a_new_epoch_serves_differences_from_where_it_knows_the_line() {
     let mut store = Store::new(0, StoreLimits::default());
--- a/crates/ochrewalk-distribution/tests/updates.rs
+++ b/crates/ochrewalk-distribution/tests/updates.rs
@@ -284,6 +284,10 @@
     // A cut: the second one takes over, and both are published to.
     new.store_mut().new_epoch();
     publish(&mut new, &[quota("a", "tenant-000", 2.0), deletion("a", "tenant-002")]);
+    // The new line is longer than the fork, so that only its epochs tell them apart.
+    for n in 3..10 {
+        publish(&mut new, &[quota("a", &format!("tenant-{n:03}"), 2.0)]);
+    }
     publish(&mut old, &[quota("a", "tenant-001", 3.0), quota("a", "fork", 3.0)]);
     publish(&mut old, &[quota("a", "tenant-001", 4.0)]);
     forked.catch_up(&mut old);
@@ -323,6 +327,27 @@
     assert_eq!(node.subscription.last_heard_us(), Some(2 * SECOND_US));
 }
 
+#[test]
+fn a_relay_started_from_a_snapshot_serves_snapshots_before_the_horizon() {
+    let store = Store::new(1, StoreLimits { tombstones: 1 });
+    let mut server = Server::new("publisher", "north", store, unbounded_limits());
+    publish(&mut server, &[quota("a", "one", 1.0), quota("a", "two", 1.0)]);
+    let mut node = node("one");
+    node.connect(&mut server);
+    node.catch_up(&mut server);
+    for tenant in ["one", "two"] {
+        publish(&mut server, &[deletion("a", tenant)]);
+    }
+    let mut relay = Node::new("relay", Interest::everything());
+    relay.connect(&mut server);
+    relay.catch_up(&mut server);
+    let mut relay = Server::new("relay", "north", relay.store, unbounded_limits());
+    node.disconnect(&mut server);
+    node.connect(&mut relay);
+    assert!(node.catch_up(&mut relay)[0].is_snapshot);
+    node.assert_equals(server.store());
+}
+
 #[test]
 fn a_first_part_other_than_number_zero_is_refused() {
     let mut server = filled_publisher();
