--- a/crates/ochrewalk-distribution/src/store.rs
+++ b/crates/ochrewalk-distribution/src/store.rs
@@ -4,6 +4,7 @@
 use std::borrow::Borrow;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -98,9 +99,16 @@
 }
 
 /// A resource in the order of revisions, and of names within a revision.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 struct ByRevision(Arc<Resource>);
 
+/// Shows the key alone, as the resource is shown in the order of names.
+impl fmt::Debug for ByRevision {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}", self.0.revision, self.0.name.name)
+    }
+}
+
 impl ByRevision {
     /// What compares as a resource of `name` at `revision` would.
     fn probe(revision: u64, name: ResourceName) -> Self {
@@ -375,7 +383,7 @@
     /// This publisher takes over: an epoch above all heard of begins. The batch returned has no changes; it is to be
     /// recorded before anything is published, so that the epoch is not used again after a restart.
     pub fn new_epoch(&mut self) -> Batch {
-        let epoch = self.highest_epoch + 1;
+        let epoch = self.highest_epoch.saturating_add(1);
         self.epochs.begin(epoch, self.revision);
         self.highest_epoch = epoch;
         Batch { position: self.position(), resources: Vec::new(), previous: Vec::new() }
