Quota buckets of tenants seen of late only, refilled when touched

Each RPC refilled the buckets of all tenants. A tenant's quota now comes with the RPC (`Arrival.tenant`), and `QuotaBuckets` holds the buckets that are not full, 65,536 at most: the one nearest to full is let go first. A changed quota holds from the tenant's next RPC.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -150,7 +150,7 @@
     target_us: u64,
     kb: f64,
     effort_us: Option<u64>,
-    tenant: Option<usize>,
+    tenant: Option<Tenant>,
     /// Criticality as the deployment counts it, less beyond a tenant's quota.
     value: f64,
     stage: Stage,
@@ -388,35 +388,132 @@
     at_us: u64,
 }
 
-/// Each tenant's quota here, as a bucket of started RPCs that fills at its part of the fleet's rate.
-struct Buckets {
-    /// The rate and the level of each.
-    of: Vec<(f64, f64)>,
-    at_us: u64,
+/// What a tenant has left of its quota at this server: RPCs that may start, refilled when it is touched.
+struct QuotaBucket {
+    /// RPCs a second that it fills by, here.
+    rate: f64,
+    /// What was left at `refilled_us`; below 0 where more were started.
+    level: f64,
+    refilled_us: u64,
+    /// When it is full, if nothing more is charged: its place in `QuotaBuckets::by_full_time`.
+    full_at_us: u64,
 }
 
-impl Buckets {
+impl QuotaBucket {
     /// Seconds of its rate that a tenant may save up, as traffic reaches servers unevenly.
-    const SAVED: f64 = 8.0;
+    const SAVED_SECONDS: f64 = 8.0;
+
+    fn new(rate: f64, level: f64, refilled_us: u64) -> QuotaBucket {
+        let most = rate * Self::SAVED_SECONDS;
+        let level = level.min(most);
+        let missing_us = ((most - level) / rate * 1e6).ceil() as u64;
+        QuotaBucket { rate, level, refilled_us, full_at_us: refilled_us.saturating_add(missing_us) }
+    }
 
-    fn new(tenants: &[Tenant], servers: u32) -> Buckets {
-        let rates = tenants.iter().map(|tenant| tenant.per_second / f64::from(servers.max(1)));
-        Buckets { of: rates.map(|rate| (rate, rate * Self::SAVED)).collect(), at_us: 0 }
+    fn full(rate: f64, now_us: u64) -> QuotaBucket {
+        QuotaBucket::new(rate, f64::INFINITY, now_us)
     }
 
-    fn within(&mut self, tenant: Option<usize>, now_us: u64) -> bool {
-        let passed = (now_us - self.at_us) as f64 / 1e6;
-        self.at_us = now_us;
-        for (rate, level) in &mut self.of {
-            *level = (*level + *rate * passed).min(*rate * Self::SAVED);
+    fn level_at(&self, now_us: u64) -> f64 {
+        let passed = now_us.saturating_sub(self.refilled_us) as f64 / 1e6;
+        (self.level + self.rate * passed).min(self.rate * Self::SAVED_SECONDS)
+    }
+}
+
+/// The buckets of tenants that started RPCs of late. A tenant without one has a full bucket, so that one
+/// that is full again need not be held. The quota comes with each RPC: a changed one holds from the tenant's
+/// next RPC.
+///
+/// Each RPC touches a few buckets, however many tenants there are. At most [`Self::MOST_HELD`] are held;
+/// beyond that, the one nearest to full (as a share of its most, so the one that is full soonest) is let go
+/// first. Harms where more tenants than that are in debt for long: those whose buckets fill fast are not
+/// limited then.
+pub struct QuotaBuckets {
+    /// Servers that a quota is divided between.
+    servers: f64,
+    held: HashMap<u32, QuotaBucket>,
+    by_full_time: BTreeSet<(u64, u32)>,
+    /// The time of the last arrival; charges count from it.
+    now_us: u64,
+    touched: u64,
+}
+
+impl QuotaBuckets {
+    /// Takes 7 MB of memory.
+    pub const MOST_HELD: usize = 65_536;
+    /// Let go of at a charge, which adds one at most: more than one, so that full ones become fewer.
+    const LET_GO_AT_ONCE: usize = 2;
+
+    pub fn new(servers: u32) -> QuotaBuckets {
+        QuotaBuckets {
+            servers: f64::from(servers.max(1)),
+            held: HashMap::new(),
+            by_full_time: BTreeSet::new(),
+            now_us: 0,
+            touched: 0,
+        }
+    }
+
+    /// Whether an RPC that arrives now is within its tenant's quota. One without a tenant always is.
+    pub fn within(&mut self, tenant: Option<Tenant>, now_us: u64) -> bool {
+        self.now_us = self.now_us.max(now_us);
+        let Some(Tenant { id, per_second }) = tenant else { return true };
+        let rate = per_second / self.servers;
+        self.touched += 1;
+        if let Some(bucket) = self.held.get(&id).filter(|bucket| bucket.rate == rate) {
+            return bucket.level_at(self.now_us) > 0.0;
+        }
+        let changed = self.take(id).map(|bucket| bucket.level_at(self.now_us));
+        // Without any quota it has nothing to save up, and needs no bucket.
+        if rate <= 0.0 {
+            return false;
         }
-        tenant.and_then(|tenant| self.of.get(tenant)).is_none_or(|(_, level)| *level > 0.0)
+        let Some(level) = changed else { return true };
+        self.hold(id, QuotaBucket::new(rate, level, self.now_us));
+        level > 0.0
     }
 
     /// Only what is started counts: further tries of what was pushed back would use up a quota for nothing.
-    fn charge(&mut self, tenant: Option<usize>) {
-        if let Some((_, level)) = tenant.and_then(|tenant| self.of.get_mut(tenant)) {
-            *level -= 1.0;
+    pub fn charge(&mut self, tenant: Option<Tenant>) {
+        let Some(Tenant { id, per_second }) = tenant else { return };
+        let rate = per_second / self.servers;
+        let bucket = self.take(id).or_else(|| (rate > 0.0).then(|| QuotaBucket::full(rate, self.now_us)));
+        let Some(bucket) = bucket else { return };
+        let level = bucket.level_at(self.now_us) - 1.0;
+        self.hold(id, QuotaBucket::new(bucket.rate, level, self.now_us));
+        self.let_go();
+    }
+
+    /// Buckets held now.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Buckets looked up, changed, held or let go of since the start.
+    pub fn touched(&self) -> u64 {
+        self.touched
+    }
+
+    fn take(&mut self, id: u32) -> Option<QuotaBucket> {
+        self.touched += 1;
+        let bucket = self.held.remove(&id)?;
+        self.by_full_time.remove(&(bucket.full_at_us, id));
+        Some(bucket)
+    }
+
+    fn hold(&mut self, id: u32, bucket: QuotaBucket) {
+        self.touched += 1;
+        self.by_full_time.insert((bucket.full_at_us, id));
+        self.held.insert(id, bucket);
+    }
+
+    fn let_go(&mut self) {
+        for _ in 0..Self::LET_GO_AT_ONCE {
+            let Some(&(full_at_us, id)) = self.by_full_time.first() else { return };
+            if full_at_us > self.now_us && self.held.len() <= Self::MOST_HELD {
+                return;
+            }
+            self.take(id);
         }
     }
 }
@@ -431,7 +528,7 @@
     advice: Advice,
     by_work: bool,
     over_quota: f64,
-    buckets: Buckets,
+    quota_buckets: QuotaBuckets,
     drain_grace_us: u64,
     /// All RPCs that hold memory here, oldest first, and where to find them.
     rpcs: BTreeMap<u64, Rpc>,
@@ -492,7 +589,7 @@
             longest_us: vec![0; methods.len()],
             cores: Cores::new(machine.cores, crowd, machine.idle_most_us, now_us),
             control: Loop::new(now_us),
-            buckets: Buckets::new(&quotas.tenants, quotas.servers),
+            quota_buckets: QuotaBuckets::new(quotas.servers),
             by_work: quotas.by_work,
             over_quota: quotas.over_quota,
             machine,
@@ -526,6 +623,11 @@
         &mut self.host
     }
 
+    /// How many tenants' quota buckets it holds, of all that it has met.
+    pub fn held_quota_buckets(&self) -> usize {
+        self.quota_buckets.held()
+    }
+
     /// An RPC has been read into the hold.
     pub fn arrived(&mut self, now_us: u64, new: Arrival) {
         let method = &self.methods[new.method];
@@ -541,7 +643,7 @@
         let age_us = new.left_us.filter(|_| new.further_try).map_or(0, |l| longest_us.saturating_sub(l));
         let work_us = self.core_time(new.method, new.effort_us).max(1);
         let mut value = method.criticality / if self.by_work { 1.0 } else { work_us as f64 / 1e6 };
-        if !self.buckets.within(new.tenant, now_us) {
+        if !self.quota_buckets.within(new.tenant, now_us) {
             value *= self.over_quota;
         }
         let rpc = Rpc {
@@ -620,8 +722,8 @@
             (rpc.stage, rpc.on_core_us) = (Stage::Running, now_us);
             return;
         }
-        // It waits again; where its effect may have happened, only if that is harmless. Then it does so even if
-        // it may be left out, where its connection broke: that is no sign of load below.
+        // It waits again; where its effect may have happened, only if that is harmless. Then it does so even
+        // if it may be left out, where its connection broke: that is no sign of load below.
         let harmless = self.methods[rpc.method].effect == Effect::Idempotent;
         let can_skip = self.methods[rpc.method].skip_share > 0.0;
         rpc.stage = Stage::AtCall(now_us + 2 * PULSE_US);
@@ -729,7 +831,7 @@
             rpc.callless = !room;
             (rpc.stage, rpc.started_us, rpc.on_core_us) = (Stage::Running, now_us, now_us);
             self.host.run(&rpc.id);
-            self.buckets.charge(rpc.tenant);
+            self.quota_buckets.charge(rpc.tenant);
             self.tried(seq, 0.0);
         }
         // Those already under way go on to their calls, oldest first.
--- a/src/decide/kept.rs
+++ b/src/decide/kept.rs
@@ -1,8 +1,8 @@
 //! The state of the decisions as records, so that a successor goes on where this process stopped. Nothing is decided
 //! here: each value is written down and read back as it stands. What the deployment states is not kept, but read anew.
 
-use super::{Buckets, Cores, Decide, Hands, Hist, Lanes, Loop, Rpc, Stage, Times};
-use crate::host::{Advice, Below, Crowd, Host, Machine, Method, Quotas, RpcId};
+use super::{Cores, Decide, Hands, Hist, Lanes, Loop, QuotaBucket, QuotaBuckets, Rpc, Stage, Times};
+use crate::host::{Advice, Below, Crowd, Host, Machine, Method, Quotas, RpcId, Tenant};
 use std::collections::BTreeMap;
 
 /// All that one [`Decide`] knows, in protobuf. What a newer program adds is passed over by an older one.
@@ -19,11 +19,13 @@
     cores: KeptCores,
     #[prost(message, required, tag = "5")]
     hands: KeptHands,
-    /// Levels of the tenants' buckets, and when they were last filled.
+    /// Levels of all tenants' buckets in the deployment's order, as programs before `quota_buckets` wrote them. Read
+    /// only.
     #[prost(double, repeated, tag = "6")]
-    buckets: Vec<f64>,
+    levels_by_position: Vec<f64>,
+    /// The time that charges of quota buckets count from.
     #[prost(uint64, tag = "7")]
-    buckets_at_us: u64,
+    quota_buckets_at_us: u64,
     #[prost(message, repeated, tag = "8")]
     rpcs: Vec<KeptRpc>,
     #[prost(uint64, tag = "9")]
@@ -58,6 +60,21 @@
     pulse_us: u64,
     #[prost(uint64, tag = "24")]
     armed_us: u64,
+    /// The buckets that are held; those of all other tenants are full.
+    #[prost(message, repeated, tag = "25")]
+    quota_buckets: Vec<KeptQuotaBucket>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct KeptQuotaBucket {
+    #[prost(uint32, tag = "1")]
+    tenant_id: u32,
+    #[prost(double, tag = "2")]
+    rate: f64,
+    #[prost(double, tag = "3")]
+    level: f64,
+    #[prost(uint64, tag = "4")]
+    refilled_us: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -177,7 +194,7 @@
     #[prost(uint64, optional, tag = "9")]
     effort_us: Option<u64>,
     #[prost(uint32, optional, tag = "10")]
-    tenant: Option<u32>,
+    tenant_id: Option<u32>,
     #[prost(double, tag = "11")]
     value: f64,
     /// 0 held, 1 sharing, 2 running, 3 at its call, 4 calling.
@@ -199,6 +216,53 @@
     calls: u32,
     #[prost(bool, tag = "20")]
     callless: bool,
+    /// The tenant's quota when it arrived.
+    #[prost(double, optional, tag = "21")]
+    tenant_per_second: Option<f64>,
+}
+
+impl Kept {
+    /// Adds the quotas of the deployment that this is read for, in the order of its tenants, to what an older program
+    /// wrote without them. What a program of today wrote stays as it is.
+    pub fn complete_quotas(&mut self, per_second: &[f64], servers: u32) -> Result<(), String> {
+        for rpc in self.rpcs.iter_mut().filter(|rpc| rpc.tenant_per_second.is_none()) {
+            rpc.tenant_per_second = rpc.tenant_id.and_then(|id| per_second.get(id as usize)).copied();
+        }
+        let levels = std::mem::take(&mut self.levels_by_position);
+        if levels.is_empty() {
+            return Ok(());
+        }
+        if levels.len() != per_second.len() {
+            return Err(format!("buckets of {} tenants, {} here", levels.len(), per_second.len()));
+        }
+        let servers = f64::from(servers.max(1));
+        for (tenant_id, (level, per_second)) in (0..).zip(levels.into_iter().zip(per_second)) {
+            let (rate, refilled_us) = (per_second / servers, self.quota_buckets_at_us);
+            self.quota_buckets.push(KeptQuotaBucket { tenant_id, rate, level, refilled_us });
+        }
+        Ok(())
+    }
+}
+
+impl QuotaBuckets {
+    fn keep(&self) -> Vec<KeptQuotaBucket> {
+        let keep = |tenant_id: u32| {
+            let QuotaBucket { rate, level, refilled_us, .. } = self.held[&tenant_id];
+            KeptQuotaBucket { tenant_id, rate, level, refilled_us }
+        };
+        let not_full = self.by_full_time.range((self.now_us + 1, 0)..);
+        not_full.map(|(_, tenant_id)| keep(*tenant_id)).collect()
+    }
+
+    fn of(servers: u32, now_us: u64, kept: Vec<KeptQuotaBucket>) -> QuotaBuckets {
+        let mut buckets = QuotaBuckets::new(servers);
+        buckets.now_us = now_us;
+        for kept in kept.into_iter().filter(|kept| kept.rate > 0.0) {
+            buckets.hold(kept.tenant_id, QuotaBucket::new(kept.rate, kept.level, kept.refilled_us));
+            buckets.let_go();
+        }
+        buckets
+    }
 }
 
 impl Hist {
@@ -242,7 +306,8 @@
             target_us: self.target_us,
             kb: self.kb,
             effort_us: self.effort_us,
-            tenant: self.tenant.map(|tenant| tenant as u32),
+            tenant_id: self.tenant.map(|tenant| tenant.id),
+            tenant_per_second: self.tenant.map(|tenant| tenant.per_second),
             value: self.value,
             stage,
             at_call_us,
@@ -277,7 +342,10 @@
             target_us: kept.target_us,
             kb: kept.kb,
             effort_us: kept.effort_us,
-            tenant: kept.tenant.map(|tenant| tenant as usize),
+            tenant: kept
+                .tenant_id
+                .zip(kept.tenant_per_second)
+                .map(|(id, per_second)| Tenant { id, per_second }),
             value: kept.value,
             stage,
             answered: kept.answered,
@@ -345,8 +413,9 @@
                 wanted: self.hands.wanted,
                 at_us: self.hands.at_us,
             },
-            buckets: self.buckets.of.iter().map(|(_, level)| *level).collect(),
-            buckets_at_us: self.buckets.at_us,
+            levels_by_position: Vec::new(),
+            quota_buckets_at_us: self.quota_buckets.now_us,
+            quota_buckets: self.quota_buckets.keep(),
             rpcs: self.rpcs.iter().map(|(seq, rpc)| rpc.keep(*seq)).collect(),
             next: self.next,
             longest_us: self.longest_us.clone(),
@@ -392,13 +461,6 @@
         let key_id =
             |id: String| by_id.get_key_value(id.as_str()).map_or_else(|| id.into(), |(id, _)| id.clone());
         let keys = kept.keys.into_iter().map(|key| (key.lapses_us, key_id(key.id))).collect();
-        let mut buckets = Buckets::new(&quotas.tenants, quotas.servers);
-        for ((_, level), was) in
-            buckets.of.iter_mut().zip(sized("buckets", kept.buckets, quotas.tenants.len())?)
-        {
-            *level = was;
-        }
-        buckets.at_us = kept.buckets_at_us;
         let runs = sized("runs seen", kept.seen_runs, count)?;
         let calls = sized("calls seen", kept.seen_calls, count)?;
         let crowd = Crowd { cold: kept.cores.cold, ..crowd };
@@ -415,7 +477,7 @@
             advice,
             by_work: quotas.by_work,
             over_quota: quotas.over_quota,
-            buckets,
+            quota_buckets: QuotaBuckets::of(quotas.servers, kept.quota_buckets_at_us, kept.quota_buckets),
             drain_grace_us,
             rpcs,
             by_id,
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -24,6 +24,8 @@
     /// Names by the position that the module knows them by.
     pub method_names: Vec<String>,
     pub tenant_names: Vec<String>,
+    /// The tenants' quotas, RPCs a second over the whole fleet.
+    pub tenant_quotas: Vec<f64>,
     /// The order of the gauges.
     pub gauges: Vec<String>,
     /// RPCs tell how long their caller still waits.
@@ -37,11 +39,11 @@
         let limits = options.object("policy-limits")?;
         let below = read_below(&extra)?;
         let (method_names, methods) = read_methods(options, &extra, below != Below::Nothing)?;
-        let (mut tenant_names, mut tenants) = (Vec::new(), Vec::new());
+        let (mut tenant_names, mut tenant_quotas) = (Vec::new(), Vec::new());
         for tenant in options.maybe_list("tenants")? {
             let tenant = options.part("tenants", tenant);
             tenant_names.push(tenant.text("name")?.to_string());
-            tenants.push(Tenant { per_second: tenant.at_least("allowance-per-s", 0.0)? });
+            tenant_quotas.push(tenant.at_least("allowance-per-s", 0.0)?);
         }
         let heeds = limits.maybe_bool("retry-after")?.unwrap_or(false);
         let machine = Machine {
@@ -86,7 +88,6 @@
         let quotas = Quotas {
             by_work: options.maybe_text("value-by")? == Some("work"),
             over_quota: options.maybe_number("over-share-worth")?.unwrap_or(1.0),
-            tenants,
             servers: options.maybe_whole("servers")?.unwrap_or(1) as u32,
         };
         let names = extra.maybe_list("gauges")?.iter().filter_map(|g| g.as_str().map(String::from));
@@ -102,6 +103,7 @@
             quotas,
             method_names,
             tenant_names,
+            tenant_quotas,
         })
     }
 
@@ -113,7 +115,8 @@
     }
 
     /// A module that goes on from what another wrote down.
-    pub fn resume<H: Host>(&self, host: H, kept: Kept) -> Result<Decide<H>, String> {
+    pub fn resume<H: Host>(&self, host: H, mut kept: Kept) -> Result<Decide<H>, String> {
+        kept.complete_quotas(&self.tenant_quotas, self.quotas.servers)?;
         let (machine, crowd, below, advice) = (self.machine, self.crowd, self.below, self.advice);
         let (methods, quotas) = (self.methods.clone(), self.quotas.clone());
         Decide::resume(host, machine, crowd, methods, below, advice, quotas, self.drain_grace_us, kept)
@@ -123,8 +126,9 @@
         self.method_names.iter().position(|n| n == name)
     }
 
-    pub fn tenant(&self, name: &str) -> Option<usize> {
-        self.tenant_names.iter().position(|n| n == name)
+    pub fn tenant(&self, name: &str) -> Option<Tenant> {
+        let position = self.tenant_names.iter().position(|n| n == name)?;
+        Some(Tenant { id: position as u32, per_second: self.tenant_quotas[position] })
     }
 
     /// The module's gauges from a row in the deployment's order.
--- a/src/host.rs
+++ b/src/host.rs
@@ -142,20 +142,22 @@
     pub max_come_back_us: u64,
 }
 
-/// A tenant's quota: RPCs a second over the whole fleet, beyond which its RPCs count for little.
+/// A tenant, and its quota when the RPC arrived: RPCs a second over the whole fleet, beyond which its RPCs count for
+/// little.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tenant {
+    /// Stands for the same tenant as long as the server runs.
+    pub id: u32,
     pub per_second: f64,
 }
 
-/// How criticality is counted, and between whom the fleet is shared.
+/// How criticality is counted, and what quotas are divided between.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Quotas {
     /// Criticality counts for each unit of work, not for each RPC.
     pub by_work: bool,
     /// What an RPC beyond its tenant's quota still counts for.
     pub over_quota: f64,
-    pub tenants: Vec<Tenant>,
     /// Servers of this tier.
     pub servers: u32,
 }
@@ -177,8 +179,7 @@
     pub repeats: Option<RpcId>,
     /// Marked as a further try.
     pub further_try: bool,
-    /// Position in the list of tenants.
-    pub tenant: Option<usize>,
+    pub tenant: Option<Tenant>,
 }
 
 /// The server's own gauges, where it has them.
