Methods and tenants are found by hash, and their names stored once

`Deployment::method` and `Deployment::tenant` walked lists, of 49,000 and 410,000 names at the size that is wanted. `Names` holds one text of all names and a hash table of positions; a name that comes twice is found at its first position, as before. Lists of methods and tenants are shared between clones of a deployment, which a node makes several of.

--- a/crates/ochrewalk-node/src/core.rs
+++ b/crates/ochrewalk-node/src/core.rs
@@ -64,7 +64,7 @@
         bytes: usize,
         print_key: (u64, u64),
     ) -> Core {
-        let lanes = deployment.method_names.iter().map(|n| serde_json::Value::from(n.as_str()).to_string());
+        let lanes = deployment.method_names.iter().map(|name| serde_json::Value::from(name).to_string());
         Core {
             clock,
             gate,
--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -121,7 +121,7 @@
     let text = std::fs::read_to_string(file).map_err(|err| format!("{name}: {err}"))?;
     let deployment = &placement.deployment;
     let effects = deployment.methods.iter().map(|m| m.effect == Effect::Idempotent);
-    let methods: Vec<_> = deployment.method_names.iter().cloned().zip(effects).collect();
+    let methods: Vec<_> = deployment.method_names.iter().map(String::from).zip(effects).collect();
     let calls = deployment.below != Called::Nothing;
     let node = ochrewalk_operators::Node { methods: &methods, descriptors: placement.descriptors, calls };
     let mut operators = ochrewalk_operators::read(&text, &name, &node)
--- a/crates/ochrewalk-node/src/tally.rs
+++ b/crates/ochrewalk-node/src/tally.rs
@@ -4,6 +4,7 @@
 use crate::gate::Incoming;
 use crate::seam::Answer;
 use ochrewalk::deployment::Deployment;
+use ochrewalk::names::Names;
 use ochrewalk_rollout::messages::MethodTally;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -40,10 +41,10 @@
         add(&of.failed, !is_served);
     }
 
-    pub fn told(&self, names: &[String]) -> Vec<MethodTally> {
+    pub fn told(&self, names: &Names) -> Vec<MethodTally> {
         let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
-        let told = |(name, method): (&String, &Method)| MethodTally {
-            name: name.clone(),
+        let told = |(name, method): (&str, &Method)| MethodTally {
+            name: name.to_string(),
             calls: of(&method.calls),
             missed: of(&method.missed),
             failed: of(&method.failed),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,7 @@
     Stopping, Tenant,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
 
 /// The controller's period (DESIGN: start with 1 s) and gain (paper, 2.1).
 const PERIOD_US: u64 = 1_000_000;
@@ -523,7 +524,7 @@
     host: H,
     rng: fastrand::Rng,
     machine: Machine,
-    methods: Vec<Method>,
+    methods: Arc<[Method]>,
     below: Below,
     advice: Advice,
     by_work: bool,
@@ -571,12 +572,13 @@
         seed: u64,
         machine: Machine,
         crowd: Crowd,
-        methods: Vec<Method>,
+        methods: impl Into<Arc<[Method]>>,
         below: Below,
         advice: Advice,
         quotas: Quotas,
         drain_grace_us: u64,
     ) -> Decide<H> {
+        let methods = methods.into();
         // Methods that call are taken to call once until they are seen.
         let seen: Vec<(f64, f64)> = methods.iter().map(|m| (1.0, f64::from(u8::from(m.calls)))).collect();
         let mut decide = Decide {
--- a/src/decide/kept.rs
+++ b/src/decide/kept.rs
@@ -4,6 +4,7 @@
 use super::{Cores, Decide, Hands, Hist, Lanes, Loop, QuotaBucket, QuotaBuckets, Rpc, Stage, Times};
 use crate::host::{Advice, Below, Crowd, Host, Machine, Method, Quotas, RpcId, Tenant};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// All that one [`Decide`] knows, in protobuf. What a newer program adds is passed over by an older one.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -443,13 +444,14 @@
         host: H,
         machine: Machine,
         crowd: Crowd,
-        methods: Vec<Method>,
+        methods: impl Into<Arc<[Method]>>,
         below: Below,
         advice: Advice,
         quotas: Quotas,
         drain_grace_us: u64,
         kept: Kept,
     ) -> Result<Decide<H>, String> {
+        let methods = methods.into();
         let count = methods.len();
         let mut rpcs = BTreeMap::new();
         for rpc in kept.rpcs {
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -5,27 +5,27 @@
 use crate::host::{
     Advice, Below, Crowd, Effect, Host, Machine, Method, Outcome, Quotas, SentBack, Stopping, Tenant,
 };
+use crate::names::Names;
 use serde_json::Value;
 use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 
 /// What the operators state of a deployment: the object `options` of the simulator's wire, and `settings` in
-/// a real node's file.
+/// a real node's file. Long lists are shared between clones.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
     pub machine: Machine,
     pub crowd: Crowd,
-    pub methods: Vec<Method>,
+    pub methods: Arc<[Method]>,
     pub below: Below,
     pub advice: Advice,
     pub quotas: Quotas,
     pub drain_grace_us: u64,
-    /// Names by the position that the module knows them by.
-    pub method_names: Vec<String>,
-    pub tenant_names: Vec<String>,
-    /// The tenants' quotas, RPCs a second over the whole fleet.
-    pub tenant_quotas: Vec<f64>,
+    /// The methods' names by the position that the module knows them by.
+    pub method_names: Arc<Names>,
+    pub tenants: Arc<TenantTable>,
     /// The order of the gauges.
     pub gauges: Vec<String>,
     /// RPCs tell how long their caller still waits.
@@ -39,12 +39,12 @@
         let limits = options.object("policy-limits")?;
         let below = read_below(&extra)?;
         let (method_names, methods) = read_methods(options, &extra, below != Below::Nothing)?;
-        let (mut tenant_names, mut tenant_quotas) = (Vec::new(), Vec::new());
+        let mut tenants = TenantTable::default();
         for tenant in options.maybe_list("tenants")? {
             let tenant = options.part("tenants", tenant);
-            tenant_names.push(tenant.text("name")?.to_string());
-            tenant_quotas.push(tenant.at_least("allowance-per-s", 0.0)?);
+            tenants.push(tenant.text("name")?, tenant.at_least("allowance-per-s", 0.0)?);
         }
+        tenants.shrink_to_fit();
         let heeds = limits.maybe_bool("retry-after")?.unwrap_or(false);
         let machine = Machine {
             cores: extra.positive("cores")? as u32,
@@ -97,13 +97,12 @@
             drain_grace_us: rules.whole("drain-grace-ns")? / 1_000,
             machine,
             crowd,
-            methods,
+            methods: methods.into(),
             below,
             advice,
             quotas,
-            method_names,
-            tenant_names,
-            tenant_quotas,
+            method_names: Arc::new(method_names),
+            tenants: Arc::new(tenants),
         })
     }
 
@@ -116,19 +115,18 @@
 
     /// A module that goes on from what another wrote down.
     pub fn resume<H: Host>(&self, host: H, mut kept: Kept) -> Result<Decide<H>, String> {
-        kept.complete_quotas(&self.tenant_quotas, self.quotas.servers)?;
+        kept.complete_quotas(&self.tenants.per_second, self.quotas.servers)?;
         let (machine, crowd, below, advice) = (self.machine, self.crowd, self.below, self.advice);
         let (methods, quotas) = (self.methods.clone(), self.quotas.clone());
         Decide::resume(host, machine, crowd, methods, below, advice, quotas, self.drain_grace_us, kept)
     }
 
     pub fn method(&self, name: &str) -> Option<usize> {
-        self.method_names.iter().position(|n| n == name)
+        self.method_names.position(name)
     }
 
     pub fn tenant(&self, name: &str) -> Option<Tenant> {
-        let position = self.tenant_names.iter().position(|n| n == name)?;
-        Some(Tenant { id: position as u32, per_second: self.tenant_quotas[position] })
+        self.tenants.find(name)
     }
 
     /// The module's gauges from a row in the deployment's order.
@@ -155,13 +153,13 @@
     })
 }
 
-fn read_methods(options: &Fields, extra: &Fields, below: bool) -> Result<(Vec<String>, Vec<Method>), String> {
+fn read_methods(options: &Fields, extra: &Fields, below: bool) -> Result<(Names, Vec<Method>), String> {
     let may_call = extra.maybe_list("calls-by-class")?;
     let skip = extra.maybe_list("class-skip-worth")?;
-    let (mut names, mut methods) = (Vec::new(), Vec::new());
+    let (mut names, mut methods) = (Names::default(), Vec::new());
     for (at, category) in options.list("categories")?.iter().enumerate() {
         let category = options.part("categories", category);
-        names.push(category.text("name")?.to_string());
+        names.push(category.text("name")?);
         methods.push(Method {
             criticality: category.at_least("worth", 0.0)?,
             latency_target_us: category.positive("on-time-ns")? / 1_000,
@@ -178,9 +176,38 @@
             skip_share: skip.get(at).and_then(Value::as_f64).unwrap_or(0.0),
         });
     }
+    names.shrink_to_fit();
     Ok((names, methods))
 }
 
+/// The tenants that a deployment knows, with their quotas.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TenantTable {
+    names: Names,
+    /// RPCs a second over the whole fleet, by position.
+    per_second: Vec<f64>,
+}
+
+impl TenantTable {
+    /// Adds a tenant; one of a name that is there already is never found.
+    pub fn push(&mut self, name: &str, per_second: f64) {
+        self.names.push(name);
+        self.per_second.push(per_second);
+    }
+
+    /// The tenant of a name, as it comes with an RPC. Its id is its position.
+    pub fn find(&self, name: &str) -> Option<Tenant> {
+        let position = self.names.position(name)?;
+        Some(Tenant { id: position as u32, per_second: self.per_second[position] })
+    }
+
+    /// Gives back what was set aside for more tenants.
+    pub fn shrink_to_fit(&mut self) {
+        self.names.shrink_to_fit();
+        self.per_second.shrink_to_fit();
+    }
+}
+
 /// Where one real node stands: its file, with the deployment inside.
 #[derive(Clone, Debug)]
 pub struct Placement {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,10 @@
 //!
 //! * [`host`] is the interface: the `Host` trait and the small types handed over.
 //! * [`deployment`] reads, checks and defaults a deployment's figures.
+//! * [`names`] finds positions by name.
 //! * [`decide`] holds every decision, every tuned value and all state.
 
 pub mod decide;
 pub mod deployment;
 pub mod host;
+pub mod names;
