Long files are read in parts, without a tree of the whole

A node's file was read into one tree of JSON values, of which the deployment was made. Now an object's long fields stay text, and the elements of `tenants`, `categories` and the lists in `extra` are read one at a time; the same for `OPEN_INSTANCE` on the simulator's wire. All of a text is checked first, so that errors keep their words and places. What lasts of a file is written in pieces into the digest, the same text as before, so that programs before this one have the same digest.

--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -32,6 +32,7 @@
 use siphasher::sip::SipHasher13;
 use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::os::fd::{FromRawFd, IntoRawFd, OwnedFd};
 use std::path::{Path, PathBuf};
@@ -104,7 +105,10 @@
     fn digest(&self, operators: &Operators) -> Result<u64, String> {
         let mut print = SipHasher13::new();
         let text = std::fs::read(&self.node).map_err(|err| format!("{}: {err}", self.node.display()))?;
-        (Placement::lasting(&text)?, operators.lasting()).hash(&mut print);
+        Placement::write_lasting(&text, &mut HashWriter(&mut print))?;
+        // Programs that hashed it as one string ended it so: they have the same digest.
+        print.write_u8(0xff);
+        operators.lasting().hash(&mut print);
         Ok(print.finish())
     }
 
@@ -116,6 +120,20 @@
     }
 }
 
+/// Hashes what is written to it.
+struct HashWriter<'a>(&'a mut SipHasher13);
+
+impl Write for HashWriter<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.write(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 fn read_operators(file: &Path, placement: &Placement) -> Result<Operators, String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|err| format!("{name}: {err}"))?;
--- a/crates/ochrewalk-wirehost/src/wire.rs
+++ b/crates/ochrewalk-wirehost/src/wire.rs
@@ -1,8 +1,10 @@
 //! The wire itself: batches in, replies out.
 
 use ochrewalk::decide::Decide;
-use ochrewalk::deployment::{Deployment, Fields};
+use ochrewalk::deployment::{Deployment, Parts};
 use ochrewalk::host::{Arrival, Host};
+use ochrewalk::json;
+use serde_json::value::RawValue;
 use serde_json::Value;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -21,43 +23,52 @@
 impl Servers {
     /// Answers one line. The error is one plain line that names the message and the field at fault.
     pub fn batch(&mut self, line: &[u8]) -> Result<String, String> {
-        let value: Value = serde_json::from_slice(line).map_err(|err| format!("batch: not JSON: {err}"))?;
-        let batch = Fields { msg: "batch".into(), value: &value };
-        if !value.is_object() {
+        let not_json = |err: serde_json::Error| format!("batch: not JSON: {err}");
+        let text = json::check(line).map_err(not_json)?;
+        let whole: &RawValue = serde_json::from_str(text).map_err(not_json)?;
+        if !json::is_object(whole) {
             return Err("batch: not an object".into());
         }
+        let parts = Parts::read("batch", whole, &["parts"])?;
+        let batch = parts.fields();
         let now_us = batch.whole("wall-ns")? / 1_000;
         let mut reply = format!("{{\"frame\":{},\"parts\":[", batch.whole("frame")?);
         let mut first = true;
-        for part in batch.list("parts")? {
-            let part = Fields { msg: "batch part".into(), value: part };
-            let i = part.whole("i")?;
-            let inbox = part.list("inbox")?;
-            if inbox.is_empty() {
-                continue;
-            }
-            for event in inbox {
-                self.event(i, now_us, event)?;
-            }
-            let Some(server) = self.servers.get_mut(&i) else { continue };
-            server.module.turn(now_us);
-            let output = std::mem::take(&mut server.module.host().0);
-            if !output.is_empty() {
-                let comma = if first { "" } else { "," };
-                first = false;
-                let _ = write!(reply, "{comma}{{\"i\":{i},\"output\":[{output}]}}");
-            }
-        }
+        parts.required("parts")?;
+        parts.for_each("parts", |part: &RawValue| {
+            let Some((i, output)) = self.part(now_us, part)? else { return Ok(()) };
+            let comma = if first { "" } else { "," };
+            first = false;
+            let _ = write!(reply, "{comma}{{\"i\":{i},\"output\":[{output}]}}");
+            Ok(())
+        })?;
         reply.push_str("]}\n");
         Ok(reply)
     }
 
-    fn event(&mut self, i: u64, now_us: u64, event: &Value) -> Result<(), String> {
-        let msg =
-            event.get("msg").and_then(Value::as_str).ok_or("event: field msg is missing or not a string")?;
-        let fields = Fields { msg: msg.into(), value: event };
+    /// Tells one server its events. Gives what it asks for, where it asks for anything.
+    fn part(&mut self, now_us: u64, part: &RawValue) -> Result<Option<(u64, String)>, String> {
+        let part = Parts::read("batch part", part, &["inbox"])?;
+        let i = part.fields().whole("i")?;
+        let mut any = false;
+        part.required("inbox")?;
+        part.for_each("inbox", |event: &RawValue| {
+            any = true;
+            self.event(i, now_us, event)
+        })?;
+        let Some(server) = self.servers.get_mut(&i).filter(|_| any) else { return Ok(None) };
+        server.module.turn(now_us);
+        let output = std::mem::take(&mut server.module.host().0);
+        Ok((!output.is_empty()).then_some((i, output)))
+    }
+
+    fn event(&mut self, i: u64, now_us: u64, event: &RawValue) -> Result<(), String> {
+        let mut parts = Parts::read("event", event, &["options"])?;
+        let msg = parts.name_by("msg")?;
+        let (msg, fields) = (msg.as_str(), parts.fields());
         if msg == "OPEN_INSTANCE" {
-            let deployment = Deployment::read(&fields.object("options")?)?;
+            let name = format!("{msg} options");
+            let deployment = Deployment::read(&name, parts.object_text("options")?)?;
             let module = deployment.start(Output::default(), now_us, fields.whole("random-seed")?);
             self.servers.insert(i, Server { module, deployment });
             return Ok(());
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -5,9 +5,13 @@
 use crate::host::{
     Advice, Below, Crowd, Effect, Host, Machine, Method, Outcome, Quotas, SentBack, Stopping, Tenant,
 };
+use crate::json::{self, Object};
 use crate::names::Names;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::Value;
 use std::borrow::Cow;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -33,17 +37,22 @@
 }
 
 impl Deployment {
-    pub fn read(options: &Fields) -> Result<Deployment, String> {
-        let extra = options.object("extra")?;
+    /// Reads an object's text; `msg` is the way to it. Its long lists are read one element at a time.
+    pub fn read(msg: &str, text: &RawValue) -> Result<Deployment, String> {
+        let parts = Parts::read(msg, text, &["categories", "tenants", "extra"])?;
+        let options = parts.fields();
+        let extra_parts = parts.object("extra", &["calls-by-class", "class-skip-worth"])?;
+        let extra = extra_parts.fields();
         let rules = options.object("rules")?;
         let limits = options.object("policy-limits")?;
         let below = read_below(&extra)?;
-        let (method_names, methods) = read_methods(options, &extra, below != Below::Nothing)?;
+        let (method_names, methods) = read_methods(&parts, &extra_parts, below != Below::Nothing)?;
         let mut tenants = TenantTable::default();
-        for tenant in options.maybe_list("tenants")? {
-            let tenant = options.part("tenants", tenant);
+        parts.for_each("tenants", |tenant: Value| {
+            let tenant = options.part("tenants", &tenant);
             tenants.push(tenant.text("name")?, tenant.at_least("allowance-per-s", 0.0)?);
-        }
+            Ok(())
+        })?;
         tenants.shrink_to_fit();
         let heeds = limits.maybe_bool("retry-after")?.unwrap_or(false);
         let machine = Machine {
@@ -153,12 +162,21 @@
     })
 }
 
-fn read_methods(options: &Fields, extra: &Fields, below: bool) -> Result<(Names, Vec<Method>), String> {
-    let may_call = extra.maybe_list("calls-by-class")?;
-    let skip = extra.maybe_list("class-skip-worth")?;
+fn read_methods(options: &Parts, extra: &Parts, below: bool) -> Result<(Names, Vec<Method>), String> {
+    let (mut may_call, mut skip) = (Vec::new(), Vec::new());
+    extra.for_each("calls-by-class", |may: Value| {
+        may_call.push(may.as_bool());
+        Ok(())
+    })?;
+    extra.for_each("class-skip-worth", |share: Value| {
+        skip.push(share.as_f64());
+        Ok(())
+    })?;
     let (mut names, mut methods) = (Names::default(), Vec::new());
-    for (at, category) in options.list("categories")?.iter().enumerate() {
-        let category = options.part("categories", category);
+    let fields = options.fields();
+    options.required("categories")?;
+    options.for_each("categories", |category: Value| {
+        let (at, category) = (methods.len(), fields.part("categories", &category));
         names.push(category.text("name")?);
         methods.push(Method {
             criticality: category.at_least("worth", 0.0)?,
@@ -172,10 +190,11 @@
                 _ => return Err(category.bad("idempotency", "free, guarded or single_shot")),
             },
             window_us: category.maybe_whole("window-ns")?.unwrap_or(0) / 1_000,
-            calls: below && may_call.get(at).and_then(Value::as_bool).unwrap_or(true),
-            skip_share: skip.get(at).and_then(Value::as_f64).unwrap_or(0.0),
+            calls: below && may_call.get(at).copied().flatten().unwrap_or(true),
+            skip_share: skip.get(at).copied().flatten().unwrap_or(0.0),
         });
-    }
+        Ok(())
+    })?;
     names.shrink_to_fit();
     Ok((names, methods))
 }
@@ -232,8 +251,10 @@
     /// assert_eq!(said, "config: field limits is missing or not an object");
     /// ```
     pub fn read(text: &[u8]) -> Result<Placement, String> {
-        let value: Value = serde_json::from_slice(text).map_err(|err| format!("config: not JSON: {err}"))?;
-        let file = Fields { msg: "config".into(), value: &value };
+        let text = json::check(text).map_err(not_json)?;
+        let object = Object::read(text, &["settings"]).map_err(not_json)?;
+        let parts = Parts { msg: "config".into(), object };
+        let file = parts.fields();
         let name = file.text("name")?.to_string();
         let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
         if name.is_empty() || !name.chars().all(plain) {
@@ -252,7 +273,7 @@
             stop_ms: file.positive("stop_ms")?,
             memory_mb: limits.positive("memory_mb")?,
             descriptors: limits.positive("sockets")? as usize,
-            deployment: Deployment::read(&file.object("settings")?)?,
+            deployment: Deployment::read("config settings", parts.object_text("settings")?)?,
         };
         if placement.memory_mb < 16 {
             return Err(limits.bad("memory_mb", "16 or more"));
@@ -281,17 +302,15 @@
     /// assert_ne!(of(r#"{"name":"n","store":"a"}"#), of(r#"{"name":"n"}"#));
     /// ```
     pub fn lasting(text: &[u8]) -> Result<String, String> {
-        let mut value: Value =
-            serde_json::from_slice(text).map_err(|err| format!("config: not JSON: {err}"))?;
-        if let Some(fields) = value.as_object_mut() {
-            for key in ["executor", "lookup", "stop_ms", "seed"] {
-                fields.remove(key);
-            }
-            if let Some(store) = fields.get_mut("store") {
-                *store = Value::Bool(true);
-            }
-        }
-        Ok(value.to_string())
+        let mut lasting = Vec::new();
+        Placement::write_lasting(text, &mut lasting)?;
+        String::from_utf8(lasting).map_err(|err| format!("config: {err}"))
+    }
+
+    /// Writes what [`Placement::lasting`] gives, in pieces: none is longer than an element of a list.
+    pub fn write_lasting(text: &[u8], out: &mut impl Write) -> Result<(), String> {
+        let text = json::check(text).map_err(not_json)?;
+        write_lasting(text, out).map_err(|err| format!("config: {err}"))
     }
 
     /// Takes over from a newer file what may change while the node runs: the addresses of its peers and
@@ -311,6 +330,83 @@
     }
 }
 
+fn not_json(err: serde_json::Error) -> String {
+    format!("config: not JSON: {err}")
+}
+
+fn write_lasting(text: &str, out: &mut impl Write) -> io::Result<()> {
+    let whole: &RawValue = serde_json::from_str(text)?;
+    if !json::is_object(whole) {
+        return json::write_value(whole, out);
+    }
+    let mut fields = json::fields(whole.get())?;
+    for key in ["executor", "lookup", "stop_ms", "seed"] {
+        fields.remove(key);
+    }
+    if let Some(store) = fields.get_mut("store") {
+        *store = serde_json::from_str("true")?;
+    }
+    json::write_fields(&fields, out)
+}
+
+/// A message, or an object in one, of which long fields stay text.
+pub struct Parts<'a> {
+    msg: Cow<'a, str>,
+    object: Object<'a>,
+}
+
+impl<'a> Parts<'a> {
+    /// Reads a text that [`json::check`] has passed; `long` are the fields that stay text.
+    pub fn read(msg: &'a str, text: &'a RawValue, long: &[&'static str]) -> Result<Parts<'a>, String> {
+        let object = Object::read(text.get(), long).map_err(|err| format!("{msg}: not JSON: {err}"))?;
+        Ok(Parts { msg: msg.into(), object })
+    }
+
+    /// Names the message by the text in one of its fields, and gives that.
+    pub fn name_by(&mut self, field: &str) -> Result<String, String> {
+        let name = self.object.small.get(field).and_then(Value::as_str).map(String::from);
+        let name = name.ok_or_else(|| self.fields().bad(field, "a string"))?;
+        self.msg = name.clone().into();
+        Ok(name)
+    }
+
+    /// The fields that are not text.
+    pub fn fields(&self) -> Fields<'_> {
+        Fields { msg: self.msg.as_ref().into(), value: &self.object.small }
+    }
+
+    /// The text of a field that must be an object.
+    pub fn object_text(&self, field: &str) -> Result<&'a RawValue, String> {
+        let text = self.object.long(field).filter(|text| json::is_object(text));
+        text.ok_or_else(|| self.fields().bad(field, "an object"))
+    }
+
+    /// A field that must be an object, of which other long fields stay text.
+    pub fn object(&self, field: &str, long: &[&'static str]) -> Result<Parts<'a>, String> {
+        let text = self.object_text(field)?;
+        let msg = format!("{} {field}", self.msg);
+        let object = Object::read(text.get(), long).map_err(|err| format!("{msg}: not JSON: {err}"))?;
+        Ok(Parts { msg: msg.into(), object })
+    }
+
+    /// A list that must be there.
+    pub fn required(&self, field: &str) -> Result<(), String> {
+        let list = self.object.long(field).filter(|text| json::is_list(text));
+        list.map(|_| ()).ok_or_else(|| self.fields().bad(field, "an array"))
+    }
+
+    /// Hands over the elements of a list one at a time, up to the first error. A list that is absent has none.
+    pub fn for_each<T: Deserialize<'a>>(
+        &self,
+        field: &str,
+        take: impl FnMut(T) -> Result<(), String>,
+    ) -> Result<(), String> {
+        let Some(list) = self.object.long(field) else { return Ok(()) };
+        self.required(field)?;
+        json::for_each(list, take).map_err(|err| format!("{}: not JSON: {err}", self.msg))?
+    }
+}
+
 /// A message's fields, read with plain words on what is wrong.
 pub struct Fields<'a> {
     /// The message, or the way to this object in it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,10 +6,12 @@
 //!
 //! * [`host`] is the interface: the `Host` trait and the small types handed over.
 //! * [`deployment`] reads, checks and defaults a deployment's figures.
+//! * [`json`] reads long texts in parts.
 //! * [`names`] finds positions by name.
 //! * [`decide`] holds every decision, every tuned value and all state.
 
 pub mod decide;
 pub mod deployment;
 pub mod host;
+pub mod json;
 pub mod names;
