--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -5,27 +5,31 @@
 use crate::host::{
     Advice, Below, Crowd, Effect, Host, Machine, Method, Outcome, Quotas, SentBack, Stopping, Tenant,
 };
+use crate::json::{self, Object};
+use crate::names::Names;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::Value;
 use std::borrow::Cow;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 
 /// What the operators state of a deployment: the object `options` of the simulator's wire, and `settings` in
-/// a real node's file.
+/// a real node's file. Long lists are shared between clones.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
     pub machine: Machine,
     pub crowd: Crowd,
-    pub methods: Vec<Method>,
+    pub methods: Arc<[Method]>,
     pub below: Below,
     pub advice: Advice,
     pub quotas: Quotas,
     pub drain_grace_us: u64,
-    /// Names by the position that the module knows them by.
-    pub method_names: Vec<String>,
-    pub tenant_names: Vec<String>,
-    /// The tenants' quotas, RPCs a second over the whole fleet.
-    pub tenant_quotas: Vec<f64>,
+    /// The methods' names by the position that the module knows them by.
+    pub method_names: Arc<Names>,
+    pub tenants: Arc<TenantTable>,
     /// The order of the gauges.
     pub gauges: Vec<String>,
     /// RPCs tell how long their caller still waits.
@@ -33,18 +37,23 @@
 }
 
 impl Deployment {
-    pub fn read(options: &Fields) -> Result<Deployment, String> {
-        let extra = options.object("extra")?;
+    /// Reads an object's text; `msg` is the way to it. Its long lists are read one element at a time.
+    pub fn read(msg: &str, text: &RawValue) -> Result<Deployment, String> {
+        let parts = Parts::read(msg, text, &["categories", "tenants", "extra"])?;
+        let options = parts.fields();
+        let extra_parts = parts.object("extra", &["calls-by-class", "class-skip-worth"])?;
+        let extra = extra_parts.fields();
         let rules = options.object("rules")?;
         let limits = options.object("policy-limits")?;
         let below = read_below(&extra)?;
-        let (method_names, methods) = read_methods(options, &extra, below != Below::Nothing)?;
-        let (mut tenant_names, mut tenant_quotas) = (Vec::new(), Vec::new());
-        for tenant in options.maybe_list("tenants")? {
-            let tenant = options.part("tenants", tenant);
-            tenant_names.push(tenant.text("name")?.to_string());
-            tenant_quotas.push(tenant.at_least("allowance-per-s", 0.0)?);
-        }
+        let (method_names, methods) = read_methods(&parts, &extra_parts, below != Below::Nothing)?;
+        let mut tenants = TenantTable::default();
+        parts.for_each("tenants", |tenant: Value| {
+            let tenant = options.part("tenants", &tenant);
+            tenants.push(tenant.text("name")?, tenant.at_least("allowance-per-s", 0.0)?);
+            Ok(())
+        })?;
+        tenants.shrink_to_fit();
         let heeds = limits.maybe_bool("retry-after")?.unwrap_or(false);
         let machine = Machine {
             cores: extra.positive("cores")? as u32,
@@ -97,13 +106,12 @@
             drain_grace_us: rules.whole("drain-grace-ns")? / 1_000,
             machine,
             crowd,
-            methods,
+            methods: methods.into(),
             below,
             advice,
             quotas,
-            method_names,
-            tenant_names,
-            tenant_quotas,
+            method_names: Arc::new(method_names),
+            tenants: Arc::new(tenants),
         })
     }
 
@@ -116,19 +124,18 @@
 
     /// A module that goes on from what another wrote down.
     pub fn resume<H: Host>(&self, host: H, mut kept: Kept) -> Result<Decide<H>, String> {
-        kept.complete_quotas(&self.tenant_quotas, self.quotas.servers)?;
+        kept.complete_quotas(&self.tenants.per_second, self.quotas.servers)?;
         let (machine, crowd, below, advice) = (self.machine, self.crowd, self.below, self.advice);
         let (methods, quotas) = (self.methods.clone(), self.quotas.clone());
         Decide::resume(host, machine, crowd, methods, below, advice, quotas, self.drain_grace_us, kept)
     }
 
     pub fn method(&self, name: &str) -> Option<usize> {
-        self.method_names.iter().position(|n| n == name)
+        self.method_names.position(name)
     }
 
     pub fn tenant(&self, name: &str) -> Option<Tenant> {
-        let position = self.tenant_names.iter().position(|n| n == name)?;
-        Some(Tenant { id: position as u32, per_second: self.tenant_quotas[position] })
+        self.tenants.find(name)
     }
 
     /// The module's gauges from a row in the deployment's order.
@@ -155,13 +162,22 @@
     })
 }
 
-fn read_methods(options: &Fields, extra: &Fields, below: bool) -> Result<(Vec<String>, Vec<Method>), String> {
-    let may_call = extra.maybe_list("calls-by-class")?;
-    let skip = extra.maybe_list("class-skip-worth")?;
-    let (mut names, mut methods) = (Vec::new(), Vec::new());
-    for (at, category) in options.list("categories")?.iter().enumerate() {
-        let category = options.part("categories", category);
-        names.push(category.text("name")?.to_string());
+fn read_methods(options: &Parts, extra: &Parts, below: bool) -> Result<(Names, Vec<Method>), String> {
+    let (mut may_call, mut skip) = (Vec::new(), Vec::new());
+    extra.for_each("calls-by-class", |may: Value| {
+        may_call.push(may.as_bool());
+        Ok(())
+    })?;
+    extra.for_each("class-skip-worth", |share: Value| {
+        skip.push(share.as_f64());
+        Ok(())
+    })?;
+    let (mut names, mut methods) = (Names::default(), Vec::new());
+    let fields = options.fields();
+    options.required("categories")?;
+    options.for_each("categories", |category: Value| {
+        let (at, category) = (methods.len(), fields.part("categories", &category));
+        names.push(category.text("name")?);
         methods.push(Method {
             criticality: category.at_least("worth", 0.0)?,
             latency_target_us: category.positive("on-time-ns")? / 1_000,
@@ -174,13 +190,43 @@
                 _ => return Err(category.bad("idempotency", "free, guarded or single_shot")),
             },
             window_us: category.maybe_whole("window-ns")?.unwrap_or(0) / 1_000,
-            calls: below && may_call.get(at).and_then(Value::as_bool).unwrap_or(true),
-            skip_share: skip.get(at).and_then(Value::as_f64).unwrap_or(0.0),
+            calls: below && may_call.get(at).copied().flatten().unwrap_or(true),
+            skip_share: skip.get(at).copied().flatten().unwrap_or(0.0),
         });
-    }
+        Ok(())
+    })?;
+    names.shrink_to_fit();
     Ok((names, methods))
 }
 
+/// The tenants that a deployment knows, with their quotas.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TenantTable {
+    names: Names,
+    /// RPCs a second over the whole fleet, by position.
+    per_second: Vec<f64>,
+}
+
+impl TenantTable {
+    /// Adds a tenant; one of a name that is there already is never found.
+    pub fn push(&mut self, name: &str, per_second: f64) {
+        self.names.push(name);
+        self.per_second.push(per_second);
+    }
+
+    /// The tenant of a name, as it comes with an RPC. Its id is its position.
+    pub fn find(&self, name: &str) -> Option<Tenant> {
+        let position = self.names.position(name)?;
+        Some(Tenant { id: position as u32, per_second: self.per_second[position] })
+    }
+
+    /// Gives back what was set aside for more tenants.
+    pub fn shrink_to_fit(&mut self) {
+        self.names.shrink_to_fit();
+        self.per_second.shrink_to_fit();
+    }
+}
+
 /// Where one real node stands: its file, with the deployment inside.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -205,8 +251,10 @@
     /// assert_eq!(said, "config: field limits is missing or not an object");
     /// ```
     pub fn read(text: &[u8]) -> Result<Placement, String> {
-        let value: Value = serde_json::from_slice(text).map_err(|err| format!("config: not JSON: {err}"))?;
-        let file = Fields { msg: "config".into(), value: &value };
+        let text = json::check(text).map_err(not_json)?;
+        let object = Object::read(text, &["settings"]).map_err(not_json)?;
+        let parts = Parts { msg: "config".into(), object };
+        let file = parts.fields();
         let name = file.text("name")?.to_string();
         let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
         if name.is_empty() || !name.chars().all(plain) {
@@ -225,7 +273,7 @@
             stop_ms: file.positive("stop_ms")?,
             memory_mb: limits.positive("memory_mb")?,
             descriptors: limits.positive("sockets")? as usize,
-            deployment: Deployment::read(&file.object("settings")?)?,
+            deployment: Deployment::read("config settings", parts.object_text("settings")?)?,
         };
         if placement.memory_mb < 16 {
             return Err(limits.bad("memory_mb", "16 or more"));
@@ -254,17 +302,15 @@
     /// assert_ne!(of(r#"{"name":"n","store":"a"}"#), of(r#"{"name":"n"}"#));
     /// ```
     pub fn lasting(text: &[u8]) -> Result<String, String> {
-        let mut value: Value =
-            serde_json::from_slice(text).map_err(|err| format!("config: not JSON: {err}"))?;
-        if let Some(fields) = value.as_object_mut() {
-            for key in ["executor", "lookup", "stop_ms", "seed"] {
-                fields.remove(key);
-            }
-            if let Some(store) = fields.get_mut("store") {
-                *store = Value::Bool(true);
-            }
-        }
-        Ok(value.to_string())
+        let mut lasting = Vec::new();
+        Placement::write_lasting(text, &mut lasting)?;
+        String::from_utf8(lasting).map_err(|err| format!("config: {err}"))
+    }
+
+    /// Writes what [`Placement::lasting`] gives, in pieces: none is longer than an element of a list.
+    pub fn write_lasting(text: &[u8], out: &mut impl Write) -> Result<(), String> {
+        let text = json::check(text).map_err(not_json)?;
+        write_lasting(text, out).map_err(|err| format!("config: {err}"))
     }
 
     /// Takes over from a newer file what may change while the node runs: the addresses of its peers and
@@ -284,6 +330,83 @@
     }
 }
 
+fn not_json(err: serde_json::Error) -> String {
+    format!("config: not JSON: {err}")
+}
+
+fn write_lasting(text: &str, out: &mut impl Write) -> io::Result<()> {
+    let whole: &RawValue = serde_json::from_str(text)?;
+    if !json::is_object(whole) {
+        return json::write_value(whole, out);
+    }
+    let mut fields = json::fields(whole.get())?;
+    for key in ["executor", "lookup", "stop_ms", "seed"] {
+        fields.remove(key);
+    }
+    if let Some(store) = fields.get_mut("store") {
+        *store = serde_json::from_str("true")?;
+    }
+    json::write_fields(&fields, out)
+}
+
+/// A message, or an object in one, of which long fields stay text.
+pub struct Parts<'a> {
+    msg: Cow<'a, str>,
+    object: Object<'a>,
+}
+
+impl<'a> Parts<'a> {
+    /// Reads a text that [`json::check`] has passed; `long` are the fields that stay text.
+    pub fn read(msg: &'a str, text: &'a RawValue, long: &[&'static str]) -> Result<Parts<'a>, String> {
+        let object = Object::read(text.get(), long).map_err(|err| format!("{msg}: not JSON: {err}"))?;
+        Ok(Parts { msg: msg.into(), object })
+    }
+
+    /// Names the message by the text in one of its fields, and gives that.
+    pub fn name_by(&mut self, field: &str) -> Result<String, String> {
+        let name = self.object.small.get(field).and_then(Value::as_str).map(String::from);
+        let name = name.ok_or_else(|| self.fields().bad(field, "a string"))?;
+        self.msg = name.clone().into();
+        Ok(name)
+    }
+
+    /// The fields that are not text.
+    pub fn fields(&self) -> Fields<'_> {
+        Fields { msg: self.msg.as_ref().into(), value: &self.object.small }
+    }
+
+    /// The text of a field that must be an object.
+    pub fn object_text(&self, field: &str) -> Result<&'a RawValue, String> {
+        let text = self.object.long(field).filter(|text| json::is_object(text));
+        text.ok_or_else(|| self.fields().bad(field, "an object"))
+    }
+
+    /// A field that must be an object, of which other long fields stay text.
+    pub fn object(&self, field: &str, long: &[&'static str]) -> Result<Parts<'a>, String> {
+        let text = self.object_text(field)?;
+        let msg = format!("{} {field}", self.msg);
+        let object = Object::read(text.get(), long).map_err(|err| format!("{msg}: not JSON: {err}"))?;
+        Ok(Parts { msg: msg.into(), object })
+    }
+
+    /// A list that must be there.
+    pub fn required(&self, field: &str) -> Result<(), String> {
+        let list = self.object.long(field).filter(|text| json::is_list(text));
+        list.map(|_| ()).ok_or_else(|| self.fields().bad(field, "an array"))
+    }
+
+    /// Hands over the elements of a list one at a time, up to the first error. A list that is absent has none.
+    pub fn for_each<T: Deserialize<'a>>(
+        &self,
+        field: &str,
+        take: impl FnMut(T) -> Result<(), String>,
+    ) -> Result<(), String> {
+        let Some(list) = self.object.long(field) else { return Ok(()) };
+        self.required(field)?;
+        json::for_each(list, take).map_err(|err| format!("{}: not JSON: {err}", self.msg))?
+    }
+}
+
 /// A message's fields, read with plain words on what is wrong.
 pub struct Fields<'a> {
     /// The message, or the way to this object in it.
