--- a/crates/ochrewalk-node/src/node.rs
+++ b/crates/ochrewalk-node/src/node.rs
@@ -422,7 +422,7 @@
     let state = NodeConfiguration::new(
         methods,
         file_configuration(operators.clone()),
-        deployment.tenants.per_second.len() as u32,
+        deployment.tenants.len() as u32,
     );
     let in_force_endpoints = Mutex::new(operators.below.as_ref().map(|below| below.places.clone()));
     let front = ajp.clone();
--- a/crates/ochrewalk-node/tests/crossings/main.rs
+++ b/crates/ochrewalk-node/tests/crossings/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod listeners;
 mod panics;
+mod restart;
 mod room;
 mod streams;
 mod tenants;
--- a/crates/ochrewalk-node/tests/crossings/room.rs
+++ b/crates/ochrewalk-node/tests/crossings/room.rs
@@ -2,6 +2,11 @@
 
 use crate::helper::*;
 use crate::WARM;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
 
 /// The system gives no further descriptor: who is connected is served, who comes waits, and is taken once there is room.
 #[test]
@@ -57,3 +62,65 @@
     }
     assert!(stand.peak_kb() < 32 * 1024 * 9 / 10, "{} kB", stand.peak_kb());
 }
+
+/// The directory is down while idle callers come up to and beyond the descriptors of the node's file, which the system gives
+/// and no more: who has an RPC under way is served on, and once the directory is up it hears of the node's health and new
+/// callers get in.
+#[test]
+fn idle_callers_do_not_keep_a_node_from_its_directory_nor_from_those_it_serves() {
+    const DESCRIPTORS: u32 = 64;
+    const MOST_IDLE: usize = 2_000;
+    const CONNECT: Duration = Duration::from_millis(100);
+    const BETWEEN_CALLERS: Duration = Duration::from_millis(5);
+    let directory_at = listener().local_addr().unwrap();
+    let stand = Stand::within_descriptors(DESCRIPTORS, |config| {
+        config["limits"]["sockets"] = DESCRIPTORS.into();
+        config["lookup"] = directory_at.to_string().into();
+    });
+    let mut executor = stand.executor();
+    executor.say(WARM);
+    let mut first = stand.caller();
+    first.wait_healthy();
+    begin(1, "look", &mut first, &mut executor);
+    let mut idle: Vec<Peer> = Vec::new();
+    for number in 2..22 {
+        // More of them after each answer: as many as half of the descriptors, all, and twice as many.
+        for _ in 0..DESCRIPTORS / 10 {
+            let mut caller = stand.caller();
+            caller.say(HEARTBEAT);
+            idle.push(caller);
+        }
+        first.say(&rpc(number, "look"));
+        executor.hear_of(&exec(number, "look"));
+        executor.say(&exit(number + 1, number, "complete"));
+        assert_eq!(first.hear(), served(number));
+    }
+    assert!(idle.len() > DESCRIPTORS as usize);
+    // Others take the place of each that goes, for as long as the directory has not heard of the node.
+    let (has_reported, at) = (Arc::new(AtomicBool::new(false)), stand.at.clone());
+    let told = has_reported.clone();
+    let crowd = std::thread::spawn(move || {
+        while !told.load(Ordering::Relaxed) && idle.len() < MOST_IDLE {
+            if let Ok(stream) = TcpStream::connect_timeout(&at.parse().unwrap(), CONNECT) {
+                let mut caller = Peer::new(stream);
+                let _ = caller.stream.write_all(HEARTBEAT.as_bytes());
+                let _ = caller.stream.write_all(b"\n");
+                idle.push(caller);
+            }
+            std::thread::sleep(BETWEEN_CALLERS);
+        }
+        idle
+    });
+    let directory = TcpListener::bind(directory_at).unwrap();
+    let mut report = Peer::accept(&directory);
+    assert_eq!(report.hear(), "PUT /dir/nodes/n3 HTTP/1.1");
+    while !report.hear().is_empty() {}
+    assert_eq!(report.hear_bytes(15), br#"{"mode":"open"}"#);
+    report.put(b"HTTP/1.1 204 No Content\r\n\r\n");
+    has_reported.store(true, Ordering::Relaxed);
+    let _idle = crowd.join().unwrap();
+    let mut last = stand.caller();
+    assert!(last.ask(HEARTBEAT).contains("\"pass\":true"));
+    executor.say(&exit(23, 1, "complete"));
+    assert_eq!(first.hear(), served(1));
+}
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -139,7 +139,12 @@
 
     /// A node that the system gives so many descriptors, whatever its file says.
     pub fn up_within_descriptors(most: u32) -> Stand {
-        let mut stand = Stand::start();
+        Stand::within_descriptors(most, |_| ())
+    }
+
+    /// The same with changes to its file.
+    pub fn within_descriptors(most: u32, change: impl FnOnce(&mut Value)) -> Stand {
+        let mut stand = Stand::with(change);
         stand.child.kill().unwrap();
         stand.child.wait().unwrap();
         let words = format!("ulimit -n {most}; exec \"$0\" serve --config \"$1\"");
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -208,6 +208,16 @@
 }
 
 impl TenantTable {
+    /// How many tenants there are. Their numbers are below this.
+    pub fn len(&self) -> usize {
+        self.per_second.len()
+    }
+
+    /// Whether no tenants are told apart.
+    pub fn is_empty(&self) -> bool {
+        self.per_second.is_empty()
+    }
+
     /// Adds a tenant; one of a name that is there already is never found.
     pub fn push(&mut self, name: &str, per_second: f64) {
         self.names.push(name);
