A publisher that was fenced off stays so after a restart; its sockets are tested

Need: a later epoch that a publisher hears of has to hold over its restart, or it would accept changes that nobody follows. Change: the highest epoch heard of is kept in the log; tests of fencing, of peers that send noise or never read, of refused batches. Result: three tests on real sockets pass; without keep_fence the first one's last publish would be accepted.

--- a/crates/ochrewalk-control-plane/src/publisher.rs
+++ b/crates/ochrewalk-control-plane/src/publisher.rs
@@ -88,6 +88,8 @@
     requests: Receiver<Request>,
     waker: Arc<Waker>,
     clock: Clock,
+    /// The highest epoch that the log knows of.
+    kept_epoch: u64,
 }
 
 impl Publisher {
@@ -102,7 +104,7 @@
             let begun = store.new_epoch();
             log.append(&begun, &store.order(), unix_ms()).map_err(log_fault)?;
         }
-        let position = store.position();
+        let (position, kept_epoch) = (store.position(), store.highest_epoch());
         tracing::info!(part = "config", "{kept} names kept, at {}.{}", position.epoch, position.revision);
         let poll = Poll::new()?;
         let limits = ServerLimits { max_subscribers: settings.max_connections, ..ServerLimits::default() };
@@ -114,7 +116,7 @@
         let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
         let control_fault = |source| PublisherError::Control { path: settings.control.clone(), source };
         let requests = control::listen(&settings.control, waker.clone()).map_err(control_fault)?;
-        Ok(Publisher { poll, subscribers, log, requests, waker, clock: Clock::start() })
+        Ok(Publisher { poll, subscribers, log, requests, waker, clock: Clock::start(), kept_epoch })
     }
 
     /// Where relays connect to.
@@ -142,6 +144,7 @@
             for event in &events {
                 self.subscribers.on_event(event.token(), self.poll.registry(), now_us);
             }
+            self.keep_fence();
             while let Ok(request) = self.requests.try_recv() {
                 let answer = self.answer(request.body);
                 let _ = request.answer.send(answer);
@@ -150,6 +153,20 @@
         Ok(())
     }
 
+    /// A later epoch that was heard of is kept, so that a publisher that was fenced off stays so after a restart.
+    fn keep_fence(&mut self) {
+        let store = self.subscribers.server.store();
+        if store.highest_epoch() == self.kept_epoch {
+            return;
+        }
+        self.kept_epoch = store.highest_epoch();
+        tracing::warn!(part = "config", "fenced off: another publisher has begun epoch {}", self.kept_epoch);
+        let nothing = Batch { position: store.position(), resources: Vec::new(), previous: Vec::new() };
+        if let Err(why) = self.log.append(&nothing, &store.order(), unix_ms()) {
+            tracing::error!(part = "config", "the log: {why}");
+        }
+    }
+
     fn answer(&mut self, body: Body) -> Body {
         let answered = match body {
             Body::Publish(publish) => self.publish(&publish).map(published),
--- /dev/null
+++ b/crates/ochrewalk-control-plane/tests/publisher.rs
@@ -0,0 +1,193 @@
+//! A publisher on real sockets, against subscribers that do what they should not.
+
+use ochrewalk_control_plane::control::ask;
+use ochrewalk_control_plane::frame::{encode, FrameDecoder};
+use ochrewalk_control_plane::publisher::{Publisher, PublisherSettings};
+use ochrewalk_distribution::messages::{
+    Body, Position, Publish, Report, Resource, Status, StatusRequest, Subscribe, PROTOCOL_VERSION,
+};
+use ochrewalk_operators::resources::read_changes;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Far longer than anything takes that works.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Running {
+    address: SocketAddr,
+    control: PathBuf,
+    stop: Arc<AtomicBool>,
+    waker: Arc<mio::Waker>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    fn start(folder: &Path) -> Running {
+        let control = folder.join("control");
+        let settings = PublisherSettings {
+            listen: "127.0.0.1:0".parse().unwrap(),
+            control: control.clone(),
+            log: folder.join("log"),
+            takes_over: false,
+            max_connections: 64,
+        };
+        let mut publisher = Publisher::open(&settings).unwrap();
+        let (address, waker) = (publisher.address().unwrap(), publisher.waker());
+        let stop = Arc::new(AtomicBool::new(false));
+        let told = stop.clone();
+        let thread = std::thread::spawn(move || publisher.run(&told).unwrap());
+        Running { address, control, stop, waker, thread: Some(thread) }
+    }
+
+    fn publish(&self, changes: &str) -> Body {
+        let changes = read_changes(changes, "changes").unwrap();
+        ask(&self.control, Body::Publish(Publish { changes, expected: None })).unwrap()
+    }
+
+    fn status(&self) -> Status {
+        match ask(&self.control, Body::StatusRequest(StatusRequest {})).unwrap() {
+            Body::Status(status) => status,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn subscriber(&self, highest_epoch: u64) -> Subscriber {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut subscriber = Subscriber { stream, decoder: FrameDecoder::new(1 << 20) };
+        subscriber.say(Body::Subscribe(Subscribe {
+            version: PROTOCOL_VERSION,
+            node: "east-1".into(),
+            region: "east".into(),
+            everything: true,
+            highest_epoch,
+            ..Subscribe::default()
+        }));
+        subscriber
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let _ = self.waker.wake();
+        let _ = self.thread.take().unwrap().join();
+    }
+}
+
+struct Subscriber {
+    stream: TcpStream,
+    decoder: FrameDecoder,
+}
+
+impl Subscriber {
+    fn say(&mut self, body: Body) {
+        let mut bytes = Vec::new();
+        encode(body, &mut bytes);
+        self.stream.write_all(&bytes).unwrap();
+    }
+
+    /// The next message; none at the end.
+    fn hear(&mut self) -> Option<Body> {
+        let mut chunk = [0; 4096];
+        loop {
+            if let Some(body) = self.decoder.next_message().unwrap() {
+                return Some(body);
+            }
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return None,
+                Ok(count) => self.decoder.push(&chunk[..count]),
+                Err(err) if err.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(err) => panic!("nothing heard: {err}"),
+            }
+        }
+    }
+
+    /// Takes updates until there is one at this position, and reports each.
+    fn follow_to(&mut self, position: Position) -> Vec<Resource> {
+        let mut resources = Vec::new();
+        loop {
+            match self.hear().expect("the stream goes on") {
+                Body::Update(update) => {
+                    resources.extend(update.resources);
+                    if update.is_last {
+                        self.say(Body::Report(Report { applied: update.position, rejected: None }));
+                    }
+                    if update.is_last && update.position == position {
+                        return resources;
+                    }
+                }
+                Body::Heartbeat(_) => {}
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+}
+
+fn is_fenced(answer: &Body) -> bool {
+    matches!(answer, Body::Refused(refused) if refused.reasons.iter().any(|why| why.contains("epoch 2")))
+}
+
+#[test]
+fn a_publisher_that_hears_of_a_later_epoch_accepts_nothing_also_after_a_restart() {
+    let folder = tempfile::tempdir().unwrap();
+    let publisher = Running::start(folder.path());
+    assert!(matches!(publisher.publish("quota acme 1"), Body::Published(_)));
+    let mut relay = publisher.subscriber(2);
+    assert!(is_fenced(&relay.hear().unwrap()));
+    assert_eq!(relay.hear(), None);
+    assert!(is_fenced(&publisher.publish("quota acme 2")));
+    drop(publisher);
+    let again = Running::start(folder.path());
+    assert!(is_fenced(&again.publish("quota acme 2")));
+    // What was accepted is still served.
+    assert_eq!(again.status().position, Position { epoch: 1, revision: 1 });
+}
+
+#[test]
+fn peers_that_send_noise_or_never_read_cost_their_own_connection_alone() {
+    let folder = tempfile::tempdir().unwrap();
+    let publisher = Running::start(folder.path());
+    let mut noisy = TcpStream::connect(publisher.address).unwrap();
+    noisy.set_read_timeout(Some(PATIENCE)).unwrap();
+    noisy.write_all(&[0xff; 64]).unwrap();
+    let mut rest = Vec::new();
+    let _ = noisy.read_to_end(&mut rest);
+    assert_eq!(rest, []);
+    // Operators' requests are not taken from the network.
+    let mut stranger = publisher.subscriber(0);
+    stranger.say(Body::Publish(Publish::default()));
+    while stranger.hear().is_some() {}
+    let never_reads = publisher.subscriber(0);
+    let mut follower = publisher.subscriber(0);
+    let mut revision = 0;
+    for round in 0..60 {
+        let quotas: String = (0..500).map(|tenant| format!("quota tenant-{tenant} {round}\n")).collect();
+        let Body::Published(published) = publisher.publish(&quotas) else { panic!() };
+        revision = published.position.revision;
+    }
+    let resources = follower.follow_to(Position { epoch: 1, revision });
+    let newest = resources.iter().filter(|resource| resource.revision == revision);
+    assert_eq!(newest.count(), 500);
+    assert_eq!(publisher.status().resources, 500);
+    drop(never_reads);
+}
+
+#[test]
+fn a_batch_with_an_unsound_change_is_refused_whole_with_each_reason() {
+    let folder = tempfile::tempdir().unwrap();
+    let publisher = Running::start(folder.path());
+    let mut changes = read_changes("quota good 1\nquota bad 1\nroute shop GET /a look", "changes").unwrap();
+    changes[1].value = None;
+    changes[2].name.name = "GET /b".into();
+    let answer = ask(&publisher.control, Body::Publish(Publish { changes, expected: None })).unwrap();
+    let Body::Refused(refused) = answer else { panic!("{answer:?}") };
+    assert_eq!(refused.reasons.len(), 1, "{refused:?}");
+    assert!(refused.reasons[0].contains("route shop GET /b"), "{refused:?}");
+    assert_eq!(publisher.status().resources, 0);
+}
