--- a/crates/ochrewalk-node/tests/crossings/restart.rs
+++ b/crates/ochrewalk-node/tests/crossings/restart.rs
@@ -15,8 +15,8 @@
 
 impl Restarted {
     fn start() -> Restarted {
-        let free = || listener().local_addr().unwrap();
-        let (executor_at, directory_at) = (free(), free());
+        let free = |port: u16| own_address(port).parse::<SocketAddr>().unwrap();
+        let (executor_at, directory_at) = (free(7301), free(7302));
         let stand = Stand::with(|config| {
             config["executor"] = executor_at.to_string().into();
             config["lookup"] = directory_at.to_string().into();
--- a/crates/ochrewalk-node/tests/crossings/room.rs
+++ b/crates/ochrewalk-node/tests/crossings/room.rs
@@ -3,7 +3,7 @@
 use crate::helper::*;
 use crate::WARM;
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,7 +72,7 @@
     const MOST_IDLE: usize = 2_000;
     const CONNECT: Duration = Duration::from_millis(100);
     const BETWEEN_CALLERS: Duration = Duration::from_millis(5);
-    let directory_at = listener().local_addr().unwrap();
+    let directory_at: SocketAddr = own_address(7303).parse().unwrap();
     let stand = Stand::within_descriptors(DESCRIPTORS, |config| {
         config["limits"]["sockets"] = DESCRIPTORS.into();
         config["lookup"] = directory_at.to_string().into();
