The control plane's commands are a program of their own, and node.rs is parted by job

Ruled out: a leak, as the resting program had grown alike; the store (redb) and the commands of ochrewalk config were linked into the node's program and their relocated pages and command tree counted at its start. Change: ochrewalk config runs ochrewalk-config beside it, by exec. node.rs (727 lines) becomes node/ (files, assembly, reload, leaving); what files and distribution come to stands in configuration/from_files.rs.

--- a/crates/ochrewalk-node/src/config_command.rs
+++ b/crates/ochrewalk-node/src/bin/ochrewalk-config.rs
@@ -1,28 +1,45 @@
-//! The commands of the control plane: `ochrewalk config ...`. Publisher and relays run in the foreground until SIGTERM;
-//! the other commands ask a running publisher.
+//! The commands of the control plane. Publisher and relays run in the foreground until SIGTERM; the other commands ask a
+//! running publisher. `ochrewalk config ...` runs this program: in the node's own, the publisher's store and these commands
+//! would weigh on every node.
 
-use clap::{Args, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use ochrewalk_control_plane::control::{ask, ControlError};
 use ochrewalk_control_plane::publisher::{Publisher, PublisherError, PublisherSettings};
 use ochrewalk_control_plane::relay::{Relay, RelayError, RelaySettings};
 use ochrewalk_distribution::messages::{
     Body, Fetch, Position, Publish, RegionStatus, Resource, Rollback, Status, StatusRequest, Value,
 };
+use ochrewalk_node::logger::{self, Form, Logs};
 use ochrewalk_operators::resources::{describe, read_changes};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
+use tracing::level_filters::LevelFilter;
 
 /// Connections that a publisher or relay takes unless told otherwise.
 const USUAL_CONNECTIONS: usize = 4_000;
 
+#[derive(Parser)]
+#[command(name = "ochrewalk config", version, about = "Publishes configuration to a fleet and relays it")]
+struct Line {
+    /// The least serious lines that are logged: error, warn, info, debug
+    #[arg(long, env = "OCHREWALK_LOG", default_value = "info", value_name = "LEVEL")]
+    log: LevelFilter,
+    /// How lines are written
+    #[arg(long, env = "OCHREWALK_LOG_FORMAT", default_value = "plain", value_enum)]
+    log_format: Form,
+    #[command(subcommand)]
+    command: ConfigCommand,
+}
+
 /// What is asked of the control plane.
 #[derive(Subcommand, Debug)]
-pub enum ConfigCommand {
+enum ConfigCommand {
     /// Run the publisher: it accepts changes and serves relays
     Serve(ServeArguments),
     /// Run a relay: it follows the publisher and serves the nodes of a region
@@ -49,7 +66,7 @@
 }
 
 #[derive(Args, Debug)]
-pub struct ServeArguments {
+struct ServeArguments {
     /// Where relays connect to
     #[arg(long, value_name = "ADDRESS:PORT")]
     listen: SocketAddr,
@@ -65,7 +82,7 @@
 }
 
 #[derive(Args, Debug)]
-pub struct RelayArguments {
+struct RelayArguments {
     /// The relay's name, of its own in the fleet
     #[arg(long)]
     name: String,
@@ -83,7 +100,7 @@
 }
 
 #[derive(Args, Debug)]
-pub struct ChangeArguments {
+struct ChangeArguments {
     /// The publisher's control socket
     #[arg(long, value_name = "PATH")]
     control: PathBuf,
@@ -96,7 +113,7 @@
 
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
-pub enum ConfigCommandError {
+enum ConfigCommandError {
     #[error(transparent)]
     Publisher(#[from] PublisherError),
     #[error(transparent)]
@@ -127,7 +144,7 @@
 }
 
 /// Runs a command and gives what is to be printed.
-pub fn run(command: ConfigCommand) -> Result<String, ConfigCommandError> {
+fn run(command: ConfigCommand) -> Result<String, ConfigCommandError> {
     match command {
         ConfigCommand::Serve(arguments) => serve(arguments).map(|()| String::new()),
         ConfigCommand::Relay(arguments) => relay(arguments).map(|()| String::new()),
@@ -254,7 +271,7 @@
 }
 
 /// The fleet's state as operators read it: a line for each region, then one for each rejection.
-pub fn show_status(status: &Status) -> String {
+fn show_status(status: &Status) -> String {
     let mut text = format!("published: {}, {} resources\n", show(status.position), status.resources);
     for region in &status.regions {
         let _ = writeln!(text, "{}", show_region(region, status.position));
@@ -281,3 +298,20 @@
         Some(oldest) => format!("{named}: {nodes} nodes, {count} behind, the farthest at {}", show(oldest)),
     }
 }
+
+fn main() -> ExitCode {
+    let line = Line::parse();
+    logger::start(Logs { level: line.log, form: line.log_format });
+    let done = run(line.command);
+    logger::flush();
+    match done {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrewalk-node/src/configuration/from_files.rs
@@ -0,0 +1,58 @@
+//! The configuration of a node as its own files say it, and the agent that adds what is distributed.
+
+use crate::configuration::agent::{self, PreparedAgent};
+use crate::configuration::state::{FileConfiguration, InForce, NodeConfiguration};
+use crate::net::ajp_below::AjpBelow;
+use crate::net::ajp_front::{AjpFront, Open};
+use ochrewalk::deployment::Placement;
+use ochrewalk::host::Effect;
+use ochrewalk_operators::Operators;
+use std::sync::{Arc, Mutex};
+
+/// What of the operators' file distributed configuration comes on top of.
+pub(crate) fn file_configuration(operators: Operators) -> FileConfiguration {
+    let has_front = operators.ajp.is_some();
+    let (guests, rules) = operators.ajp.map(|front| (front.guests, front.rules)).unwrap_or_default();
+    let zone = operators.below.as_ref().and_then(|below| below.here.clone());
+    let endpoints = operators.below.map(|below| below.places);
+    FileConfiguration { guests, rules, endpoints, zone, has_front }
+}
+
+/// The agent of the control plane, where the operators' file names one.
+pub(crate) fn prepare_configuration(
+    placement: &Placement,
+    operators: &Operators,
+    ajp: Option<Arc<AjpFront>>,
+    by_ajp: Option<AjpBelow>,
+) -> Result<Option<PreparedAgent>, String> {
+    let Some(config) = &operators.config else { return Ok(None) };
+    let deployment = &placement.deployment;
+    let effects = deployment.methods.iter().map(|method| method.effect == Effect::Idempotent);
+    let names = deployment.method_names.iter().map(|name| name.to_string());
+    let methods = names.zip(effects.enumerate()).collect();
+    let state = NodeConfiguration::new(
+        methods,
+        file_configuration(operators.clone()),
+        deployment.tenants.len() as u32,
+    );
+    let in_force_endpoints = Mutex::new(operators.below.as_ref().map(|below| below.places.clone()));
+    let front = ajp.clone();
+    let take_over = move |in_force: InForce| {
+        if let Some(front) = &front {
+            let InForce { guests, rules, quotas, .. } = in_force;
+            front.change(Open { guests, rules, quotas });
+        }
+        let mut before = in_force_endpoints.lock().unwrap_or_else(|broken| broken.into_inner());
+        if let (Some(by_ajp), Some(endpoints)) = (&by_ajp, &in_force.endpoints) {
+            if before.as_ref() != Some(endpoints) {
+                by_ajp.relist(endpoints);
+            }
+        }
+        *before = in_force.endpoints;
+    };
+    let prepared = agent::prepare(&placement.name, config, state, placement.seed, Box::new(take_over))?;
+    if let Some(front) = &ajp {
+        front.fetch_quotas_by(prepared.handle.clone());
+    }
+    Ok(Some(prepared))
+}
--- a/crates/ochrewalk-node/src/lib.rs
+++ b/crates/ochrewalk-node/src/lib.rs
@@ -1,7 +1,6 @@
 //! The real node's parts, round the module. See docs/architecture.md.
 
 pub mod clock;
-pub mod config_command;
 pub mod configuration;
 pub mod core;
 pub mod ending;
--- a/crates/ochrewalk-node/src/main.rs
+++ b/crates/ochrewalk-node/src/main.rs
@@ -1,10 +1,11 @@
 //! The command line of the real node.
 
 use clap::{Parser, Subcommand, ValueEnum};
-use ochrewalk_node::config_command::{self, ConfigCommand};
 use ochrewalk_node::logger::{Form, Logs};
 use ochrewalk_node::node::Files;
 use ochrewalk_node::rollout::{self, End, Wish};
+use std::ffi::OsString;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing::level_filters::LevelFilter;
@@ -68,15 +69,11 @@
         control: PathBuf,
     },
     /// Publish configuration to a fleet, relay it, and see what is in force where
+    #[command(disable_help_flag = true)]
     Config {
-        /// The least serious lines that are logged: error, warn, info, debug
-        #[arg(long, env = "OCHREWALK_LOG", default_value = "info", value_name = "LEVEL")]
-        log: LevelFilter,
-        /// How lines are written
-        #[arg(long, env = "OCHREWALK_LOG_FORMAT", default_value = "plain", value_enum)]
-        log_format: Form,
-        #[command(subcommand)]
-        command: ConfigCommand,
+        /// What the program ochrewalk-config beside this one is given
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        words: Vec<OsString>,
     },
     /// Say which version this is
     Version,
@@ -133,6 +130,16 @@
     Ok(found.iter().map(|change| format!("{change}\n")).collect())
 }
 
+/// Puts the program of the control plane in the place of this one; what comes back is why not.
+fn become_config(words: &[OsString]) -> String {
+    let beside = match std::env::current_exe() {
+        Ok(program) => program.with_file_name("ochrewalk-config"),
+        Err(why) => return format!("where this program stands cannot be told: {why}"),
+    };
+    let why = std::process::Command::new(&beside).args(words).exec();
+    format!("{}: {why}", beside.display())
+}
+
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Command::Version => {
@@ -149,12 +156,7 @@
         Command::Places { control } => {
             ochrewalk_node::net::status::ask(&control).map(|table| print!("{table}"))
         }
-        Command::Config { log, log_format, command } => {
-            ochrewalk_node::logger::start(Logs { level: log, form: log_format });
-            let done = config_command::run(command).map(|text| print!("{text}"));
-            ochrewalk_node::logger::flush();
-            done.map_err(|why| why.to_string())
-        }
+        Command::Config { words } => Err(become_config(&words)),
         Command::Check { config, operators, against } => {
             let files = Files { node: config, operators };
             files.read().and_then(|(placement, operators)| {
--- /dev/null
+++ b/crates/ochrewalk-node/src/node/files.rs
@@ -0,0 +1,90 @@
+//! The files that a node goes by, read and checked together.
+
+use crate::moving::orders::print_of;
+use ochrewalk::deployment::Placement;
+use ochrewalk::host::{Below as Called, Effect};
+use ochrewalk_operators::Operators;
+use siphasher::sip::SipHasher13;
+use std::hash::{Hash, Hasher};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// The files that a node goes by: the platform's, and the operators' own where there is one.
+#[derive(Clone, Debug)]
+pub struct Files {
+    pub node: PathBuf,
+    pub operators: Option<PathBuf>,
+}
+
+impl Files {
+    /// Reads and checks both. A message has a line for each fault.
+    pub fn read(&self) -> Result<(Placement, Operators), String> {
+        let placement = Placement::read_file(&self.node)?;
+        let operators = self.operators.as_deref().map(|file| read_operators(file, &placement)).transpose()?;
+        Ok((placement, operators.unwrap_or_default()))
+    }
+
+    /// A digest of what cannot change while a node runs: of two programs that have the same one may follow the other.
+    pub(super) fn digest(&self, operators: &Operators) -> Result<u64, String> {
+        let mut print = SipHasher13::new();
+        let text = std::fs::read(&self.node).map_err(|err| format!("{}: {err}", self.node.display()))?;
+        Placement::write_lasting(&text, &mut HashWriter(&mut print))?;
+        // Programs that hashed it as one string ended it so: they have the same digest.
+        print.write_u8(0xff);
+        operators.lasting().hash(&mut print);
+        Ok(print.finish())
+    }
+
+    /// The operators' own as it stands there, and its print.
+    pub(super) fn operators_text(&self) -> (String, u64) {
+        let text = self.operators.as_ref().and_then(|file| std::fs::read_to_string(file).ok());
+        let print = self.operators.as_ref().and_then(|file| print_of(file).ok());
+        (text.unwrap_or_default(), print.unwrap_or(0))
+    }
+}
+
+/// Hashes what is written to it.
+pub(super) struct HashWriter<'a>(&'a mut SipHasher13);
+
+impl Write for HashWriter<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.write(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+pub(super) fn read_operators(file: &Path, placement: &Placement) -> Result<Operators, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|err| format!("{name}: {err}"))?;
+    let deployment = &placement.deployment;
+    let effects = deployment.methods.iter().map(|m| m.effect == Effect::Idempotent);
+    let methods: Vec<_> = deployment.method_names.iter().map(String::from).zip(effects).collect();
+    let calls = deployment.below != Called::Nothing;
+    let node = ochrewalk_operators::Node { methods: &methods, descriptors: placement.descriptors, calls };
+    let mut operators = ochrewalk_operators::read(&text, &name, &node)
+        .map_err(|faults| faults.iter().map(|f| f.to_string()).collect::<Vec<_>>().join("\n"))?;
+    let secret = |at: &Path| {
+        let text =
+            std::fs::read_to_string(at).map_err(|err| format!("{name}: secret {}: {err}", at.display()))?;
+        let secret = text.trim_end_matches(['\r', '\n']).to_string().into_bytes();
+        if secret.is_empty() {
+            return Err(format!("{name}: secret {} is empty; write the secret there", at.display()));
+        }
+        Ok(secret)
+    };
+    if let Some(front) = &mut operators.ajp {
+        if let Some(at) = &front.secret_file {
+            front.rules.secret = Some(secret(at)?);
+        }
+    }
+    if let Some(below) = &mut operators.below {
+        if let Some(at) = &below.secret_file {
+            below.secret = Some(secret(at)?);
+        }
+    }
+    Ok(operators)
+}
--- /dev/null
+++ b/crates/ochrewalk-node/src/node/mod.rs
@@ -0,0 +1,220 @@
+//! One node: its parts put together, started, and brought to an end on a signal.
+
+mod assembly;
+mod files;
+mod leaving;
+mod reload;
+
+pub use files::Files;
+
+use crate::configuration::agent::ConfigurationHandle;
+use crate::core::Core;
+use crate::logger::Logs;
+use crate::moving::give::{self, Handing};
+use crate::moving::keeper::{self, Kept};
+use crate::moving::orders::tally_line;
+use crate::moving::take::{self, Begin};
+use crate::moving::wire::Wire;
+use crate::net::ajp_below::AjpBelow;
+use crate::net::ajp_front::AjpFront;
+use crate::net::below::Below;
+use crate::net::dispatchers::Dispatchers;
+use assembly::{begin, build};
+use leaving::{leave, END_MS};
+use may::sync::mpsc::channel;
+use ochrewalk_rollout::messages::Tally;
+use reload::read_again;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Words of a coroutine's stack: 128 KiB, of which only what is used takes memory.
+const STACK_WORDS: usize = 0x4000;
+/// Stacks kept for later coroutines. may keeps a thousand of its own accord, and hands them round in turn, so
+/// that all of them grow to the deepest use over the first minutes of a day.
+const POOLED_STACKS: usize = 64;
+/// A file that cannot be used on SIGHUP may be only half written: it is read so many times, so far apart.
+const READINGS: u32 = 20;
+const BETWEEN_READINGS: Duration = Duration::from_millis(100);
+/// How often the keeper is told what was counted: well within a conductor's moment, so that counts of nodes that tell
+/// theirs at different times can be compared.
+const BETWEEN_TALLIES: Duration = Duration::from_millis(100);
+/// A worker that has run no coroutine for so long hears nobody.
+const HELD: Duration = Duration::from_secs(2);
+/// Beyond `stop_ms`, what the keeper waits for a program that was told to leave.
+const AFTER_STOP: Duration = Duration::from_secs(1);
+
+/// What signals and hand-overs act on.
+pub struct Node {
+    pub core: Arc<Core>,
+    store: Option<Below>,
+    by_ajp: Option<AjpBelow>,
+    pub ajp: Option<Arc<AjpFront>>,
+    /// Where the directory is.
+    directory: Mutex<SocketAddr>,
+    pub dispatchers: Arc<Dispatchers>,
+    /// The limits of its file, and a digest of what of both files cannot change while it runs.
+    pub memory_bytes: usize,
+    pub descriptors: usize,
+    pub digest: u64,
+    /// What comes from the control plane, where there is one.
+    pub configuration: Option<ConfigurationHandle>,
+    /// A print of the operators' file that it goes by, 0 where there is none or parts of it wait.
+    settings: AtomicU64,
+}
+
+/// Serves as the node of those files until SIGTERM or SIGINT, then ends the process. SIGHUP has them read again. Where
+/// the operators' file allows upgrades, another process serves and this one keeps it. An error comes back before any
+/// RPC is taken.
+pub fn serve(files: &Files, logs: Logs) -> Result<(), String> {
+    // Before anything else: guards against a SIGHUP that ends a process which has only begun.
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
+        .map_err(|err| format!("cannot wait for signals: {err}"))?;
+    let mut kept = keeper::kept();
+    let mut files = files.clone();
+    if let Some(file) = kept.as_mut().and_then(|kept| kept.operators.take()) {
+        files.operators = Some(file);
+    }
+    let takes = kept.as_mut().and_then(|kept| kept.takes.take()).map(Wire::new);
+    let (mut placement, operators) = files.read().inspect_err(|why| {
+        if let Some(wire) = &takes {
+            take::refuse(wire, why);
+        }
+    })?;
+    if let (None, Some(control)) = (&kept, &operators.upgrade_control) {
+        let status = keeper::keep(control, Duration::from_millis(placement.stop_ms) + AFTER_STOP)?;
+        std::process::exit(status.code().unwrap_or(70));
+    }
+    crate::logger::start(logs);
+    crate::panics::end_on_others();
+    // One core is ours: one worker runs all coroutines, so that none of them ever waits for a lock for long.
+    may::config()
+        .set_workers(1)
+        .set_stack_size(STACK_WORDS)
+        .set_pool_capacity(POOLED_STACKS)
+        .set_worker_pin(false);
+    let digest = files.digest(&operators)?;
+    let (mut operators_text, settings) = files.operators_text();
+    let mut told_to_end = None;
+    let taken = match (takes, &kept) {
+        (Some(wire), Some(kept)) => {
+            let room = (placement.memory_mb * 1024 * 1024 / 2, placement.descriptors as u32);
+            let end = |signals: &mut signal_hook::iterator::Signals| signals.pending().find(|s| *s != SIGHUP);
+            let interrupted = std::cell::RefCell::new((&mut signals, &mut told_to_end));
+            let begin = take::take(
+                wire,
+                &kept.line,
+                digest,
+                room,
+                || {
+                    let (signals, told) = &mut *interrupted.borrow_mut();
+                    **told = told.or_else(|| end(signals));
+                    told.is_some()
+                },
+                |taken| build(&placement, operators.clone(), digest, Some(taken)),
+            )?;
+            match begin {
+                Begin::With(built) => Some(built),
+                Begin::Anew => None,
+            }
+        }
+        _ => None,
+    };
+    let built = match taken {
+        Some(built) => built,
+        None => build(&placement, operators, digest, None)?,
+    };
+    let (node, report_now) = begin(built, &placement);
+    node.settings.store(settings, Ordering::Relaxed);
+    let handing = Arc::new(Handing::default());
+    if let Some(Kept { line, gives, .. }) = kept {
+        let line = Arc::new(line);
+        let (of, told) = (node.clone(), line.clone());
+        std::thread::spawn(move || {
+            let mut pulse = Pulse::default();
+            loop {
+                let hears = pulse.is_felt();
+                told.say(&tally_line(&tally(&of, hears)));
+                std::thread::sleep(BETWEEN_TALLIES);
+            }
+        });
+        let (node, handing) = (node.clone(), handing.clone());
+        std::thread::spawn(move || {
+            for stream in gives {
+                give::give(&node, &handing, &line, Wire::new(stream.into()));
+            }
+        });
+    }
+    let mut readings = 0;
+    let signal = loop {
+        if let Some(signal) = told_to_end {
+            break signal;
+        }
+        let came: Vec<i32> = if readings == 0 {
+            signals.wait().collect()
+        } else {
+            std::thread::sleep(BETWEEN_READINGS);
+            signals.pending().collect()
+        };
+        if !came.is_empty() {
+            handing.interrupt("the running program got a signal");
+        }
+        if let Some(end) = came.iter().find(|signal| **signal != SIGHUP) {
+            break *end;
+        }
+        if came.contains(&SIGHUP) {
+            readings = READINGS;
+        }
+        if readings > 0 {
+            let done = read_again(&node, &report_now, &files, &mut placement, &mut operators_text, readings);
+            readings = if done { 0 } else { readings - 1 };
+        }
+    };
+    let stop_ms = placement.stop_ms;
+    tracing::info!("signal {signal}: leaving within {stop_ms} ms");
+    let (left, over) = channel();
+    may::go!(move || {
+        leave(&node, stop_ms, &report_now);
+        let _ = left.send(());
+    });
+    let _ = over.recv_timeout(Duration::from_millis(stop_ms.saturating_sub(END_MS / 2)));
+    tracing::info!("over");
+    crate::logger::flush();
+    // Coroutines that still wait for others end with the process.
+    std::process::exit(0)
+}
+
+/// Whether the runtime's worker still runs coroutines: one is sent through it again and again.
+struct Pulse {
+    passed: Arc<AtomicBool>,
+    sent: Instant,
+}
+
+impl Default for Pulse {
+    fn default() -> Pulse {
+        Pulse { passed: Arc::new(AtomicBool::new(true)), sent: Instant::now() }
+    }
+}
+
+impl Pulse {
+    fn is_felt(&mut self) -> bool {
+        if self.passed.swap(false, Ordering::Relaxed) {
+            self.sent = Instant::now();
+            let passed = self.passed.clone();
+            may::go!(move || passed.store(true, Ordering::Relaxed));
+        }
+        self.sent.elapsed() < HELD
+    }
+}
+
+/// What the keeper is told of this program, for whoever conducts a change.
+fn tally(node: &Node, hears: bool) -> Tally {
+    let Core { gate, tally, deployment, .. } = &*node.core;
+    let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let resident = pages.split(' ').nth(1).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
+    let is_healthy = hears && gate.posture().healthy == Some(true);
+    let (methods, settings) = (tally.told(&deployment.method_names), node.settings.load(Ordering::Relaxed));
+    Tally { is_healthy, memory_kb: resident * 4, methods, settings }
+}
--- /dev/null
+++ b/crates/ochrewalk-node/src/node/reload.rs
@@ -0,0 +1,73 @@
+//! What a node takes over from its files when it is told to read them again.
+
+use super::{Files, Node, READINGS};
+use crate::configuration::from_files::file_configuration;
+use crate::net::ajp_front::Open;
+use may::sync::mpsc::Sender;
+use ochrewalk::deployment::Placement;
+use ochrewalk_operators::{changes, Needs, Operators};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+/// Reads the file again and takes over what may change. False where it can't be used and is worth another try.
+pub(super) fn read_again(
+    node: &Node,
+    report_now: &Sender<()>,
+    files: &Files,
+    placement: &mut Placement,
+    operators_text: &mut String,
+    readings: u32,
+) -> bool {
+    let (text, print) = files.operators_text();
+    let (left_alone, operators) = match files.read() {
+        Ok((newer, operators)) => (placement.take_over(newer), operators),
+        Err(why) => {
+            if readings == READINGS || readings == 1 {
+                let then = if readings == 1 { "the old figures stay" } else { "it is read again" };
+                tracing::error!("SIGHUP: {why}; {then}");
+            }
+            return false;
+        }
+    };
+    let Placement { executor, directory, below, .. } = *placement;
+    let below_name = below.map_or("nothing".into(), |at| at.to_string());
+    tracing::info!("SIGHUP: executor {executor}, directory {directory}, below {below_name}");
+    for key in left_alone {
+        tracing::warn!("SIGHUP: {key} has changed; it takes effect with the next start only");
+    }
+    // What is in force stays the measure until all of the newer file is.
+    let waiting: Vec<_> =
+        changes(operators_text, &text).into_iter().filter(|change| change.needs != Needs::Reload).collect();
+    for change in &waiting {
+        tracing::warn!("SIGHUP: {change}: not in force yet");
+    }
+    node.settings.store(if waiting.is_empty() { print } else { 0 }, Ordering::Relaxed);
+    if waiting.is_empty() {
+        *operators_text = text;
+    }
+    // Who may connect, what requests stand for, and where calls go; the rest takes effect with the next start.
+    match &node.configuration {
+        Some(configuration) => {
+            for fault in configuration.replace_file(file_configuration(operators)) {
+                tracing::warn!("SIGHUP: distributed configuration left out: {fault}");
+            }
+        }
+        None => take_over_file(node, operators),
+    }
+    node.core.executor.move_to(executor);
+    if let (Some(links), Some(at)) = (&node.store, below) {
+        links.move_to(at);
+    }
+    *node.directory.lock().expect("never held over a panic") = directory;
+    let _ = report_now.send(());
+    true
+}
+
+fn take_over_file(node: &Node, operators: Operators) {
+    if let (Some(front), Some(newer)) = (&node.ajp, operators.ajp) {
+        front.change(Open { guests: newer.guests, rules: newer.rules, quotas: Arc::default() });
+    }
+    if let (Some(by_ajp), Some(newer)) = (&node.by_ajp, &operators.below) {
+        by_ajp.relist(&newer.places);
+    }
+}
