Ingress, allowed peers and connection budget, in place of fronts, guests and room

Need: the field's names for who may connect and whose connection makes room. Change: crate ochrewalk-fronts is ochrewalk-ingress; guests are allowed peers; room.rs is connection_budget.rs; pages with it. No directive changes.

--- a/crates/ochrewalk-fronts/src/guests.rs
+++ b/crates/ochrewalk-ingress/src/allowed_peers.rs
@@ -7,12 +7,12 @@
 
 /// Networks that are let in and networks that are kept out.
 #[derive(Clone, Debug, Default)]
-pub struct Guests {
+pub struct AllowedPeers {
     four: PrefixMap<Ipv4Net, bool>,
     six: PrefixMap<Ipv6Net, bool>,
 }
 
-impl Guests {
+impl AllowedPeers {
     /// States whether a network is let in. What was stated of the very same network before is given back, as two
     /// statements on one network are a mistake where they differ.
     pub fn state(&mut self, network: IpNet, let_in: bool) -> Option<bool> {
@@ -25,11 +25,11 @@
     /// Whether an address may connect; one that no network holds may not.
     ///
     /// ```
-    /// use ochrewalk_fronts::guests::Guests;
-    /// let mut guests = Guests::default();
-    /// guests.state("10.0.0.0/8".parse().unwrap(), true);
-    /// guests.state("10.9.0.0/16".parse().unwrap(), false);
-    /// let may = |text: &str| guests.may_connect(text.parse().unwrap());
+    /// use ochrewalk_ingress::allowed_peers::AllowedPeers;
+    /// let mut allowed_peers = AllowedPeers::default();
+    /// allowed_peers.state("10.0.0.0/8".parse().unwrap(), true);
+    /// allowed_peers.state("10.9.0.0/16".parse().unwrap(), false);
+    /// let may = |text: &str| allowed_peers.may_connect(text.parse().unwrap());
     /// assert_eq!([may("10.1.2.3"), may("10.9.2.3"), may("11.0.0.1")], [true, false, false]);
     /// ```
     pub fn may_connect(&self, address: IpAddr) -> bool {
--- a/crates/ochrewalk-fronts/src/routes.rs
+++ b/crates/ochrewalk-ingress/src/routes.rs
@@ -67,7 +67,7 @@
     /// Takes a route out and gives the method that it stood for; none where there was no such route.
     ///
     /// ```
-    /// use ochrewalk_fronts::routes::Routes;
+    /// use ochrewalk_ingress::routes::Routes;
     /// let mut routes = Routes::default();
     /// routes.add("GET", "/items/{}", 7).unwrap();
     /// assert_eq!(routes.remove("POST", "/items/{}"), None);
@@ -92,7 +92,7 @@
     /// segment.
     ///
     /// ```
-    /// use ochrewalk_fronts::routes::{Found, Routes};
+    /// use ochrewalk_ingress::routes::{Found, Routes};
     /// let mut routes = Routes::default();
     /// routes.add("GET", "/items/{}", 0).unwrap();
     /// routes.add("GET", "/items/all", 1).unwrap();
--- a/crates/ochrewalk-fronts/tests/fronts.rs
+++ b/crates/ochrewalk-ingress/tests/ingress.rs
@@ -1,22 +1,22 @@
 //! Who may connect, what requests stand for, and who makes room, as tables.
 
 use ochrewalk_ajp::request::{Attribute, BodyLength, Request, Which};
-use ochrewalk_fronts::guests::Guests;
-use ochrewalk_fronts::judge::{Asks, Rules};
-use ochrewalk_fronts::room::{look, Standing, Verdict, Worth};
-use ochrewalk_fronts::routes::{Found, NoPath, Routes};
+use ochrewalk_ingress::allowed_peers::AllowedPeers;
+use ochrewalk_ingress::connection_budget::{look, Standing, Verdict, Worth};
+use ochrewalk_ingress::judge::{Asks, Rules};
+use ochrewalk_ingress::routes::{Found, NoPath, Routes};
 
 #[test]
 fn the_narrowest_network_has_the_say() {
     let networks = [("10.0.0.0/8", true), ("10.9.0.0/16", false), ("10.9.9.9/32", true), ("fd00::/8", true)];
     // In any order.
     for turn in 0..networks.len() {
-        let mut guests = Guests::default();
-        assert!(guests.is_empty());
+        let mut allowed_peers = AllowedPeers::default();
+        assert!(allowed_peers.is_empty());
         for (network, let_in) in networks.iter().cycle().skip(turn).take(networks.len()) {
-            assert_eq!(guests.state(network.parse().unwrap(), *let_in), None);
+            assert_eq!(allowed_peers.state(network.parse().unwrap(), *let_in), None);
         }
-        assert!(!guests.is_empty());
+        assert!(!allowed_peers.is_empty());
         for (address, may) in [
             ("10.1.1.1", true),
             ("10.9.1.1", false),
@@ -27,9 +27,13 @@
             ("::ffff:10.1.1.1", true),
             ("::ffff:9.1.1.1", false),
         ] {
-            assert_eq!(guests.may_connect(address.parse().unwrap()), may, "{address}");
+            assert_eq!(allowed_peers.may_connect(address.parse().unwrap()), may, "{address}");
         }
-        assert_eq!(guests.state("10.1.2.3/8".parse().unwrap(), false), Some(true), "the same network again");
+        assert_eq!(
+            allowed_peers.state("10.1.2.3/8".parse().unwrap(), false),
+            Some(true),
+            "the same network again"
+        );
     }
 }
 
--- a/crates/ochrewalk-node/src/configuration/from_files.rs
+++ b/crates/ochrewalk-node/src/configuration/from_files.rs
@@ -12,10 +12,11 @@
 /// What of the operators' file distributed configuration comes on top of.
 pub(crate) fn file_configuration(operators: Operators) -> FileConfiguration {
     let has_front = operators.ajp.is_some();
-    let (guests, rules) = operators.ajp.map(|front| (front.guests, front.rules)).unwrap_or_default();
+    let (allowed_peers, rules) =
+        operators.ajp.map(|front| (front.allowed_peers, front.rules)).unwrap_or_default();
     let zone = operators.below.as_ref().and_then(|below| below.here.clone());
     let endpoints = operators.below.map(|below| below.places);
-    FileConfiguration { guests, rules, endpoints, zone, has_front }
+    FileConfiguration { allowed_peers, rules, endpoints, zone, has_front }
 }
 
 /// The agent of the control plane, where the operators' file names one.
@@ -39,8 +40,8 @@
     let front = ajp.clone();
     let take_over = move |in_force: InForce| {
         if let Some(front) = &front {
-            let InForce { guests, rules, quotas, .. } = in_force;
-            front.change(Open { guests, rules, quotas });
+            let InForce { allowed_peers, rules, quotas, .. } = in_force;
+            front.change(Open { allowed_peers, rules, quotas });
         }
         let mut before = in_force_endpoints.lock().unwrap_or_else(|broken| broken.into_inner());
         if let (Some(by_ajp), Some(endpoints)) = (&by_ajp, &in_force.endpoints) {
--- a/crates/ochrewalk-node/src/configuration/state.rs
+++ b/crates/ochrewalk-node/src/configuration/state.rs
@@ -5,9 +5,9 @@
 use ochrewalk_distribution::messages::ResourceName;
 use ochrewalk_distribution::messages::{Position, Resource, ResourceKind, Value};
 use ochrewalk_distribution::{ApplyError, CompleteUpdate, Store, StoreLimits};
-use ochrewalk_fronts::guests::Guests;
-use ochrewalk_fronts::judge::Rules;
-use ochrewalk_fronts::routes::Routes;
+use ochrewalk_ingress::allowed_peers::AllowedPeers;
+use ochrewalk_ingress::judge::Rules;
+use ochrewalk_ingress::routes::Routes;
 use ochrewalk_operators::resources::quota_name;
 use ochrewalk_operators::resources::{
     check, check_route_at, describe, endpoint_address, MethodTable, ResourceFault, LIMIT_USUAL_MEMORY,
@@ -22,7 +22,7 @@
 /// What the node's own files say; distributed resources come on top of it.
 #[derive(Clone, Debug, Default)]
 pub struct FileConfiguration {
-    pub guests: Guests,
+    pub allowed_peers: AllowedPeers,
     pub rules: Rules,
     /// Where calls go by AJP; none where they do not go by AJP.
     pub endpoints: Option<Vec<PlaceBelow>>,
@@ -55,7 +55,7 @@
 /// What is in force, taken over as one.
 #[derive(Clone, Debug)]
 pub struct InForce {
-    pub guests: Guests,
+    pub allowed_peers: AllowedPeers,
     pub rules: Rules,
     pub quotas: Arc<Quotas>,
     pub endpoints: Option<Vec<PlaceBelow>>,
@@ -164,7 +164,7 @@
             rules.usual_kb = Some(amount);
         }
         InForce {
-            guests: self.file.guests.clone(),
+            allowed_peers: self.file.allowed_peers.clone(),
             rules,
             quotas: self.quotas.clone(),
             endpoints: self.endpoints(),
--- a/crates/ochrewalk-node/src/net/ajp_below.rs
+++ b/crates/ochrewalk-node/src/net/ajp_below.rs
@@ -11,7 +11,7 @@
 use ochrewalk_ajp::asker::{Acts, Bounds, End, Life, Reply};
 use ochrewalk_ajp::reply;
 use ochrewalk_ajp::request::{self, Attribute, Message, Request, Which};
-use ochrewalk_fronts::judge::Headers;
+use ochrewalk_ingress::judge::Headers;
 use ochrewalk_operators::{AjpBelow as Told, PlaceBelow};
 use ochrewalk_places::{CallId, Ended, LinkId, Places, Said, Settled, Wire};
 use ochrewalk_spread::{Cause, Listed};
--- a/crates/ochrewalk-node/src/net/ajp_front.rs
+++ b/crates/ochrewalk-node/src/net/ajp_front.rs
@@ -1,5 +1,5 @@
 //! Callers' connections by AJP: accepted, read, answered, ended. What may come when is the life's in `ochrewalk-ajp`,
-//! what a request stands for the judge's in `ochrewalk-fronts`; from there on an RPC is as any other.
+//! what a request stands for the judge's in `ochrewalk-ingress`; from there on an RPC is as any other.
 
 use super::front::{Front, ENDING};
 use super::link::{adopt, carry, let_go, Finish, Outbox, Reader};
@@ -15,9 +15,9 @@
 use ochrewalk_ajp::answerer::{Acts, Bounds, End, Life, Plain, Refusal, State};
 use ochrewalk_ajp::reply::{self, Head};
 use ochrewalk_ajp::request::{self, BodyLength, Message};
-use ochrewalk_fronts::guests::Guests;
-use ochrewalk_fronts::judge::{Asks, Method, No, Rules};
-use ochrewalk_fronts::room::{self, Standing, Verdict, Worth};
+use ochrewalk_ingress::allowed_peers::AllowedPeers;
+use ochrewalk_ingress::connection_budget::{self, Standing, Verdict, Worth};
+use ochrewalk_ingress::judge::{Asks, Method, No, Rules};
 use std::collections::{HashMap, HashSet};
 use std::net::IpAddr;
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
@@ -41,7 +41,7 @@
 
 /// What may change while the node serves.
 pub struct Open {
-    pub guests: Guests,
+    pub allowed_peers: AllowedPeers,
     pub rules: Rules,
     /// Tenants whose quotas came from the control plane.
     pub quotas: Arc<Quotas>,
@@ -436,7 +436,7 @@
     }
 
     fn may_connect(&self, from: IpAddr) -> bool {
-        self.rules().guests.may_connect(from)
+        self.rules().allowed_peers.may_connect(from)
     }
 
     /// Guards against a table full of those that say nothing, or asked once and stay, which would keep callers out.
@@ -452,7 +452,7 @@
             Standing { number: *number, going: state.going || state.over, worth }
         };
         let all: Vec<Standing> = table.of.iter().map(standing).collect();
-        let (number, room) = match room::look(self.most, ENDING, &all) {
+        let (number, room) = match connection_budget::look(self.most, ENDING, &all) {
             Verdict::Room => return true,
             Verdict::Full => return false,
             Verdict::RoomFor(number) => (number, true),
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -11,7 +11,7 @@
 use crate::wire::jsonrpc::{self, Message, Which};
 use may::net::TcpStream;
 use ochrewalk::host::RpcId;
-use ochrewalk_fronts::room::{self, Standing, Verdict, Worth};
+use ochrewalk_ingress::connection_budget::{self, Standing, Verdict, Worth};
 use std::collections::{HashMap, HashSet};
 use std::os::fd::{AsRawFd, OwnedFd, RawFd};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -279,7 +279,7 @@
             return true;
         }
         let all: Vec<Standing> = open.of.iter().map(standing).collect();
-        let (number, room) = match room::look(self.most, ENDING, &all) {
+        let (number, room) = match connection_budget::look(self.most, ENDING, &all) {
             Verdict::Room => return true,
             Verdict::Full => return false,
             Verdict::RoomFor(number) => (number, true),
--- a/crates/ochrewalk-node/src/node/assembly.rs
+++ b/crates/ochrewalk-node/src/node/assembly.rs
@@ -156,7 +156,7 @@
     let dispatchers = Arc::new(Dispatchers::new(core.clone(), most));
     let directory = Mutex::new(placement.directory);
     let ajp = operators.ajp.clone().map(|front| {
-        let open = Open { guests: front.guests, rules: front.rules, quotas: Arc::default() };
+        let open = Open { allowed_peers: front.allowed_peers, rules: front.rules, quotas: Arc::default() };
         let most = front.connections;
         AjpFront::new(core.clone(), open, front.packet, most, front.idle_us, placement.seed)
     });
--- a/crates/ochrewalk-node/src/node/reload.rs
+++ b/crates/ochrewalk-node/src/node/reload.rs
@@ -65,7 +65,7 @@
 
 fn take_over_file(node: &Node, operators: Operators) {
     if let (Some(front), Some(newer)) = (&node.ajp, operators.ajp) {
-        front.change(Open { guests: newer.guests, rules: newer.rules, quotas: Arc::default() });
+        front.change(Open { allowed_peers: newer.allowed_peers, rules: newer.rules, quotas: Arc::default() });
     }
     if let (Some(by_ajp), Some(newer)) = (&node.by_ajp, &operators.below) {
         by_ajp.relist(&newer.places);
--- a/crates/ochrewalk-node/tests/configuration_state.rs
+++ b/crates/ochrewalk-node/tests/configuration_state.rs
@@ -2,8 +2,8 @@
 
 use ochrewalk_distribution::messages::{Position, Resource};
 use ochrewalk_distribution::CompleteUpdate;
-use ochrewalk_fronts::judge::Rules;
-use ochrewalk_fronts::routes::{Found, Routes};
+use ochrewalk_ingress::judge::Rules;
+use ochrewalk_ingress::routes::{Found, Routes};
 use ochrewalk_node::configuration::state::{FileConfiguration, InForce, NodeConfiguration, UpdateFault};
 use ochrewalk_operators::resources::{quota_name, read_changes};
 use ochrewalk_operators::PlaceBelow;
--- a/crates/ochrewalk-operators/src/lib.rs
+++ b/crates/ochrewalk-operators/src/lib.rs
@@ -21,8 +21,8 @@
 pub use plan::{Plan as Rollout, PlannedNode, Subject};
 pub use read::{read, Fault, Node};
 
-use ochrewalk_fronts::guests::Guests;
-use ochrewalk_fronts::judge::Rules;
+use ochrewalk_ingress::allowed_peers::AllowedPeers;
+use ochrewalk_ingress::judge::Rules;
 use ochrewalk_spread::Plan;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -77,7 +77,7 @@
 #[derive(Clone, Debug)]
 pub struct AjpFront {
     pub listen: SocketAddr,
-    pub guests: Guests,
+    pub allowed_peers: AllowedPeers,
     pub rules: Rules,
     /// Where the secret stands, if in a file of its own; read when the node starts.
     pub secret_file: Option<PathBuf>,
--- a/crates/ochrewalk-operators/src/read.rs
+++ b/crates/ochrewalk-operators/src/read.rs
@@ -4,8 +4,8 @@
 use crate::{units, words, AjpBelow, AjpFront, ConfigAgent, Operators, PlaceBelow};
 use ipnet::IpNet;
 use ochrewalk_ajp::packet::{LARGEST_PACKET, USUAL_PACKET};
-use ochrewalk_fronts::guests::Guests;
-use ochrewalk_fronts::judge::{Headers, Rules};
+use ochrewalk_ingress::allowed_peers::AllowedPeers;
+use ochrewalk_ingress::judge::{Headers, Rules};
 use ochrewalk_spread::{Kind, Plan, Reach, KINDS};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
@@ -217,7 +217,7 @@
             number: None,
             front: AjpFront {
                 listen: nowhere,
-                guests: Guests::default(),
+                allowed_peers: AllowedPeers::default(),
                 rules: Rules { most_kb: 2_000.0, headers: Headers::default(), ..Rules::default() },
                 secret_file: None,
                 packet: USUAL_PACKET,
@@ -282,8 +282,8 @@
                 }
             }
             ("ajp", "listen") => self.listen = Some(self.address(word)?),
-            ("ajp", "allow") => guest(&mut front.guests, word, true)?,
-            ("ajp", "deny") => guest(&mut front.guests, word, false)?,
+            ("ajp", "allow") => allowed_peer(&mut front.allowed_peers, word, true)?,
+            ("ajp", "deny") => allowed_peer(&mut front.allowed_peers, word, false)?,
             ("ajp", "secret") => front.rules.secret = Some(word.clone().into_bytes()),
             ("ajp", "secret-file") => front.secret_file = Some(PathBuf::from(word)),
             ("ajp", "packet") => front.packet = packet(word)?,
@@ -492,7 +492,7 @@
                     "add a line such as: ajp route POST /sales METHOD",
                 );
             }
-            if self.front.guests.is_empty() {
+            if self.front.allowed_peers.is_empty() {
                 return fault(listen, "nobody may connect", "add a line such as: ajp allow 127.0.0.0/8");
             }
         }
@@ -590,12 +590,12 @@
     (near.0 <= 2 && near.0 < near.1.len()).then_some(near.1)
 }
 
-fn guest(guests: &mut Guests, text: &str, let_in: bool) -> Result<(), Wrong> {
+fn allowed_peer(allowed_peers: &mut AllowedPeers, text: &str, let_in: bool) -> Result<(), Wrong> {
     let network = text.parse::<IpNet>().or_else(|_| text.parse::<IpAddr>().map(IpNet::from));
     let Ok(network) = network else {
         return wrong(format!("{text} is no network"), "write one such as 10.1.0.0/16 or fd00::/8");
     };
-    match guests.state(network, let_in) {
+    match allowed_peers.state(network, let_in) {
         Some(before) if before != let_in => {
             wrong(format!("{text} is both let in and kept out"), "keep one of the two")
         }
--- a/crates/ochrewalk-operators/src/resources.rs
+++ b/crates/ochrewalk-operators/src/resources.rs
@@ -7,8 +7,8 @@
 use ochrewalk_distribution::messages::{
     Endpoint, Limit, Quota, Resource, ResourceKind, ResourceName, Route, Value,
 };
-use ochrewalk_fronts::judge::MOST_TENANT;
-use ochrewalk_fronts::routes::Routes;
+use ochrewalk_ingress::judge::MOST_TENANT;
+use ochrewalk_ingress::routes::Routes;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
--- a/crates/ochrewalk-operators/tests/operators.rs
+++ b/crates/ochrewalk-operators/tests/operators.rs
@@ -1,7 +1,7 @@
 //! The operators' file: what a whole one sets, and one clear message for each fault.
 
-use ochrewalk_fronts::judge::{Asks, Headers};
-use ochrewalk_fronts::routes::Found;
+use ochrewalk_ingress::judge::{Asks, Headers};
+use ochrewalk_ingress::routes::Found;
 use ochrewalk_operators::{read, Node, Operators, PlaceBelow};
 use ochrewalk_spread::{Kind, Leaving, Reach};
 
@@ -65,7 +65,7 @@
     assert_eq!(upgrade_control, Some("/run/ochrewalk/control".into()));
     let (front, below) = (ajp.unwrap(), below.unwrap());
     assert_eq!(front.listen, "127.0.0.21:8009".parse().unwrap());
-    let may = |text: &str| front.guests.may_connect(text.parse().unwrap());
+    let may = |text: &str| front.allowed_peers.may_connect(text.parse().unwrap());
     assert_eq!([may("127.0.0.1"), may("127.9.0.1"), may("10.0.0.1")], [true, false, false]);
     assert_eq!((front.packet, front.connections, front.idle_us), (16_384, 64, 30_000_000));
     let rules = front.rules;
@@ -99,7 +99,7 @@
     }
     let little = get("ajp route POST /a order-record\najp allow ::1\najp listen [::1]:8009").unwrap();
     let front = little.ajp.unwrap();
-    assert!(little.below.is_none() && front.guests.may_connect("::1".parse().unwrap()));
+    assert!(little.below.is_none() && front.allowed_peers.may_connect("::1".parse().unwrap()));
     let request = ochrewalk_ajp::request::Request { method: b"POST", uri: b"/a", ..Default::default() };
     assert!(front.rules.judge(&request).is_err(), "no memory stated and none usual");
     let mut rules = front.rules;
