--- a/crates/ochrewalk-node/src/configuration/from_files.rs
+++ b/crates/ochrewalk-node/src/configuration/from_files.rs
@@ -38,10 +38,15 @@
     );
     let in_force_endpoints = Mutex::new(operators.below.as_ref().map(|below| below.places.clone()));
     let front = ajp.clone();
+    let retired: Mutex<Vec<Arc<Open>>> = Mutex::default();
     let take_over = move |in_force: InForce| {
         if let Some(front) = &front {
             let InForce { allowed_peers, rules, quotas, .. } = in_force;
-            front.change(Open { allowed_peers, rules, quotas });
+            let before = front.change(Open { allowed_peers, rules, quotas });
+            let mut retired = retired.lock().unwrap_or_else(|broken| broken.into_inner());
+            retired.push(before);
+            // What no request goes by any more is freed here, by the agent's thread.
+            retired.retain(|open| Arc::strong_count(open) > 1);
         }
         let mut before = in_force_endpoints.lock().unwrap_or_else(|broken| broken.into_inner());
         if let (Some(by_ajp), Some(endpoints)) = (&by_ajp, &in_force.endpoints) {
--- a/crates/ochrewalk-node/src/net/ajp_front.rs
+++ b/crates/ochrewalk-node/src/net/ajp_front.rs
@@ -132,9 +132,11 @@
         self.core.deployment.tenant(tenant)
     }
 
-    /// Who may connect and what requests stand for, from now on.
-    pub fn change(&self, open: Open) {
-        *self.open.lock().unwrap_or_else(|broken| broken.into_inner()) = Arc::new(open);
+    /// Who may connect and what requests stand for, from now on. What held until now is given back: a request that
+    /// still goes by it is not to be the one that frees it, as that takes a while where there are many routes.
+    pub fn change(&self, open: Open) -> Arc<Open> {
+        let open = Arc::new(open);
+        std::mem::replace(&mut *self.open.lock().unwrap_or_else(|broken| broken.into_inner()), open)
     }
 
     /// Has those looked at whose silence may mean something by now.
