--- a/crates/ochrewalk-node/tests/configuration.rs
+++ b/crates/ochrewalk-node/tests/configuration.rs
@@ -288,6 +288,25 @@
     assert!(is_routed(&stand, "/b"));
 }
 
+#[test]
+fn a_successor_goes_on_with_what_its_predecessor_had_in_force() {
+    let plane = ControlPlane::start();
+    let path = |name: &str| plane.folder.join(name).to_str().unwrap().to_string();
+    let (state, control) = (path("state"), path("upgrade"));
+    let (stand, mut executor) =
+        up(&plane.directives(&format!("config snapshot {state}\nupgrade control {control}\n")));
+    std::thread::spawn(move || executor.hear_out());
+    plane.publish("route shop GET /a look\n");
+    wait_until("the first route", || is_routed(&stand, "/a"));
+    let words = ["upgrade", "--control", &control, "--program", env!("CARGO_BIN_EXE_ochrewalk")];
+    let output = program(&words).output().unwrap();
+    assert_eq!(String::from_utf8_lossy(&output.stdout), "handed over\n", "{output:?}");
+    assert!(is_routed(&stand, "/a"));
+    plane.publish("route shop GET /b look\n");
+    wait_until("the second route", || is_routed(&stand, "/b"));
+    assert!(is_routed(&stand, "/a"));
+}
+
 #[test]
 fn a_file_that_changes_while_updates_come_leaves_both_in_force() {
     let plane = ControlPlane::start();
