Lab: slopes measured at the real programs, and a capacity page made from them

Need: what a fleet of the size in two years takes, from measured figures and not by guess. Change: ochrewalk-lab slopes measures CPU time, memory and bytes of the release programs at four sizes or more each and fits a line by least squares; ochrewalk-lab capacity extrapolates to a file of deploy/sizes as a page. Both only on command.

--- a/crates/ochrewalk-lab/src/lib.rs
+++ b/crates/ochrewalk-lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod ajp;
 pub mod book;
+pub mod capacity;
 pub mod changes;
 pub mod emulated;
 pub mod executor;
@@ -17,6 +18,7 @@
 pub mod pooled;
 pub mod relays;
 pub mod rollouts;
+pub mod slopes;
 pub mod spreads;
 pub mod upgrades;
 pub mod wires;
--- a/crates/ochrewalk-lab/src/main.rs
+++ b/crates/ochrewalk-lab/src/main.rs
@@ -7,7 +7,7 @@
 use ochrewalk_lab::node::program;
 use ochrewalk_lab::pooled::Fleet;
 use ochrewalk_lab::spreads::Asked;
-use ochrewalk_lab::{rollouts, upgrades};
+use ochrewalk_lab::{capacity, rollouts, slopes, upgrades};
 use serde_json::json;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -127,6 +127,27 @@
         #[arg(long, value_name = "FILE")]
         plot: Option<std::path::PathBuf>,
     },
+    /// What one more route, tenant, connection, RPC, change or subscriber costs, measured at the real programs
+    Slopes {
+        /// Where the slopes are written, or added to those that stand there; to the terminal if it is not named
+        #[arg(long, value_name = "FILE")]
+        out: Option<PathBuf>,
+        /// One measurement; a name that there is not lists all
+        #[arg(long, value_name = "NAME")]
+        only: Option<String>,
+        /// Small sizes and short spans, to see that it works
+        #[arg(long)]
+        quick: bool,
+    },
+    /// What a fleet of a size takes, extrapolated from measured slopes, as a page
+    Capacity {
+        #[arg(long, value_name = "FILE")]
+        slopes: PathBuf,
+        #[arg(long, value_name = "FILE")]
+        size: PathBuf,
+        #[arg(long, value_name = "FILE")]
+        out: PathBuf,
+    },
     /// How evenly nodes load places, on real processes with links between them; the last line is JSON
     Spread {
         #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(1..=1_000))]
@@ -239,6 +260,13 @@
         Command::Judge { nodes, changes, seed, plot } => {
             ochrewalk_lab::judged::table(nodes as usize, changes, seed, plot.as_deref()).map(|()| true)
         }
+        Command::Slopes { out, only, quick } => {
+            slopes::report::measure(&program()?, only.as_deref(), quick, out.as_deref())
+        }
+        Command::Capacity { slopes, size, out } => {
+            capacity::files::write_page(&slopes, &size, &out).map_err(|error| error.to_string())?;
+            Ok(true)
+        }
         Command::Demo => {
             let program = program()?;
             let plan = Plan {
--- /dev/null
+++ b/crates/ochrewalk-lab/src/slopes/node_state.rs
@@ -0,0 +1,127 @@
+//! Memory of a node by what it holds: routes, methods, tenants, endpoints, connections. The time that it takes to be healthy
+//! isn't measured; the CPU time of its start is.
+
+use super::model::Point;
+use super::node_under_test::{NodeFiles, NodeUnderTest};
+use super::{Context, Series, SlopeError};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Sizes of a quick run are a hundredth.
+fn sizes(context: &Context, full: &[usize]) -> Vec<usize> {
+    let divisor = if context.is_quick { 100 } else { 1 };
+    full.iter().map(|size| size / divisor).collect()
+}
+
+/// Memory and CPU time after the start with files of each size.
+fn by_files(
+    context: &Context,
+    full: &[usize],
+    files_of: fn(usize) -> NodeFiles,
+) -> Result<(Vec<Point>, Vec<Point>), SlopeError> {
+    let (mut memory, mut cpu) = (Vec::new(), Vec::new());
+    for count in sizes(context, full) {
+        let node = NodeUnderTest::start(context.program, files_of(count), "")?;
+        let size = count as f64;
+        memory.push(Point { size, value: node.process.resident_bytes()? });
+        cpu.push(Point { size, value: node.process.cpu_seconds()? });
+    }
+    Ok((memory, cpu))
+}
+
+fn series(
+    (name, size_unit): (&'static str, &'static str),
+    value_unit: &'static str,
+    points: Vec<Point>,
+) -> Series {
+    let note = match value_unit {
+        "bytes" => "VmRSS of the release program, settled after its start",
+        _ => "CPU time of all threads until the node is healthy and settled",
+    };
+    Series { name, size_unit, value_unit, points, note: note.into() }
+}
+
+pub fn routes(context: &Context) -> Result<Vec<Series>, SlopeError> {
+    let files_of = |routes| NodeFiles { routes, ..NodeFiles::default() };
+    let (memory, cpu) = by_files(context, &[1_000, 10_000, 25_000, 49_000], files_of)?;
+    Ok(vec![
+        series(("node-memory-by-routes", "routes in the operators' file"), "bytes", memory),
+        series(("node-start-cpu-by-routes", "routes in the operators' file"), "CPU seconds", cpu),
+    ])
+}
+
+pub fn methods(context: &Context) -> Result<Vec<Series>, SlopeError> {
+    let files_of = |methods| NodeFiles { methods, ..NodeFiles::default() };
+    let (memory, cpu) = by_files(context, &[1_000, 10_000, 25_000, 49_000], files_of)?;
+    Ok(vec![
+        series(("node-memory-by-methods", "methods in the node's file"), "bytes", memory),
+        series(("node-start-cpu-by-methods", "methods in the node's file"), "CPU seconds", cpu),
+    ])
+}
+
+pub fn tenants(context: &Context) -> Result<Vec<Series>, SlopeError> {
+    let files_of = |tenants| NodeFiles { tenants, ..NodeFiles::default() };
+    let (memory, cpu) = by_files(context, &[1_000, 50_000, 200_000, 410_000], files_of)?;
+    Ok(vec![
+        series(("node-memory-by-tenants", "tenants in the node's file"), "bytes", memory),
+        series(("node-start-cpu-by-tenants", "tenants in the node's file"), "CPU seconds", cpu),
+    ])
+}
+
+pub fn endpoints(context: &Context) -> Result<Vec<Series>, SlopeError> {
+    let files_of = |endpoints| NodeFiles { endpoints, ..NodeFiles::default() };
+    let (memory, cpu) = by_files(context, &[100, 500, 1_000, 2_500], files_of)?;
+    Ok(vec![
+        series(("node-memory-by-endpoints", "endpoints upstream"), "bytes", memory),
+        series(("node-start-cpu-by-endpoints", "endpoints upstream"), "CPU seconds", cpu),
+    ])
+}
+
+/// Connections that had one heartbeat answered and then rest.
+pub fn connections(context: &Context) -> Result<Vec<Series>, SlopeError> {
+    let node = NodeUnderTest::start(context.program, NodeFiles::default(), "")?;
+    let before = node.process.descriptors()?;
+    let mut open: Vec<TcpStream> = Vec::new();
+    let (mut memory, mut descriptors) = (Vec::new(), Vec::new());
+    for count in sizes(context, &[1_000, 2_000, 4_000, 8_000]) {
+        while open.len() < count {
+            open.push(rested_connection(&node)?);
+        }
+        let size = count as f64;
+        memory.push(Point { size, value: node.process.resident_bytes()? });
+        descriptors.push(Point { size, value: node.process.descriptors()?.saturating_sub(before) as f64 });
+    }
+    let size_unit = "resting JSON-RPC connections";
+    let note = "VmRSS of one node while connections are added; each had one heartbeat answered";
+    Ok(vec![
+        Series {
+            name: "node-memory-by-connections",
+            size_unit,
+            value_unit: "bytes",
+            points: memory,
+            note: note.into(),
+        },
+        Series {
+            name: "node-descriptors-by-connections",
+            size_unit,
+            value_unit: "descriptors",
+            points: descriptors,
+            note: "descriptors of the node beyond those after its start".into(),
+        },
+    ])
+}
+
+fn rested_connection(node: &NodeUnderTest) -> Result<TcpStream, SlopeError> {
+    let mut stream = TcpStream::connect_timeout(&node.json_address, PATIENCE)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.write_all(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"heartbeat\",\"params\":{}}\n")?;
+    let mut answer = String::new();
+    BufReader::new(&stream).read_line(&mut answer)?;
+    if answer.is_empty() {
+        return Err(SlopeError::Lab("the node closed a resting connection".into()));
+    }
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/ochrewalk-lab/tests/slopes.rs
@@ -0,0 +1,39 @@
+//! Lines through points that are known, and points that no line is fitted to.
+
+use ochrewalk_lab::slopes::fit::{fit, FitError};
+use ochrewalk_lab::slopes::model::Point;
+
+fn points(of: &[(f64, f64)]) -> Vec<Point> {
+    of.iter().map(|(size, value)| Point { size: *size, value: *value }).collect()
+}
+
+fn is_close(left: f64, right: f64) -> bool {
+    (left - right).abs() < 1e-9
+}
+
+#[test]
+fn points_on_a_line_give_it_back_without_deviation() {
+    let fit = fit(&points(&[(1.0, 12.0), (2.0, 14.0), (5.0, 20.0), (10.0, 30.0)])).unwrap();
+    assert!(is_close(fit.slope, 2.0) && is_close(fit.intercept, 10.0), "{fit:?}");
+    assert!(is_close(fit.largest_deviation, 0.0) && is_close(fit.r_squared, 1.0), "{fit:?}");
+}
+
+#[test]
+fn the_largest_deviation_and_r_squared_tell_how_far_points_lie_off() {
+    // By hand: both means are 2.5, the line is 1 + 0.6 x, and the second point lies 1.2 below it.
+    let fit = fit(&points(&[(1.0, 2.0), (2.0, 1.0), (3.0, 4.0), (4.0, 3.0)])).unwrap();
+    assert!(is_close(fit.slope, 0.6) && is_close(fit.intercept, 1.0), "{fit:?}");
+    assert!(is_close(fit.largest_deviation, 1.2) && is_close(fit.r_squared, 0.36), "{fit:?}");
+}
+
+#[test]
+fn values_that_are_all_equal_make_a_level_line() {
+    let fit = fit(&points(&[(1.0, 7.0), (2.0, 7.0), (3.0, 7.0)])).unwrap();
+    assert!(is_close(fit.slope, 0.0) && is_close(fit.intercept, 7.0) && is_close(fit.r_squared, 1.0));
+}
+
+#[test]
+fn too_few_points_and_points_of_one_size_are_refused() {
+    assert_eq!(fit(&points(&[(1.0, 1.0), (2.0, 2.0)])), Err(FitError::TooFewPoints { count: 2 }));
+    assert_eq!(fit(&points(&[(1.0, 1.0), (1.0, 2.0), (1.0, 3.0)])), Err(FitError::OneSize));
+}
