--- a/crates/ochrewalk-lab/src/capacity/catalog.rs
+++ b/crates/ochrewalk-lab/src/capacity/catalog.rs
@@ -11,6 +11,12 @@
 /// Relays of a region, so that one may be lost.
 pub const RELAYS_PER_REGION: f64 = 2.0;
 
+/// All of the files of the node that holds everything, as the slopes by parts of it count.
+const WHOLE_PERCENT: f64 = 100.0;
+
+/// As in `deploy/node.json`.
+const KEY_WINDOW_S: f64 = 20.0;
+
 /// What carries a part of the load, or that nothing does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mechanism {
@@ -143,11 +149,27 @@
         memory("memory with all tenants in its file", "node-memory-by-tenants", size.tenants),
         memory("memory with all routes distributed to it", "node-memory-by-distributed-routes", size.routes),
         memory("memory with all nodes as endpoints upstream", "node-memory-by-endpoints", size.nodes),
+        memory("memory with all of its files at once, settled", "node-memory-whole", WHOLE_PERCENT),
+        memory(
+            "the most memory with all of its files at once, at the start",
+            "node-peak-memory-whole-at-start",
+            WHOLE_PERCENT,
+        ),
+        memory(
+            "the most memory with all of its files at once, once they were read again",
+            "node-peak-memory-whole-at-reload",
+            WHOLE_PERCENT,
+        ),
         memory(
             "memory with one connection of each caller, callers spread evenly",
             "node-memory-by-connections",
             (size.callers / size.nodes).ceil(),
         ),
+        memory(
+            "memory if each RPC at the peak had an idempotency key, remembered for 20 s",
+            "node-memory-by-idempotency-keys",
+            size.rpcs_per_node() * KEY_WINDOW_S,
+        ),
         memory("memory with a connection of every caller", "node-memory-by-connections", size.callers),
         demand(
             NODE,
--- a/crates/ochrewalk-lab/src/capacity/page.rs
+++ b/crates/ochrewalk-lab/src/capacity/page.rs
@@ -11,6 +11,8 @@
 Made by `ochrewalk-lab capacity` from `docs/measurements/slopes.json` and a file of `deploy/sizes`; not written by hand.
 A value is that of a line fitted to measured points, at the size asked for. \"Extrapolated\" is that size over the largest
 measured. The residual is the largest deviation of a point from its line. Where nothing was measured it says so.
+The budgets are those for control; callers' connections and idempotency keys are held against the same memory, as no other
+budget for a node's memory is given.
 ";
 const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 const BYTES_PER_KB: f64 = 1_000.0;
@@ -32,6 +34,7 @@
         whole_node(slopes, size),
         latency(slopes, size),
         mechanisms(),
+        messages(size),
         topology(slopes, size),
         failures(slopes, size),
         slope_table(slopes),
@@ -145,8 +148,8 @@
     let verdict = if total <= budget { "within" } else { "**over budget**," };
     format!(
         "{title}All routes in the operators' file, as many methods, all tenants, all nodes as endpoints, and its part of the \
-         callers come to {} by adding up the lines, {verdict} the {} of a node. Measured together: {NOT_MEASURED}. The peak \
-         while files are read or read again: {NOT_MEASURED}.\n",
+         callers come to {} by adding up the lines, {verdict} the {} of a node. The table \
+         above says what was measured of files held together, and at the peak when they are read.\n",
         show(total, Unit::Bytes),
         show(budget, Unit::Bytes)
     )
@@ -215,6 +218,27 @@
     text
 }
 
+/// Counted from the size alone: each change goes on to all relays and all nodes of a region, and each answers one report.
+fn messages(size: &FleetSize) -> String {
+    let rate = size.changes_per_second();
+    let relays = size.regions * RELAYS_PER_REGION;
+    let nodes = size.nodes_per_region();
+    let row = |role: &str, taken: f64, sent: f64, connections: f64| {
+        format!("| {role} | {taken:.2} | {sent:.2} | {connections:.0} |\n")
+    };
+    [
+        "## Messages a second\n\nBy the mean rate of changes, each sent by itself to all nodes and reported back; counted, not measured. \
+         With one relay of each region lost. Heartbeats, directory's reports and RPCs are not counted.\n\n\
+         | role | taken | sent | connections |\n| --- | --- | --- | --- |\n"
+            .to_string(),
+        row("publisher", rate + rate * relays, rate * relays, relays),
+        row("relay", rate + rate * nodes, rate + rate * nodes, nodes + 1.0),
+        row("node", rate, rate, 1.0),
+        format!("\nThe time until a change is in force, to be {} s at most: {NOT_MEASURED}.\n", size.change_in_force_within_s),
+    ]
+    .concat()
+}
+
 fn topology(slopes: &SlopeSet, size: &FleetSize) -> String {
     let relays = size.regions * RELAYS_PER_REGION;
     let used = relays + PUBLISHERS;
--- a/crates/ochrewalk-lab/src/slopes/mod.rs
+++ b/crates/ochrewalk-lab/src/slopes/mod.rs
@@ -3,6 +3,7 @@
 
 mod control_plane;
 pub mod fit;
+mod idempotency_keys;
 pub mod model;
 mod node_state;
 mod node_under_test;
@@ -67,13 +68,15 @@
     measure: Measure,
 }
 
-const MEASUREMENTS: [Measurement; 10] = [
+const MEASUREMENTS: [Measurement; 12] = [
     Measurement { name: "routes", measure: node_state::routes },
     Measurement { name: "methods", measure: node_state::methods },
     Measurement { name: "tenants", measure: node_state::tenants },
     Measurement { name: "endpoints", measure: node_state::endpoints },
+    Measurement { name: "whole", measure: node_state::whole },
     Measurement { name: "connections", measure: node_state::connections },
     Measurement { name: "rpcs", measure: rpc_load::rpcs },
+    Measurement { name: "keys", measure: idempotency_keys::keys },
     Measurement { name: "resources", measure: control_plane::resources },
     Measurement { name: "subscribers", measure: control_plane::subscribers },
     Measurement { name: "node-changes", measure: control_plane::node_changes },
--- a/crates/ochrewalk-lab/src/slopes/node_state.rs
+++ b/crates/ochrewalk-lab/src/slopes/node_state.rs
@@ -9,6 +9,10 @@
 use std::time::Duration;
 
 const PATIENCE: Duration = Duration::from_secs(5);
+/// A node uses less than that share of a core when it has nothing to do.
+const SHARE_AT_REST: f64 = 0.1;
+const BETWEEN_LOOKS_FOR_REST: Duration = Duration::from_millis(1_500);
+const LOOKS_FOR_REST: u32 = 15;
 
 /// Sizes of a quick run are a hundredth.
 fn sizes(context: &Context, full: &[usize]) -> Vec<usize> {
@@ -80,6 +84,57 @@
     ])
 }
 
+/// Routes, methods, tenants and endpoints at once, each at the same part of the largest size measured.
+pub fn whole(context: &Context) -> Result<Vec<Series>, SlopeError> {
+    let (mut settled, mut peak_at_start, mut peak_at_reload) = (Vec::new(), Vec::new(), Vec::new());
+    for percent in [25, 50, 75, 100] {
+        let part = if context.is_quick { percent / 25 } else { 100 * percent };
+        let files = NodeFiles {
+            routes: 49_000 * part / 10_000,
+            methods: 49_000 * part / 10_000,
+            tenants: 410_000 * part / 10_000,
+            endpoints: 2_500 * part / 10_000,
+        };
+        let node = NodeUnderTest::start(context.program, files, "")?;
+        let size = part as f64 / 100.0;
+        settled.push(Point { size, value: node.process.resident_bytes()? });
+        peak_at_start.push(Point { size, value: node.process.peak_bytes()? });
+        let before = node.process.cpu_seconds()?;
+        node.process.reload()?;
+        wait_for_rest(&node, before)?;
+        peak_at_reload.push(Point { size, value: node.process.peak_bytes()? });
+    }
+    let note =
+        "routes, methods, tenants and endpoints together; 100 stands for 49,000, 49,000, 410,000 and 2,500";
+    let series = |name, points| Series {
+        name,
+        size_unit: "per cent of the whole node's state",
+        value_unit: "bytes",
+        points,
+        note: note.into(),
+    };
+    Ok(vec![
+        series("node-memory-whole", settled),
+        series("node-peak-memory-whole-at-start", peak_at_start),
+        series("node-peak-memory-whole-at-reload", peak_at_reload),
+    ])
+}
+
+/// Waits until the node has begun to use CPU time since `before`, and uses next to none any more.
+fn wait_for_rest(node: &NodeUnderTest, before: f64) -> Result<(), SlopeError> {
+    let mut latest = before;
+    for look in 0..LOOKS_FOR_REST {
+        std::thread::sleep(BETWEEN_LOOKS_FOR_REST);
+        let used = node.process.cpu_seconds()?;
+        let share = (used - latest) / BETWEEN_LOOKS_FOR_REST.as_secs_f64();
+        latest = used;
+        if look > 0 && share < SHARE_AT_REST {
+            return Ok(());
+        }
+    }
+    Err(SlopeError::NeverSeen("the node at rest after a reload".into()))
+}
+
 /// Connections that had one heartbeat answered and then rest.
 pub fn connections(context: &Context) -> Result<Vec<Series>, SlopeError> {
     let node = NodeUnderTest::start(context.program, NodeFiles::default(), "")?;
--- a/crates/ochrewalk-lab/src/slopes/node_under_test.rs
+++ b/crates/ochrewalk-lab/src/slopes/node_under_test.rs
@@ -18,6 +18,8 @@
 /// Descriptors that the node may use: more than any measurement opens.
 const NODE_DESCRIPTORS: u64 = 12_000;
 const FRONT_CONNECTIONS: u64 = 300;
+/// How long idempotency keys are remembered: longer than a measurement takes.
+const KEY_WINDOW_NS: u64 = 600_000_000_000;
 const HEARTBEAT_PATIENCE: Duration = Duration::from_millis(500);
 /// After the start, until memory that is only used then has been given back.
 const SETTLING: Duration = Duration::from_millis(700);
@@ -95,6 +97,7 @@
     let calls = vec![false; METHODS.len() + files.methods];
     settings["extra"]["calls-by-class"] = json!(calls);
     if let Some(categories) = settings["categories"].as_array_mut() {
+        categories.iter_mut().for_each(|category| category["window-ns"] = KEY_WINDOW_NS.into());
         let method = categories[0].clone();
         categories.extend((0..files.methods).map(|number| {
             let mut category = method.clone();
@@ -112,7 +115,8 @@
 fn operators_file(files: NodeFiles, ajp_address: SocketAddr, more: &str) -> String {
     let mut text = format!(
         "ajp listen {ajp_address}\najp allow 127.0.0.0/8\najp connections {FRONT_CONNECTIONS}\n\
-         ajp memory 20.5\najp route GET /items/{{}} part-lookup\n"
+         ajp memory 20.5\najp route GET /items/{{}} part-lookup\n\
+         ajp route POST /sales order-record\n"
     );
     for number in 0..files.routes {
         let _ = writeln!(text, "ajp route GET /service-{:03}/item-{number:06} part-lookup", number % 200);
--- a/crates/ochrewalk-lab/src/slopes/process.rs
+++ b/crates/ochrewalk-lab/src/slopes/process.rs
@@ -1,7 +1,7 @@
 //! Programs under measurement: started, killed when dropped, and their CPU time and memory read from `/proc`.
 
 use super::SlopeError;
-use rustix::process::{set_parent_process_death_signal, Signal};
+use rustix::process::{kill_process, set_parent_process_death_signal, Pid, Signal};
 use std::ffi::OsStr;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
@@ -37,12 +37,27 @@
 
     /// Resident memory (VmRSS) in bytes.
     pub fn resident_bytes(&self) -> Result<f64, SlopeError> {
+        self.memory_bytes("VmRSS:")
+    }
+
+    /// The most resident memory that there ever was (VmHWM), in bytes.
+    pub fn peak_bytes(&self) -> Result<f64, SlopeError> {
+        self.memory_bytes("VmHWM:")
+    }
+
+    fn memory_bytes(&self, field: &str) -> Result<f64, SlopeError> {
         let status = self.read("status")?;
-        let of = |line: &str| line.strip_prefix("VmRSS:")?.split_whitespace().next()?.parse::<f64>().ok();
+        let of = |line: &str| line.strip_prefix(field)?.split_whitespace().next()?.parse::<f64>().ok();
         let kilobytes = status.lines().find_map(of).ok_or(SlopeError::Ended)?;
         Ok(kilobytes * BYTES_PER_KB)
     }
 
+    /// Has it read its files again.
+    pub fn reload(&self) -> Result<(), SlopeError> {
+        let pid = Pid::from_raw(self.child.id() as i32).ok_or(SlopeError::Ended)?;
+        Ok(kill_process(pid, Signal::HUP).map_err(std::io::Error::from)?)
+    }
+
     /// CPU time used by all its threads, in seconds.
     pub fn cpu_seconds(&self) -> Result<f64, SlopeError> {
         let mut nanoseconds = 0.0;
--- a/crates/ochrewalk-lab/tests/slopes.rs
+++ b/crates/ochrewalk-lab/tests/slopes.rs
@@ -1,7 +1,8 @@
-//! Lines through points that are known, and points that no line is fitted to.
+//! Lines through points that are known, points that no line is fitted to, and measurements that are taken again.
 
 use ochrewalk_lab::slopes::fit::{fit, FitError};
-use ochrewalk_lab::slopes::model::Point;
+use ochrewalk_lab::slopes::merge;
+use ochrewalk_lab::slopes::model::{Fit, Machine, Point, Slope, SlopeSet};
 
 fn points(of: &[(f64, f64)]) -> Vec<Point> {
     of.iter().map(|(size, value)| Point { size: *size, value: *value }).collect()
@@ -37,3 +38,33 @@
     assert_eq!(fit(&points(&[(1.0, 1.0), (2.0, 2.0)])), Err(FitError::TooFewPoints { count: 2 }));
     assert_eq!(fit(&points(&[(1.0, 1.0), (1.0, 2.0), (1.0, 3.0)])), Err(FitError::OneSize));
 }
+
+fn set(slopes: &[(&str, f64)], failed: &[&str], load: &str) -> SlopeSet {
+    let slope = |(name, slope): &(&str, f64)| Slope {
+        name: (*name).into(),
+        size_unit: "things".into(),
+        value_unit: "units".into(),
+        points: Vec::new(),
+        fit: Fit { intercept: 0.0, slope: *slope, largest_deviation: 0.0, r_squared: 1.0 },
+        largest_size: 1.0,
+        command: format!("ochrewalk-lab slopes --only {name}"),
+        note: String::new(),
+    };
+    SlopeSet {
+        machine: Machine { cores: 1, load_before: load.into(), load_after: load.into(), note: String::new() },
+        slopes: slopes.iter().map(slope).collect(),
+        failed: failed.iter().map(|failed| failed.to_string()).collect(),
+    }
+}
+
+#[test]
+fn a_measurement_taken_again_replaces_its_slope_and_ends_its_failure() {
+    let earlier = set(&[("routes", 1.0), ("tenants", 2.0)], &["keys: it ended", "rpcs: it ended"], "1");
+    let newer = set(&[("routes", 3.0), ("keys", 4.0)], &["tenants: refused"], "9");
+    let merged = merge(earlier, newer);
+    let slope = |name: &str| merged.get(name).map(|slope| slope.fit.slope);
+    assert_eq!((slope("routes"), slope("tenants"), slope("keys")), (Some(3.0), Some(2.0), Some(4.0)));
+    assert_eq!(merged.failed, ["rpcs: it ended", "tenants: refused"]);
+    // From before the first measurement to after the last.
+    assert_eq!((merged.machine.load_before.as_str(), merged.machine.load_after.as_str()), ("1", "9"));
+}
