--- a/crates/ochrewalk-lab/src/emulated.rs
+++ b/crates/ochrewalk-lab/src/emulated.rs
@@ -108,6 +108,8 @@
     pub served: usize,
     /// Calls that arrived at each place, by window.
     pub windows: Vec<Vec<u32>>,
+    /// When each call arrived at each endpoint, in order.
+    pub arrivals: Vec<Vec<u64>>,
     /// The most calls to one place in a tenth of a second.
     pub burst: u32,
     pub longest_queue: usize,
@@ -139,6 +141,13 @@
         served as f64 / (served + lost).max(1) as f64
     }
 
+    /// How many calls arrived at an endpoint from one moment to another.
+    pub fn arrived_between(&self, endpoint: usize, from_us: u64, until_us: u64) -> usize {
+        let arrivals = &self.arrivals[endpoint];
+        let before = |moment_us: u64| arrivals.partition_point(|at_us| *at_us < moment_us);
+        before(until_us) - before(from_us)
+    }
+
     /// Calls for each core of these places in each whole window from there on; the worst window of each figure.
     pub fn evenness(&self, places: &[usize], from_window: usize) -> Evenness {
         let mut worst = Evenness::default();
@@ -276,6 +285,7 @@
         seen: Seen {
             cores: fleet.cores.clone(),
             windows: vec![vec![0; fleet.places]; windows],
+            arrivals: vec![Vec::new(); fleet.places],
             ..Seen::default()
         },
     };
@@ -437,6 +447,7 @@
         if let Some(counts) = self.seen.windows.get_mut(window) {
             counts[place] += 1;
         }
+        self.seen.arrivals[place].push(self.now_us);
         let at = &mut self.places[place];
         if self.now_us >= at.burst_from_us + BURST_US {
             (at.burst_from_us, at.burst) = (self.now_us, 0);
--- a/crates/ochrewalk-lab/src/lib.rs
+++ b/crates/ochrewalk-lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod ajp;
 pub mod book;
 pub mod changes;
+pub mod cold_endpoints;
 pub mod emulated;
 pub mod executor;
 pub mod faults;
