--- a/crates/ochrewalk-places/benches/choice.rs
+++ b/crates/ochrewalk-places/benches/choice.rs
@@ -2,7 +2,7 @@
 //! `cargo bench -p ochrewalk-places`
 
 use ochrewalk_places::{Bounds, Places, Said, Settled, Wire};
-use ochrewalk_spread::{Kind, Listed, News, Plan, Spread};
+use ochrewalk_spread::{Cause, Kind, Listed, News, Plan, Spread};
 use std::time::Instant;
 
 #[derive(Default)]
@@ -28,9 +28,13 @@
     (0..places).map(Listed::plain).collect()
 }
 
-fn choice(kind: Kind, places: u64) -> f64 {
+/// The mean cost of a choice while the first `out` endpoints are out; their probes fail.
+fn choice(kind: Kind, places: u64, out: usize) -> f64 {
     let mut spread = Spread::new(Plan { kind, ..Plan::default() }, 7);
     spread.list(0, &listed(places));
+    for slot in 0..out {
+        (0..3).for_each(|_| spread.failed(0, slot, Cause::Unreached));
+    }
     let (mut now_us, mut spent) = (0, 0.0);
     for call in 0..ROUNDS {
         now_us += 100;
@@ -38,7 +42,7 @@
         let slot = spread.pick(now_us, true, None).expect("all take");
         spent += from.elapsed().as_nanos() as f64;
         spread.given(now_us, slot, call);
-        spread.ended(now_us + 50, slot, call, News::Served);
+        spread.ended(now_us + 50, slot, call, if slot < out { News::Unreached } else { News::Served });
     }
     spent / ROUNDS as f64
 }
@@ -68,9 +72,17 @@
 }
 
 fn main() {
-    println!("{:>8}{:>14}{:>14}{:>26}", "places", "rounds ns", "fastest ns", "whole call ns at links");
+    println!(
+        "{:>8}{:>14}{:>14}{:>16}{:>16}{:>26}",
+        "places", "rounds ns", "fastest ns", "one out ns", "tenth out ns", "whole call ns at links"
+    );
     for (places, links) in [(10, 100), (100, 1_000), (1_000, 10_000)] {
-        let (ours, before) = (choice(Kind::Rounds, places), choice(Kind::Fastest, places));
-        println!("{places:>8}{ours:>14.0}{before:>14.0}{:>18.0} {links:>7}", whole(places, links));
+        let (ours, before) = (choice(Kind::Rounds, places, 0), choice(Kind::Fastest, places, 0));
+        let one_out = choice(Kind::Rounds, places, 1);
+        let tenth_out = choice(Kind::Rounds, places, places as usize / 10);
+        println!(
+            "{places:>8}{ours:>14.0}{before:>14.0}{one_out:>16.0}{tenth_out:>16.0}{:>18.0} {links:>7}",
+            whole(places, links)
+        );
     }
 }
