A scale run of configuration distribution with real processes

The control plane had been shown with a publisher, two relays and one node. The laboratory's new command scale starts a real publisher, real relays of all regions and some real nodes, and simulates the other nodes as subscribers on shared event loops. It publishes changes at a rate, injects one fault, and compares every simulated node's state with the publisher's at the end; the last line is JSON.

Full size and faults are not run yet.

--- a/crates/ochrewalk-lab/src/lib.rs
+++ b/crates/ochrewalk-lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod pooled;
 pub mod relays;
 pub mod rollouts;
+pub mod scale;
 pub mod spreads;
 pub mod upgrades;
 pub mod wires;
--- a/crates/ochrewalk-lab/src/main.rs
+++ b/crates/ochrewalk-lab/src/main.rs
@@ -6,6 +6,7 @@
 use ochrewalk_lab::load::{play, Outcome, Plan, Protocols, METHODS};
 use ochrewalk_lab::node::program;
 use ochrewalk_lab::pooled::Fleet;
+use ochrewalk_lab::scale::{self, HollowOptions, ScaleOptions};
 use ochrewalk_lab::spreads::Asked;
 use ochrewalk_lab::{rollouts, upgrades};
 use serde_json::json;
@@ -127,6 +128,11 @@
         #[arg(long, value_name = "FILE")]
         plot: Option<std::path::PathBuf>,
     },
+    /// Distribution of configuration to a fleet of real processes and simulated nodes; the last line is JSON
+    Scale(ScaleOptions),
+    /// The simulated nodes of one process of `scale`, driven by lines on standard input
+    #[command(hide = true)]
+    ScaleHollow(HollowOptions),
     /// How evenly nodes load places, on real processes with links between them; the last line is JSON
     Spread {
         #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(1..=1_000))]
@@ -218,6 +224,10 @@
                 asked.real(&program()?)
             }
         }
+        Command::Scale(options) => scale::run(&options, &program()?).map_err(|why| why.to_string()),
+        Command::ScaleHollow(options) => {
+            scale::run_hollow(options).map(|()| true).map_err(|why| why.to_string())
+        }
         Command::Upgrade { seconds, seed, every, load, fail } => {
             let every = Duration::from_millis(every);
             upgrades::Asked { seconds, seed, every, load, fail, log: line.log_of_node() }.run(&program()?)
--- a/crates/ochrewalk-lab/src/node.rs
+++ b/crates/ochrewalk-lab/src/node.rs
@@ -153,6 +153,11 @@
         let _ = self.child.wait();
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The processes that it has started and keeps.
     pub fn children(&self) -> Vec<u32> {
         let path = format!("/proc/{0}/task/{0}/children", self.child.id());
