Slow subscribers of a scale run take little into their buffers

50 subscribers of 100 scopes each fit into the system's buffers, so that a relay hardly noticed them. They now ask for 400 scopes and have receive buffers of 4,096 bytes.

Whether the relay's writes were refused was not observed.

--- a/crates/ochrewalk-lab/src/scale/run.rs
+++ b/crates/ochrewalk-lab/src/scale/run.rs
@@ -12,9 +12,10 @@
 use ochrewalk_distribution::messages::{Body, Position, Resource, Status, Subscribe, PROTOCOL_VERSION};
 use ochrewalk_distribution::MAX_BATCH_CHANGES;
 use rustix::process::Signal;
+use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeSet, VecDeque};
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -28,7 +29,9 @@
 const RESTING: Duration = Duration::from_secs(3);
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Scopes that a slow subscriber asks for.
-const SLOW_SCOPES: u64 = 100;
+const SLOW_SCOPES: u64 = 400;
+/// The receive buffer of a slow subscriber, so that the relay's writes are refused soon.
+const SLOW_RECEIVE_BYTES: usize = 4_096;
 /// The route of a bad change: it is of the first real node's scope.
 const BAD_ROUTE: u64 = 0;
 
@@ -282,7 +285,7 @@
         let shape = &self.options.shape;
         let relay = shape.relay_address(self.network, 0, 0);
         for number in 0..SLOW_NODES {
-            let mut stream = TcpStream::connect(relay)?;
+            let mut stream = connect_with_little_room(relay)?;
             let subscribe = Subscribe {
                 version: PROTOCOL_VERSION,
                 node: format!("slow-{number}"),
@@ -351,6 +354,14 @@
     }
 }
 
+/// A connection on which the system takes little that nobody reads.
+fn connect_with_little_room(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_recv_buffer_size(SLOW_RECEIVE_BYTES)?;
+    socket.connect(&address.into())?;
+    Ok(socket.into())
+}
+
 /// Whether as many relays as there are have all that is published.
 fn are_relays_at_head(plane: &ControlPlane, relays: u64) -> bool {
     let Ok(status) = plane.status() else { return false };
