--- a/crates/ochrewalk-lab/src/lib.rs
+++ b/crates/ochrewalk-lab/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pooled;
 pub mod relays;
 pub mod rollouts;
+pub mod scale;
 pub mod slopes;
 pub mod spreads;
 pub mod upgrades;
