One owner's check and one control socket, and what nobody calls in the control plane is out

Cause: reading the whole change once more: is_owner and the binding of a socket for its owner stood in the node and again in the control plane; Agent::watch, interest and head, SubscriberServer::peer_count and bytes_out and Relay::subscribers had no caller. Change: control::is_owner and control::bind serve upgrades, the status table, rollouts and the publisher; the rest is taken out.

--- a/crates/ochrewalk-control-plane/src/agent.rs
+++ b/crates/ochrewalk-control-plane/src/agent.rs
@@ -4,7 +4,7 @@
 use crate::connection::{Connection, ConnectionError};
 use crate::frame::MAX_SUBSCRIBER_FRAME;
 use mio::{Registry, Token};
-use ochrewalk_distribution::messages::{Body, Position, RegionStatus, ResourceName, Watch};
+use ochrewalk_distribution::messages::{Body, Position, RegionStatus, ResourceName};
 use ochrewalk_distribution::{
     Choice, CompleteUpdate, DemandSet, DemandState, Interest, NoRelays, Received, RelayChoice,
     RelayChoiceLimits, Subscription, SubscriptionLimits,
@@ -70,8 +70,7 @@
     probe: Option<(Connection, u64)>,
     probe_token: Token,
     counters: AgentCounters,
-    /// The latest position that the relay named, and how old the relay's own state was.
-    head: Option<Position>,
+    /// How old the relay's own state was when it was heard last.
     source_age_ms: u64,
     /// More may wait to be read, and the event loop will not say so again.
     has_unread: bool,
@@ -94,7 +93,6 @@
             probe: None,
             probe_token: Token(token.0 + 1),
             counters: AgentCounters::default(),
-            head: None,
             source_age_ms: 0,
             has_unread: false,
         })
@@ -105,11 +103,6 @@
         self.subscription.position()
     }
 
-    /// The latest position heard of; the one in force may be behind it.
-    pub fn head(&self) -> Option<Position> {
-        self.head
-    }
-
     /// How long ago the publisher's word was fresh, as far as is known: the time since anything was heard, and the age
     /// that the relay's own state had then.
     pub fn age_ms(&self, now_us: u64) -> Option<u64> {
@@ -265,7 +258,6 @@
         match body {
             Body::Update(update) => {
                 self.is_served();
-                self.head = self.head.max(Some(update.position));
                 let received = self.subscription.received(update);
                 match received.map_err(|why| ConnectionError::Protocol(why.to_string()))? {
                     Received::More => Ok(()),
@@ -274,7 +266,6 @@
             }
             Body::Heartbeat(heartbeat) => {
                 self.is_served();
-                self.head = self.head.max(Some(heartbeat.position));
                 self.source_age_ms = heartbeat.age_ms;
                 Ok(())
             }
@@ -370,19 +361,6 @@
         self.subscription.reset();
         self.has_unread = false;
     }
-
-    /// What is wanted at present.
-    pub fn interest(&self) -> &Interest {
-        self.subscription.interest()
-    }
-
-    /// A watch of names added and removed at once, for owners that keep no demand set.
-    pub fn watch(&mut self, watch: Watch) {
-        self.subscription.watch(&watch);
-        if let Link::Subscribed { connection } = &mut self.link {
-            let _ = connection.send(Body::Watch(watch));
-        }
-    }
 }
 
 /// Reads what has come, up to a bound. True where more may wait.
--- a/crates/ochrewalk-control-plane/src/control.rs
+++ b/crates/ochrewalk-control-plane/src/control.rs
@@ -59,7 +59,9 @@
     Ok(receiver)
 }
 
-fn bind(path: &Path) -> io::Result<UnixListener> {
+/// A socket for this user alone, in the place of one that may still be there: of a program that was killed or has handed
+/// over.
+pub fn bind(path: &Path) -> io::Result<UnixListener> {
     let mut beside = path.as_os_str().to_owned();
     beside.push(".new");
     let beside = PathBuf::from(beside);
@@ -91,7 +93,8 @@
     stream.write_all(&out)
 }
 
-fn is_owner(stream: &UnixStream) -> bool {
+/// Whether the other side is a process of this user, or of root.
+pub fn is_owner(stream: &UnixStream) -> bool {
     let own = rustix::process::geteuid();
     socket_peercred(stream).is_ok_and(|peer| peer.uid == own || peer.uid.is_root())
 }
--- a/crates/ochrewalk-control-plane/src/relay.rs
+++ b/crates/ochrewalk-control-plane/src/relay.rs
@@ -101,11 +101,6 @@
         self.subscribers.address()
     }
 
-    /// What it serves, for measurements.
-    pub fn subscribers(&self) -> &SubscriberServer {
-        &self.subscribers
-    }
-
     /// Serves until `stop` is set; it is looked at twice a second at least.
     pub fn run(&mut self, stop: &AtomicBool) -> Result<(), RelayError> {
         let mut events = Events::with_capacity(EVENTS_AT_ONCE);
--- a/crates/ochrewalk-control-plane/src/subscriber_server.rs
+++ b/crates/ochrewalk-control-plane/src/subscriber_server.rs
@@ -60,8 +60,6 @@
     unread: HashSet<Token>,
     /// What relays told, by their names.
     regions: BTreeMap<String, RegionStatus>,
-    /// Bytes sent to peers that have gone.
-    bytes_out_before: u64,
 }
 
 impl SubscriberServer {
@@ -83,7 +81,6 @@
             ready: HashSet::new(),
             unread: HashSet::new(),
             regions: BTreeMap::new(),
-            bytes_out_before: 0,
         })
     }
 
@@ -97,16 +94,6 @@
         self.regions.values()
     }
 
-    /// Connections there are.
-    pub fn peer_count(&self) -> usize {
-        self.peers.len()
-    }
-
-    /// Bytes sent to all peers so far.
-    pub fn bytes_out(&self) -> u64 {
-        self.bytes_out_before + self.peers.values().map(|peer| peer.connection.bytes_out).sum::<u64>()
-    }
-
     /// The state has changed: there may be something for everybody.
     pub fn state_changed(&mut self) {
         self.ready.extend(self.peers.keys());
@@ -283,7 +270,6 @@
             self.regions.remove(relay);
             tracing::info!(part = "config", "relay {relay} is gone: {why}");
         }
-        self.bytes_out_before += peer.connection.bytes_out;
         self.ready.remove(&token);
         self.unread.remove(&token);
         peer.connection.deregister(registry);
--- a/crates/ochrewalk-node/src/moving/keeper.rs
+++ b/crates/ochrewalk-node/src/moving/keeper.rs
@@ -5,9 +5,9 @@
 use super::orders::{self, Deed, Image, Ordered, Orders, Serving};
 use super::warden::{Warden, Wish};
 use super::wire::{inherit, lines, send_line};
+use ochrewalk_control_plane::control::is_owner;
 use ochrewalk_rollout::messages::{self, Request};
 use ochrewalk_rollout::Outcome;
-use rustix::net::sockopt::socket_peercred;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
@@ -481,12 +481,6 @@
     }
 }
 
-/// Whether the other end is the same user, or root.
-pub fn is_owner(stream: &UnixStream) -> bool {
-    let own = rustix::process::geteuid();
-    socket_peercred(stream).is_ok_and(|peer| peer.uid == own || peer.uid.is_root())
-}
-
 fn wait(mut child: Child, said: JoinHandle<()>, number: u64, on_end: &Sender<Event>) {
     let status = child.wait().ok();
     // Guards against an end that is heard before the last words: a program that has handed over would seem to have ended
--- a/crates/ochrewalk-node/src/net/status.rs
+++ b/crates/ochrewalk-node/src/net/status.rs
@@ -1,11 +1,10 @@
 //! How places below stand, for operators: a table on a Unix socket of the node's owner.
 
 use super::ajp_below::AjpBelow;
-use crate::moving::keeper::is_owner;
+use ochrewalk_control_plane::control::{bind, is_owner};
 use std::io::{Read, Write};
-use std::os::unix::fs::PermissionsExt;
-use std::os::unix::net::{UnixListener, UnixStream};
-use std::path::{Path, PathBuf};
+use std::os::unix::net::UnixStream;
+use std::path::Path;
 use std::time::Duration;
 
 /// Guards against one who asks and does not read.
@@ -13,7 +12,7 @@
 
 /// Answers there by a thread of its own. Where the socket cannot be made the log says so and nothing else changes.
 pub fn serve(path: &Path, by_ajp: AjpBelow) {
-    let listener = match listen(path) {
+    let listener = match bind(path) {
         Ok(listener) => listener,
         Err(err) => return tracing::error!(part = "status", place = %path.display(), "not there: {err}"),
     };
@@ -26,18 +25,6 @@
     });
 }
 
-/// In the place of one that may still be there: of a program that has handed over, or was killed.
-fn listen(path: &Path) -> std::io::Result<UnixListener> {
-    let mut new = path.as_os_str().to_owned();
-    new.push(".new");
-    let new = PathBuf::from(new);
-    let _ = std::fs::remove_file(&new);
-    let listener = UnixListener::bind(&new)?;
-    std::fs::set_permissions(&new, std::fs::Permissions::from_mode(0o600))?;
-    std::fs::rename(&new, path)?;
-    Ok(listener)
-}
-
 /// Asks a running node.
 pub fn ask(path: &Path) -> Result<String, String> {
     let fault = |err: std::io::Error| format!("{}: {err}", path.display());
--- a/crates/ochrewalk-node/src/rollout.rs
+++ b/crates/ochrewalk-node/src/rollout.rs
@@ -1,8 +1,8 @@
 //! The conductor of a rolling change as a program: it asks nodes, sends orders, keeps a record and hears the operator, as
 //! `ochrewalk-rollout` decides.
 
-use crate::moving::keeper::is_owner;
 use crate::moving::orders::{ask, print_of};
+use ochrewalk_control_plane::control::is_owner;
 use ochrewalk_operators::{changes, Needs, Rollout as Plan, Subject};
 use ochrewalk_rollout::messages::{self, program, OrderTold, Request, Response, Said, Stands, Wanted};
 use ochrewalk_rollout::{
