Tests take addresses whose ports nobody else is given meanwhile

The test took a free port of 127.0.0.1, closed it, and bound it again seconds later; any socket of a test beside it could be given that port meanwhile. The same pattern stood in a_refused_connection_proves_that_no_call_ran, where it would have shown as a connection that is not refused.

Change: both use own_address, an address of its own with a port below the system's range, as tests/crossings/restart.rs does.

--- a/crates/ochrewalk-node/tests/crossings/executor.rs
+++ b/crates/ochrewalk-node/tests/crossings/executor.rs
@@ -2,7 +2,7 @@
 
 use crate::helper::*;
 use crate::{is_unseen, WARM};
-use std::net::{Shutdown, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 
 /// A notice breaks off at any byte with its link: it comes again on the next one and is handled once.
 #[test]
@@ -84,9 +84,9 @@
 /// is, whatever else is missing.
 #[test]
 fn a_node_is_ready_once_its_executor_is() {
-    // Addresses at which nobody listens yet.
-    let free = || listener().local_addr().unwrap();
-    let (executor_at, directory_at, store_at) = (free(), free(), free());
+    // Addresses at which nobody listens yet, and whose ports no other socket is given meanwhile.
+    let unused = |port: u16| own_address(port).parse::<SocketAddr>().unwrap();
+    let (executor_at, directory_at, store_at) = (unused(7301), unused(7302), unused(7303));
     let stand = Stand::with(|config| {
         for (key, at) in [("executor", executor_at), ("lookup", directory_at), ("store", store_at)] {
             config[key] = at.to_string().into();
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -290,8 +290,7 @@
 #[test]
 fn a_refused_connection_proves_that_no_call_ran() {
     let stand = Stand::with(|config| {
-        let gone = listener().local_addr().unwrap().to_string();
-        config["store"] = gone.into();
+        config["store"] = own_address(7303).into();
     });
     let mut executor = stand.executor();
     executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
