A node with many methods can be upgraded: its long reports swallow no question any more

Ruled out: reading the files (0.4 s), the standstill, the passing of state (never begun). Stacks of both processes in the stuck state: the program waits in Line::may("still?") for 60 s, the supervisor waits for lines. Cause: every 100 ms a thread reported all counters, some megabytes in one line, while another wrote its question to the same stream; what is longer than the system's buffer is written in pieces, so the question stood inside the report and was never seen (keeper.rs, Line::say; wire.rs read such a line by looking at all of it again for each 4 KiB).

Change: one line is written whole before the next begins; questions have a bound of time, and an answer that comes too late is not taken for the next one's; lines are searched once; only counters that changed are reported, to supervisors that say that they read those (one from before gets all of them, as before). A method that a successor has not met keeps its predecessors' counts. The program's end of the stream is a module of its own, moving/supervisor_link.rs, and what it reports there another, without I/O, moving/counter_report.rs.

--- a/crates/ochrewalk-node/src/moving/give.rs
+++ b/crates/ochrewalk-node/src/moving/give.rs
@@ -1,8 +1,8 @@
 //! The side that serves: it stands still, writes down all that it holds, and goes on where the other does not take it.
 
-use super::keeper::Line;
 use super::records::{self, KeptCall, KeptNode, KeptRpc, KeptRpcs, KeptTokens};
 use super::stand_still;
+use super::supervisor_link::{Question, SupervisorLink};
 use super::wire::{Heard, Wire};
 use crate::node::Node;
 use ochrewalk_handover::giver::{Acts, Giver, Holding, Limits};
@@ -24,6 +24,8 @@
 const TO_REST: Duration = Duration::from_millis(250);
 /// How long the runtime's worker may take for all of that. One that is held by something else hears nobody.
 const BY_WORKER: Duration = Duration::from_secs(1);
+/// How long the supervisor may take to let this program go on. Without its word another may act in this node's place.
+const RESUME: Duration = Duration::from_secs(60);
 /// Bytes of one part.
 const PART: usize = 256 * 1024;
 
@@ -65,11 +67,11 @@
 }
 
 /// Hands over, or goes on as if nothing had been tried.
-pub fn give(node: &Arc<Node>, handing: &Handing, line: &Line, wire: Wire) {
+pub fn give(node: &Arc<Node>, handing: &Handing, link: &SupervisorLink, wire: Wire) {
     let interrupts = handing.begin();
     let clock = node.core.clock;
     let mut giver = Giver::new(clock.now_us(), LIMITS, holding(node));
-    let mut side = Side { node, handing, line, wire, ahead: false, failed: None };
+    let mut side = Side { node, handing, link, wire, ahead: false, failed: None };
     while !giver.is_over() {
         if let Ok(why) = interrupts.try_recv() {
             giver.interrupt(&why, &mut side);
@@ -81,7 +83,7 @@
             Err(err) => {
                 giver.interrupt(&format!("its words cannot be read: {err}"), &mut side);
                 // Given away already: only its end counts now.
-                side.line.say("end other");
+                side.link.report("end other");
                 std::thread::sleep(LOOK);
                 giver.tick(clock.now_us(), &mut side);
             }
@@ -150,7 +152,7 @@
 struct Side<'a> {
     node: &'a Arc<Node>,
     handing: &'a Handing,
-    line: &'a Line,
+    link: &'a SupervisorLink,
     wire: Wire,
     /// Tokens have gone ahead.
     ahead: bool,
@@ -183,8 +185,9 @@
     }
 
     fn freeze(&mut self) -> u64 {
-        if !self.line.may("still?") {
-            self.failed = Some("the keeper does not answer".into());
+        let patience = Duration::from_micros(LIMITS.freeze_us);
+        if self.link.ask(Question::MayPause, patience) != Some(true) {
+            self.failed = Some("the supervisor does not allow the pause".into());
             return 0;
         }
         let standstill = Arc::new(Standstill::default());
@@ -233,7 +236,7 @@
     }
 
     fn thaw(&mut self) {
-        if !self.line.may("on?") {
+        if self.link.ask(Question::MayResume, RESUME) != Some(true) {
             tracing::error!(part = "upgrade", "another acts in this node's place; this process ends");
             crate::logger::flush();
             std::process::exit(71);
@@ -242,7 +245,7 @@
     }
 
     fn end_peer(&mut self) {
-        self.line.say("end other");
+        self.link.report("end other");
     }
 
     fn retire(&mut self) {
@@ -254,7 +257,7 @@
     fn tell(&mut self, how: &str) {
         tracing::warn!(part = "upgrade", "{how}");
         self.node.core.gate.end_ahead();
-        self.line.say(&format!("told {how}"));
+        self.link.report(&format!("told {how}"));
     }
 }
 
--- a/crates/ochrewalk-node/src/moving/keeper.rs
+++ b/crates/ochrewalk-node/src/moving/keeper.rs
@@ -2,7 +2,9 @@
 //! the program that serves, starts another beside it when asked to, hands on signals, and says which of the two may
 //! act. It serves nothing itself, so that little can go wrong with it.
 
+use super::counter_report::CounterReport;
 use super::orders::{self, Deed, Image, Ordered, Orders, Serving};
+use super::supervisor_link::{LINK, OPERATORS, PREDECESSOR, READS_CHANGES};
 use super::warden::{Warden, Wish};
 use super::wire::{inherit, lines, send_line};
 use ochrewalk_control_plane::control::is_owner;
@@ -11,88 +13,20 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
-use std::os::fd::{AsFd, AsRawFd, FromRawFd, OwnedFd};
+use std::os::fd::{AsFd, AsRawFd};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus};
-use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
-use std::sync::Mutex;
+use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-/// What a program that was started by a keeper is told: the descriptor of its line to the keeper, and of the stream to
-/// the program that it is to succeed.
-const KEPT: &str = "OCHREWALK_KEPT";
-const TAKES: &str = "OCHREWALK_TAKES";
-/// And the operators' file that it goes by, where that is not the one that the node was started with.
-const FILE: &str = "OCHREWALK_KEPT_OPERATORS";
 /// How long whoever asks on the control socket may take to say what for.
 const ASKING: Duration = Duration::from_secs(2);
 /// How long the outcome of an upgrade is waited for by whoever asked.
 const OUTCOME: Duration = Duration::from_secs(60);
 
-/// Whether this process was started by a keeper.
-pub fn is_kept() -> bool {
-    std::env::var_os(KEPT).is_some()
-}
-
-/// The other end of the line to the keeper, in a program that serves.
-pub struct Line {
-    stream: UnixStream,
-    answers: Mutex<Receiver<bool>>,
-}
-
-/// The line to the keeper, the stream to the program before this one, and where streams come to hand over by.
-pub struct Kept {
-    pub line: Line,
-    pub takes: Option<UnixStream>,
-    pub gives: Receiver<OwnedFd>,
-    /// The operators' file to go by, where it is another one.
-    pub operators: Option<PathBuf>,
-}
-
-/// What this process was started with. Once only.
-pub fn kept() -> Option<Kept> {
-    let descriptor = |name: &str| -> Option<UnixStream> {
-        let number = std::env::var(name).ok()?.parse::<i32>().ok()?;
-        std::env::remove_var(name);
-        // SAFETY: the keeper passed this descriptor on for this use alone, and the name is gone now.
-        let owned = unsafe { OwnedFd::from_raw_fd(number) };
-        rustix::io::fcntl_setfd(&owned, rustix::io::FdFlags::CLOEXEC).ok()?;
-        Some(UnixStream::from(owned))
-    };
-    let stream = descriptor(KEPT)?;
-    let takes = descriptor(TAKES);
-    let operators = std::env::var_os(FILE).map(PathBuf::from);
-    let ((answer, answers), (give, gives)) = (channel(), channel());
-    let reads = stream.try_clone().ok()?;
-    std::thread::spawn(move || {
-        lines(&reads, |line, descriptor| match (line, descriptor) {
-            ("give", Some(descriptor)) => drop(give.send(descriptor)),
-            ("yes", _) => drop(answer.send(true)),
-            ("no", _) => drop(answer.send(false)),
-            _ => {}
-        });
-        // The keeper has ended, and for the platform so has this node.
-        let _ = signal_hook::low_level::raise(SIGTERM);
-    });
-    Some(Kept { line: Line { stream, answers: Mutex::new(answers) }, takes, gives, operators })
-}
-
-impl Line {
-    pub fn say(&self, words: &str) {
-        let _ = send_line(&self.stream, &words.replace('\n', " "), None);
-    }
-
-    /// Whether this process may act now.
-    pub fn may(&self, what: &str) -> bool {
-        let answers = self.answers.lock().unwrap_or_else(|broken| broken.into_inner());
-        self.say(what);
-        answers.recv_timeout(OUTCOME).unwrap_or(false)
-    }
-}
-
 enum Event {
     Said(u64, String),
     Ended(u64, Option<ExitStatus>),
@@ -216,14 +150,15 @@
         let theirs = inherit(theirs.as_fd())?;
         let takes = takes.map(|stream| inherit(stream.as_fd())).transpose()?;
         let mut command = Command::new(&image.program);
-        command.args(std::env::args_os().skip(1)).env(KEPT, theirs.as_raw_fd().to_string());
+        command.args(std::env::args_os().skip(1)).env(LINK, theirs.as_raw_fd().to_string());
+        command.env(READS_CHANGES, "1");
         match &image.operators {
-            Some(file) => command.env(FILE, file),
-            None => command.env_remove(FILE),
+            Some(file) => command.env(OPERATORS, file),
+            None => command.env_remove(OPERATORS),
         };
         match &takes {
-            Some(takes) => command.env(TAKES, takes.as_raw_fd().to_string()),
-            None => command.env_remove(TAKES),
+            Some(takes) => command.env(PREDECESSOR, takes.as_raw_fd().to_string()),
+            None => command.env_remove(PREDECESSOR),
         };
         let child = command.spawn()?;
         self.next += 1;
@@ -281,10 +216,10 @@
             _ => {
                 if let Some(how) = line.strip_prefix("told ") {
                     self.over(how);
-                } else if let (Some(tally), Some(worker)) =
-                    (line.strip_prefix("tally "), self.workers.get_mut(&number))
+                } else if let (Some(report), Some(worker)) =
+                    (CounterReport::of_line(line), self.workers.get_mut(&number))
                 {
-                    worker.serving.told(tally);
+                    worker.serving.take(report);
                 }
             }
         }
--- a/crates/ochrewalk-node/src/moving/orders.rs
+++ b/crates/ochrewalk-node/src/moving/orders.rs
@@ -1,10 +1,8 @@
 //! A keeper's side of a rolling change: how its node stands, and the orders that it takes.
 
-use ochrewalk_rollout::messages::{
-    self, MethodTally, OrderTold, Request, Response, Said, Stands, Tally, Wanted, VERSION,
-};
+use super::counter_report::{CounterReport, MethodCounters, ReportedCounters};
+use ochrewalk_rollout::messages::{self, OrderTold, Request, Response, Said, Stands, Tally, Wanted, VERSION};
 use ochrewalk_rollout::{Admitted, Due, Fence, Mark, Outcome, Trial};
-use prost::Message as _;
 use std::io::{Read, Write};
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
@@ -42,41 +40,37 @@
 pub struct Serving {
     pub image: Image,
     pub print: u64,
-    tally: Option<(Instant, Tally)>,
+    reported: Option<(Instant, ReportedCounters)>,
 }
 
 impl Serving {
     /// Of the running process itself, as its file may be another by now.
     pub fn of(image: Image, pid: u32) -> Serving {
         let print = print_of(Path::new(&format!("/proc/{pid}/exe"))).unwrap_or(0);
-        Serving { image, print, tally: None }
+        Serving { image, print, reported: None }
     }
 
-    pub fn told(&mut self, line: &str) {
-        use base64::prelude::{Engine, BASE64_STANDARD};
-        let bytes = BASE64_STANDARD.decode(line).unwrap_or_default();
-        if let Ok(tally) = Tally::decode(&bytes[..]) {
-            self.tally = Some((Instant::now(), tally));
-        }
+    /// Takes what the program reports.
+    pub fn take(&mut self, report: CounterReport) {
+        let (at, reported) =
+            self.reported.get_or_insert_with(|| (Instant::now(), ReportedCounters::default()));
+        *at = Instant::now();
+        reported.take(report);
     }
 
     fn is_well(&self) -> bool {
-        self.tally.as_ref().is_some_and(|(at, tally)| at.elapsed() < FRESH && tally.is_healthy)
+        self.reported
+            .as_ref()
+            .is_some_and(|(at, reported)| at.elapsed() < FRESH && reported.latest.is_healthy)
     }
 
     /// Whether it runs that, whatever else it goes by.
     fn is(&self, wanted: &Wanted) -> bool {
-        let settings = self.tally.as_ref().map_or(0, |(_, tally)| tally.settings);
+        let settings = self.reported.as_ref().map_or(0, |(_, reported)| reported.latest.settings);
         wanted.print == if wanted.is_settings { settings } else { self.print }
     }
 }
 
-/// As a line that a program tells its keeper.
-pub fn tally_line(tally: &Tally) -> String {
-    use base64::prelude::{Engine, BASE64_STANDARD};
-    format!("tally {}", BASE64_STANDARD.encode(tally.encode_to_vec()))
-}
-
 /// What the keeper remembers of changes.
 pub struct Orders {
     fence: Fence,
@@ -86,7 +80,7 @@
     begun: Instant,
     start: u64,
     /// Counts of programs that served before the one that does.
-    before: Vec<MethodTally>,
+    before: MethodCounters,
 }
 
 /// What is to be done with a request.
@@ -113,7 +107,7 @@
             back_to: None,
             begun: Instant::now(),
             start: fastrand::u64(1..),
-            before: Vec::new(),
+            before: MethodCounters::default(),
         }
     }
 }
@@ -226,30 +220,17 @@
 
     /// A program that served is followed by another, whose counts begin at nothing.
     pub fn followed(&mut self, serving: &Serving) {
-        if let Some((_, tally)) = &serving.tally {
-            self.before = self.summed(&tally.methods);
+        if let Some((_, reported)) = &serving.reported {
+            self.before.add(&reported.methods);
         }
     }
 
-    fn summed(&self, methods: &[MethodTally]) -> Vec<MethodTally> {
-        let add = |now: &MethodTally| {
-            let none = MethodTally::default();
-            let before = self.before.iter().find(|before| before.name == now.name).unwrap_or(&none);
-            MethodTally {
-                name: now.name.clone(),
-                calls: now.calls + before.calls,
-                missed: now.missed + before.missed,
-                failed: now.failed + before.failed,
-            }
-        };
-        methods.iter().map(add).collect()
-    }
-
     fn stands(&self, serving: &Serving, is_changing: bool) -> Stands {
-        let tally = serving
-            .tally
-            .as_ref()
-            .map(|(_, tally)| Tally { methods: self.summed(&tally.methods), ..tally.clone() });
+        let tally = serving.reported.as_ref().map(|(_, reported)| {
+            let mut methods = self.before.clone();
+            methods.add(&reported.methods);
+            Tally { methods: methods.into_methods(), ..reported.latest.clone() }
+        });
         Stands {
             print: serving.print,
             path: serving.image.program.display().to_string(),
--- a/crates/ochrewalk-node/src/moving/take.rs
+++ b/crates/ochrewalk-node/src/moving/take.rs
@@ -1,10 +1,10 @@
 //! The side that is to take over: it reads its files, takes all that the running program holds, puts it together
 //! without acting on any of it, and begins at the word.
 
-use super::keeper::Line;
 use super::records::{
     self, KeptAjps, KeptBelow, KeptDispatchers, KeptExecutor, KeptNode, KeptRpcs, KeptTokens,
 };
+use super::supervisor_link::{Question, SupervisorLink};
 use super::wire::{Heard, Wire};
 use crate::clock::Clock;
 use crate::keys::Keys;
@@ -17,6 +17,8 @@
 
 const LIMITS: Limits = Limits { answer_us: 5_000_000, frozen_us: 3_000_000 };
 const BEGIN_TRIES: u32 = 100;
+/// How long the supervisor may take to say whether this program may begin.
+const BEGIN: Duration = Duration::from_secs(60);
 const LOOK: Duration = Duration::from_millis(10);
 /// For tests of what fails: a step of the hand-over, and whether to crash or hang there, as in `crash:ready`.
 const FAILS: &str = "OCHREWALK_TAKE_FAILS";
@@ -50,7 +52,7 @@
 /// Takes over, by `build` from what was taken. An error says why not; the program before goes on then.
 pub fn take<P>(
     wire: Wire,
-    line: &Line,
+    link: &SupervisorLink,
     digest: u64,
     (bytes, descriptors): (u64, u32),
     interrupted: impl Fn() -> bool,
@@ -64,7 +66,7 @@
     let room = Room { digest, program, knows, bytes, descriptors };
     let mut side = Side {
         wire,
-        line,
+        link,
         build,
         kept: HashMap::new(),
         tokens: Keys::new(usize::MAX),
@@ -116,7 +118,7 @@
 
 struct Side<'a, P, B> {
     wire: Wire,
-    line: &'a Line,
+    link: &'a SupervisorLink,
     build: B,
     /// Bytes and descriptors of each section.
     kept: HashMap<String, (Vec<u8>, Vec<OwnedFd>)>,
@@ -201,7 +203,7 @@
     }
 
     fn end_peer(&mut self) {
-        self.line.say("end other");
+        self.link.report("end other");
     }
 
     fn end(&mut self, why: &str) {
@@ -216,7 +218,7 @@
             if tried > 0 {
                 std::thread::sleep(LOOK);
             }
-            self.line.may("begin?")
+            self.link.ask(Question::MayBegin, BEGIN) == Some(true)
         });
         if !may {
             self.end = Some("the running program goes on".into());
--- a/crates/ochrewalk-node/src/moving/wire.rs
+++ b/crates/ochrewalk-node/src/moving/wire.rs
@@ -121,7 +121,9 @@
 /// Lines with descriptors, for ever; ends with the stream.
 pub fn lines(stream: &UnixStream, mut each: impl FnMut(&str, Option<OwnedFd>)) {
     let (mut input, mut came) = (Vec::new(), VecDeque::new());
-    let mut chunk = vec![0; 4096];
+    let mut chunk = vec![0; CHUNK];
+    // Bytes of `input` that hold no end of a line: each is looked at once, however long a line is.
+    let mut searched = 0;
     loop {
         match receive(stream, &mut chunk, &mut came) {
             Ok(0) => return,
@@ -129,11 +131,14 @@
             Err(err) if err.kind() == ErrorKind::Interrupted => {}
             Err(_) => return,
         }
-        while let Some(end) = input.iter().position(|b| *b == b'\n') {
+        while let Some(at) = input[searched..].iter().position(|b| *b == b'\n') {
+            let end = searched + at;
             let line = String::from_utf8_lossy(&input[..end]).into_owned();
             input.drain(..=end);
+            searched = 0;
             each(&line, came.pop_front());
         }
+        searched = input.len();
     }
 }
 
--- a/crates/ochrewalk-node/src/node/mod.rs
+++ b/crates/ochrewalk-node/src/node/mod.rs
@@ -10,15 +10,17 @@
 use crate::configuration::agent::ConfigurationHandle;
 use crate::core::Core;
 use crate::logger::Logs;
+use crate::moving::counter_report::CounterReport;
 use crate::moving::give::{self, Handing};
-use crate::moving::keeper::{self, Kept};
-use crate::moving::orders::tally_line;
+use crate::moving::keeper;
+use crate::moving::supervisor_link::{supervised, Supervised, SupervisorLink};
 use crate::moving::take::{self, Begin};
 use crate::moving::wire::Wire;
 use crate::net::ajp_below::AjpBelow;
 use crate::net::ajp_front::AjpFront;
 use crate::net::below::Below;
 use crate::net::dispatchers::Dispatchers;
+use crate::tally::ReportedCalls;
 use assembly::{begin, build};
 use leaving::{leave, END_MS};
 use may::sync::mpsc::channel;
@@ -72,18 +74,18 @@
     // Before anything else: guards against a SIGHUP that ends a process which has only begun.
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
         .map_err(|err| format!("cannot wait for signals: {err}"))?;
-    let mut kept = keeper::kept();
+    let mut supervised = supervised();
     let mut files = files.clone();
-    if let Some(file) = kept.as_mut().and_then(|kept| kept.operators.take()) {
+    if let Some(file) = supervised.as_mut().and_then(|by| by.operators.take()) {
         files.operators = Some(file);
     }
-    let takes = kept.as_mut().and_then(|kept| kept.takes.take()).map(Wire::new);
+    let takes = supervised.as_mut().and_then(|by| by.predecessor.take()).map(Wire::new);
     let (mut placement, operators) = files.read().inspect_err(|why| {
         if let Some(wire) = &takes {
             take::refuse(wire, why);
         }
     })?;
-    if let (None, Some(control)) = (&kept, &operators.upgrade_control) {
+    if let (None, Some(control)) = (&supervised, &operators.upgrade_control) {
         let status = keeper::keep(control, Duration::from_millis(placement.stop_ms) + AFTER_STOP)?;
         std::process::exit(status.code().unwrap_or(70));
     }
@@ -98,14 +100,14 @@
     let digest = files.digest(&operators)?;
     let (mut operators_text, settings) = files.operators_text();
     let mut told_to_end = None;
-    let taken = match (takes, &kept) {
-        (Some(wire), Some(kept)) => {
+    let taken = match (takes, &supervised) {
+        (Some(wire), Some(by)) => {
             let room = (placement.memory_mb * 1024 * 1024 / 2, placement.descriptors as u32);
             let end = |signals: &mut signal_hook::iterator::Signals| signals.pending().find(|s| *s != SIGHUP);
             let interrupted = std::cell::RefCell::new((&mut signals, &mut told_to_end));
             let begin = take::take(
                 wire,
-                &kept.line,
+                &by.link,
                 digest,
                 room,
                 || {
@@ -129,21 +131,14 @@
     let (node, report_now) = begin(built, &placement);
     node.settings.store(settings, Ordering::Relaxed);
     let handing = Arc::new(Handing::default());
-    if let Some(Kept { line, gives, .. }) = kept {
-        let line = Arc::new(line);
-        let (of, told) = (node.clone(), line.clone());
-        std::thread::spawn(move || {
-            let mut pulse = Pulse::default();
-            loop {
-                let hears = pulse.is_felt();
-                told.say(&tally_line(&tally(&of, hears)));
-                std::thread::sleep(BETWEEN_TALLIES);
-            }
-        });
+    if let Some(Supervised { link, successors, reads_changes, .. }) = supervised {
+        let link = Arc::new(link);
+        let (of, to) = (node.clone(), link.clone());
+        std::thread::spawn(move || report_counters(&of, &to, reads_changes));
         let (node, handing) = (node.clone(), handing.clone());
         std::thread::spawn(move || {
-            for stream in gives {
-                give::give(&node, &handing, &line, Wire::new(stream.into()));
+            for stream in successors {
+                give::give(&node, &handing, &link, Wire::new(stream.into()));
             }
         });
     }
@@ -209,12 +204,28 @@
     }
 }
 
-/// What the keeper is told of this program, for whoever conducts a change.
-fn tally(node: &Node, hears: bool) -> Tally {
-    let Core { gate, tally, deployment, .. } = &*node.core;
+/// Reports to the supervisor for ever, for whoever conducts a change.
+fn report_counters(node: &Node, link: &SupervisorLink, reads_changes: bool) {
+    let (mut pulse, mut reported) = (Pulse::default(), ReportedCalls::default());
+    let Core { tally, deployment, .. } = &*node.core;
+    let names = &deployment.method_names;
+    loop {
+        let methods = if reads_changes { tally.changed(names, &mut reported) } else { tally.all(names) };
+        let tally = Tally { methods, ..condition(node, pulse.is_felt()) };
+        let report = if reads_changes { CounterReport::Changed(tally) } else { CounterReport::All(tally) };
+        link.report(&report.to_line());
+        std::thread::sleep(BETWEEN_TALLIES);
+    }
+}
+
+/// How this program is, without its counters.
+fn condition(node: &Node, hears: bool) -> Tally {
     let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let resident = pages.split(' ').nth(1).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
-    let is_healthy = hears && gate.posture().healthy == Some(true);
-    let (methods, settings) = (tally.told(&deployment.method_names), node.settings.load(Ordering::Relaxed));
-    Tally { is_healthy, memory_kb: resident * 4, methods, settings }
+    Tally {
+        is_healthy: hears && node.core.gate.posture().healthy == Some(true),
+        memory_kb: resident * 4,
+        methods: Vec::new(),
+        settings: node.settings.load(Ordering::Relaxed),
+    }
 }
--- a/crates/ochrewalk-node/src/rollout.rs
+++ b/crates/ochrewalk-node/src/rollout.rs
@@ -10,7 +10,7 @@
     Program, Report, Verdict, Word,
 };
 use serde_json::json;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::{BufRead, BufReader, Write};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
@@ -508,6 +508,10 @@
     [Some(Program::Old), Some(Program::New), None].map(count)
 }
 
+fn by_name(tally: &messages::Tally) -> HashMap<&str, &messages::MethodTally> {
+    tally.methods.iter().map(|method| (method.name.as_str(), method)).collect()
+}
+
 /// What has come since the moment before.
 fn look(conductor: &Conductor, plan: &Plan, all: &[Result<Stands, String>], nodes: &mut [Before]) -> Moment {
     let methods = methods(all);
@@ -526,10 +530,10 @@
             of.restarts += u32::from(before.start != stands.start);
             let tally = |stands: &Stands| stands.tally.clone().unwrap_or_default();
             let (now, earlier) = (tally(stands), tally(before));
-            let find =
-                |name: &String, of: &messages::Tally| of.methods.iter().find(|m| m.name == *name).cloned();
+            let (counted_now, counted_earlier) = (by_name(&now), by_name(&earlier));
             let counts = methods.iter().map(|name| {
-                find(name, &now).map(|method| method.since(find(name, &earlier).as_ref())).unwrap_or_default()
+                let earlier = counted_earlier.get(name.as_str()).copied();
+                counted_now.get(name.as_str()).map(|method| method.since(earlier)).unwrap_or_default()
             });
             let cold = Duration::from_micros(plan.cold_us);
             moment.nodes.push(NodeCounts {
--- a/crates/ochrewalk-node/src/tally.rs
+++ b/crates/ochrewalk-node/src/tally.rs
@@ -10,6 +10,7 @@
 
 #[derive(Default)]
 struct Method {
+    /// Counted last, so that a change of it covers the others'.
     calls: AtomicU64,
     /// No served answer within the latency target.
     missed: AtomicU64,
@@ -36,19 +37,44 @@
         let took_us = since_us(clock.unix_ms(), rpc.ts_ms, told.deadline_us);
         let is_served = matches!(answer, Answer::Served(_));
         let add = |to: &AtomicU64, is: bool| to.fetch_add(u64::from(is), Ordering::Relaxed);
-        add(&of.calls, true);
         add(&of.missed, !is_served || took_us > told.latency_target_us);
         add(&of.failed, !is_served);
+        // Last: whoever has seen this call has seen what became of it.
+        of.calls.fetch_add(1, Ordering::Release);
     }
 
-    pub fn told(&self, names: &Names) -> Vec<MethodTally> {
+    /// Counters of all methods.
+    pub fn all(&self, names: &Names) -> Vec<MethodTally> {
+        names.iter().zip(&self.methods).map(|(name, method)| method.counted(name)).collect()
+    }
+
+    /// Counters of methods that had calls since the last time that `reported` came here.
+    pub fn changed(&self, names: &Names, reported: &mut ReportedCalls) -> Vec<MethodTally> {
+        reported.0.resize(self.methods.len(), 0);
+        let mut changed = Vec::new();
+        for ((name, method), reported) in names.iter().zip(&self.methods).zip(&mut reported.0) {
+            let calls = method.calls.load(Ordering::Acquire);
+            if calls != *reported {
+                *reported = calls;
+                changed.push(method.counted(name));
+            }
+        }
+        changed
+    }
+}
+
+/// How many calls of each method were reported.
+#[derive(Default)]
+pub struct ReportedCalls(Vec<u64>);
+
+impl Method {
+    fn counted(&self, name: &str) -> MethodTally {
         let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
-        let told = |(name, method): (&str, &Method)| MethodTally {
+        MethodTally {
             name: name.to_string(),
-            calls: of(&method.calls),
-            missed: of(&method.missed),
-            failed: of(&method.failed),
-        };
-        names.iter().zip(&self.methods).map(told).collect()
+            calls: of(&self.calls),
+            missed: of(&self.missed),
+            failed: of(&self.failed),
+        }
     }
 }
--- a/crates/ochrewalk-node/tests/upgrade.rs
+++ b/crates/ochrewalk-node/tests/upgrade.rs
@@ -21,13 +21,18 @@
 impl Kept {
     /// A node under a keeper, its executor up; `fails` is what a program that takes over does wrong.
     fn up(fails: &str) -> (Kept, Peer) {
+        Kept::up_with(|_| (), fails)
+    }
+
+    /// The same with changes to its file.
+    fn up_with(change: impl FnOnce(&mut serde_json::Value), fails: &str) -> (Kept, Peer) {
         let control = file("").with_extension("sock");
         let operators = format!(
             "ajp listen AJP\najp allow 127.0.0.0/8\najp memory 20.5\najp header token X-Sale\najp route GET /look look\n\
              ajp route POST /sale sale\nupgrade control {}\n",
             control.display()
         );
-        let stand = Stand::with_all(|_| (), &operators, &[("OCHREWALK_TAKE_FAILS", fails)]);
+        let stand = Stand::with_all(change, &operators, &[("OCHREWALK_TAKE_FAILS", fails)]);
         let mut executor = stand.executor();
         executor.say(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
         stand.caller().wait_healthy();
@@ -266,3 +271,36 @@
     let mut kept = kept;
     assert!(!kept.stand.wait().success());
 }
+
+/// A node of a large fleet knows tens of thousands of methods. Its reports to the supervisor once were megabytes long, and
+/// the question whether it may pause got lost among them: no upgrade came about, and no signal ended it.
+#[test]
+fn a_node_with_many_methods_hands_over_again_and_again() {
+    // With such names all counters take as many bytes as those of 49,000 methods with short ones.
+    const METHODS: usize = 6_000;
+    const UPGRADES: u64 = 4;
+    let name_of = |number: usize| format!("method-{number:0>200}");
+    let many = |config: &mut serde_json::Value| {
+        let methods = config["settings"]["categories"].as_array_mut().unwrap();
+        let usual = methods[0].clone();
+        for number in methods.len()..METHODS {
+            let mut method = usual.clone();
+            method["name"] = name_of(number).into();
+            methods.push(method);
+        }
+        let skips = config["settings"]["extra"]["class-skip-worth"].as_array_mut().unwrap();
+        skips.resize(METHODS, 0.0.into());
+    };
+    let (mut node, mut executor) = Kept::up_with(many, "");
+    let last = name_of(METHODS - 1);
+    for number in 1..=UPGRADES {
+        let mut caller = node.stand.caller();
+        caller.say(&rpc(number, &last));
+        executor.hear_of(&exec(number, &last));
+        assert_eq!(node.upgrade(), "handed over");
+        executor.say(&exit(number, number, "complete"));
+        assert_eq!(caller.hear(), served(number));
+    }
+    node.stand.terminate();
+    assert!(node.stand.wait().success());
+}
