Rename: keeper and warden are the supervisor and its process guard, a conductor's wish its command

Need: the field's terms in place of our own words. What is spoken between programs ("still?", "begin?", the environment's names) stays, as programs of before speak it.

--- a/crates/ochrewalk-lab/src/changes.rs
+++ b/crates/ochrewalk-lab/src/changes.rs
@@ -1,4 +1,4 @@
-//! A rolling change of real processes: nodes under keepers with callers of their own, the real conductor, and what goes wrong
+//! A rolling change of real processes: nodes under supervisors with callers of their own, the real conductor, and what goes wrong
 //! meanwhile. Judged: every call has one answer, none runs twice that may not, and how the change ended.
 
 use crate::book::{Book, End, Entry};
@@ -105,7 +105,7 @@
     node: Mutex<Node>,
     executor: Executor,
     json_at: SocketAddr,
-    /// Where the conductor reaches its keeper.
+    /// Where the conductor reaches its supervisor.
     control: PathBuf,
     relay: Relay,
     /// Its operators' file, and the one to change to.
@@ -153,10 +153,10 @@
         let pid = std::process::id();
         let (run, more) = (64 + (pid % 11) as u8 * 16 + plan.apart % 16, (pid / 11 % 100) as u8 * 2);
         let json_at = SocketAddr::from(([127, run, more + (at / 200) as u8, (at % 200) as u8 + 1], 7_003));
-        let (keeper, control) = (folder.join(format!("k{at}")), folder.join(format!("n{at}")));
+        let (supervisor, control) = (folder.join(format!("k{at}")), folder.join(format!("n{at}")));
         let mut config = node::config(json_at, executor.at, directory, settings(calls));
         config["limits"]["memory_mb"] = 512.into();
-        let mut operators = format!("upgrade control {}\n", keeper.display());
+        let mut operators = format!("upgrade control {}\n", supervisor.display());
         if calls {
             operators += &format!("below ajp {ledger}\nbelow secret good\n");
         }
@@ -170,7 +170,7 @@
         };
         std::fs::copy(node.operators(), &settings[0]).map_err(io)?;
         std::fs::write(&settings[1], newer).map_err(io)?;
-        let relay = Relay::start(&control, keeper).map_err(io)?;
+        let relay = Relay::start(&control, supervisor).map_err(io)?;
         stands.push(Stand { node: Mutex::new(node), executor, json_at, control, relay, settings });
     }
     for stand in &stands {
@@ -359,7 +359,7 @@
     }
 }
 
-/// A node's program, and its keeper.
+/// A node's program, and its supervisor.
 fn tell(stand: &Stand, signal: Signal) {
     let node = lock(&stand.node);
     node.tell(signal);
--- a/crates/ochrewalk-lab/src/relays.rs
+++ b/crates/ochrewalk-lab/src/relays.rs
@@ -1,4 +1,4 @@
-//! Links between a conductor and nodes' keepers: Unix sockets that pass messages on, until they are told to be silent, to
+//! Links between a conductor and nodes' supervisors: Unix sockets that pass messages on, until they are told to be silent, to
 //! lose the answers, or to end after the command.
 
 use std::io::{Read, Write};
@@ -56,16 +56,16 @@
         std::thread::sleep(SILENCE);
         return None;
     }
-    let keeper = UnixStream::connect(to).ok()?;
-    let (mut reads, mut writes) = (asker.try_clone().ok()?, keeper.try_clone().ok()?);
+    let supervisor = UnixStream::connect(to).ok()?;
+    let (mut reads, mut writes) = (asker.try_clone().ok()?, supervisor.try_clone().ok()?);
     std::thread::spawn(move || copy(&mut reads, &mut writes, &|| true));
     let breaks = fares();
     if breaks == Fare::Breaks {
-        // Until the keeper has read it: its answer, or its end, shows that.
-        let _ = (&keeper).read(&mut [0; 1]);
+        // Until the supervisor has read it: its answer, or its end, shows that.
+        let _ = (&supervisor).read(&mut [0; 1]);
         return None;
     }
-    let (mut reads, mut writes) = (keeper, asker);
+    let (mut reads, mut writes) = (supervisor, asker);
     copy(&mut reads, &mut writes, &|| fares() == Fare::Passes);
     if fares() == Fare::Mute {
         std::thread::sleep(SILENCE);
--- a/crates/ochrewalk-node/src/main.rs
+++ b/crates/ochrewalk-node/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use ochrewalk_node::logger::{Form, Logs};
 use ochrewalk_node::node::Files;
-use ochrewalk_node::rollout::{self, End, Wish};
+use ochrewalk_node::rollout::{self, ConductorCommand, End};
 use std::ffi::OsString;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
@@ -101,7 +101,7 @@
 
 fn rollout(what: Rollout, plan: &Path) -> Result<ExitCode, String> {
     let plan = rollout::read(plan)?;
-    let run = |wish| match rollout::run(&plan, wish)? {
+    let run = |command| match rollout::run(&plan, command)? {
         End::Done => Ok(("done".to_string(), ExitCode::SUCCESS)),
         End::Back(why) => Ok((format!("changed back: {why}"), ExitCode::from(IS_BACK))),
         End::Waiting(why) => Ok((format!("waits for you: {why}"), ExitCode::from(WAITS))),
@@ -113,10 +113,12 @@
         Rollout::Check => said(rollout::check(&plan)),
         Rollout::Status => said(rollout::status(&plan)),
         Rollout::Pause => said(rollout::tell(&plan, "pause")),
-        Rollout::Run => run(Wish::Run),
-        Rollout::GoOn => run(Wish::GoOn),
+        Rollout::Run => run(ConductorCommand::Run),
+        Rollout::GoOn => run(ConductorCommand::GoOn),
         // One that runs is told; else this is the one.
-        Rollout::Back => rollout::tell(&plan, "back").map_or_else(|_| run(Wish::Back), |text| said(Ok(text))),
+        Rollout::Back => {
+            rollout::tell(&plan, "back").map_or_else(|_| run(ConductorCommand::Back), |text| said(Ok(text)))
+        }
     }?;
     println!("{text}");
     Ok(status)
@@ -147,7 +149,7 @@
             Ok(())
         }
         Command::Upgrade { control, program } => {
-            ochrewalk_node::moving::keeper::ask(&control, &program).map(|how| println!("{how}"))
+            ochrewalk_node::moving::supervisor::ask(&control, &program).map(|how| println!("{how}"))
         }
         Command::Rollout { what, plan } => match rollout(what, &plan) {
             Ok(status) => return status,
--- a/crates/ochrewalk-node/src/moving/mod.rs
+++ b/crates/ochrewalk-node/src/moving/mod.rs
@@ -1,16 +1,16 @@
 //! How this process hands all that it holds to its successor, and takes it from the one before: what is written down
 //! (`records`), the standstill, the Unix socket that descriptors go over (`wire`), the two sides (`give`, `take`) and
-//! the keeper that starts both and says who may act; `orders` is its part in a rolling change. A program speaks to its keeper
+//! the supervisor that starts both and says who may act; `orders` is its part in a rolling change. A program speaks to its supervisor
 //! by `supervisor_link`; `counter_report` is what it reports there.
 
 pub mod counter_report;
 pub mod give;
-pub mod keeper;
 pub mod orders;
+pub mod process_guard;
 pub mod records;
+pub mod supervisor;
 pub mod supervisor_link;
 pub mod take;
-pub mod warden;
 pub mod wire;
 
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/ochrewalk-node/src/moving/orders.rs
+++ b/crates/ochrewalk-node/src/moving/orders.rs
@@ -1,4 +1,4 @@
-//! A keeper's side of a rolling change: how its node stands, and the orders that it takes.
+//! A supervisor's side of a rolling change: how its node stands, and the orders that it takes.
 
 use super::counter_report::{CounterReport, MethodCounters, ReportedCounters};
 use ochrewalk_rollout::messages::{self, OrderTold, Request, Response, Said, Stands, Tally, Wanted, VERSION};
@@ -71,7 +71,7 @@
     }
 }
 
-/// What the keeper remembers of changes.
+/// What the supervisor remembers of changes.
 pub struct Orders {
     fence: Fence,
     trial: Trial,
--- a/crates/ochrewalk-node/src/moving/warden.rs
+++ b/crates/ochrewalk-node/src/moving/process_guard.rs
@@ -1,4 +1,4 @@
-//! Decides which of two programs that serve may act, and which of them may be ended: the keeper's part without
+//! Decides which of two programs that serve may act, and which of them may be ended: the supervisor's part without
 //! processes and sockets. One may act at the most; one is ended at the most in an attempt, and only while neither acts,
 //! as the other may be the last one alive.
 
@@ -6,7 +6,7 @@
 pub type Number = u64;
 
 #[derive(Debug, Default)]
-pub struct Warden {
+pub struct ProcessGuard {
     /// Who may act; nobody while state passes from one to the other.
     acts: Option<Number>,
     attempt: Option<Attempt>,
@@ -22,14 +22,14 @@
 
 /// What a program asks before it does it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wish {
+pub enum ProcessAction {
     /// To stand still: nobody acts from then on.
     Still,
     /// To go on, or to begin.
     Act,
 }
 
-impl Warden {
+impl ProcessGuard {
     /// The first program was started.
     pub fn first(&mut self, number: Number) {
         self.acts = Some(number);
@@ -38,19 +38,19 @@
     /// Who would hand over, if an attempt may begin now.
     ///
     /// ```
-    /// use ochrewalk_node::moving::warden::{Warden, Wish};
-    /// let mut warden = Warden::default();
-    /// warden.first(1);
-    /// assert_eq!(warden.giver(), Some(1));
-    /// warden.begin(1, 2);
-    /// assert_eq!(warden.giver(), None, "one at a time");
-    /// assert!(!warden.may(2, Wish::Act) && warden.end_other(1).is_none(), "the first one acts");
-    /// assert!(warden.may(1, Wish::Still));
-    /// assert_eq!([warden.end_other(1), warden.end_other(2)], [Some(2), None], "one of them at the most");
-    /// assert!(warden.may(1, Wish::Act) && !warden.may(2, Wish::Act));
-    /// assert_eq!(warden.over(), Some(2), "nothing is left of an attempt that failed");
-    /// assert!(warden.ended(1), "the node's end is that of the one that acted");
-    /// assert!(!warden.ended(2));
+    /// use ochrewalk_node::moving::process_guard::{ProcessGuard, ProcessAction};
+    /// let mut process_guard = ProcessGuard::default();
+    /// process_guard.first(1);
+    /// assert_eq!(process_guard.giver(), Some(1));
+    /// process_guard.begin(1, 2);
+    /// assert_eq!(process_guard.giver(), None, "one at a time");
+    /// assert!(!process_guard.may(2, ProcessAction::Act) && process_guard.end_other(1).is_none(), "the first one acts");
+    /// assert!(process_guard.may(1, ProcessAction::Still));
+    /// assert_eq!([process_guard.end_other(1), process_guard.end_other(2)], [Some(2), None], "one of them at the most");
+    /// assert!(process_guard.may(1, ProcessAction::Act) && !process_guard.may(2, ProcessAction::Act));
+    /// assert_eq!(process_guard.over(), Some(2), "nothing is left of an attempt that failed");
+    /// assert!(process_guard.ended(1), "the node's end is that of the one that acted");
+    /// assert!(!process_guard.ended(2));
     /// ```
     pub fn giver(&self) -> Option<Number> {
         self.acts.filter(|_| self.attempt.is_none())
@@ -66,10 +66,10 @@
     }
 
     /// Whether a program may do what it asks for.
-    pub fn may(&mut self, number: Number, wish: Wish) -> bool {
+    pub fn may(&mut self, number: Number, action: ProcessAction) -> bool {
         let may = self.acts.is_none_or(|acts| acts == number);
         if may {
-            self.acts = if wish == Wish::Still { None } else { Some(number) };
+            self.acts = if action == ProcessAction::Still { None } else { Some(number) };
         }
         may
     }
--- a/crates/ochrewalk-node/src/moving/keeper.rs
+++ b/crates/ochrewalk-node/src/moving/supervisor.rs
@@ -1,11 +1,11 @@
-//! The keeper: the process that the platform started and watches, where the operators' file allows upgrades. It starts
+//! The supervisor: the process that the platform started and watches, where the operators' file allows upgrades. It starts
 //! the program that serves, starts another beside it when asked to, hands on signals, and says which of the two may
 //! act. It serves nothing itself, so that little can go wrong with it.
 
 use super::counter_report::CounterReport;
 use super::orders::{self, Deed, Image, Ordered, Orders, Serving};
+use super::process_guard::{ProcessAction, ProcessGuard};
 use super::supervisor_link::{LINK, OPERATORS, PREDECESSOR, READS_CHANGES};
-use super::warden::{Warden, Wish};
 use super::wire::{inherit, lines, send_line};
 use ochrewalk_control_plane::control::is_owner;
 use ochrewalk_rollout::messages::{self, Request};
@@ -57,10 +57,10 @@
     asker: Asker,
 }
 
-struct Keeper {
+struct Supervisor {
     workers: BTreeMap<u64, Worker>,
     next: u64,
-    warden: Warden,
+    process_guard: ProcessGuard,
     /// Who waits to hear of the attempt under way.
     asker: Option<Asker>,
     /// Who hears of one that failed once that program has ended.
@@ -91,10 +91,10 @@
         listener.incoming().flatten().for_each(|stream| drop(on_asked.send(Event::Asked(stream))));
     });
     let (workers, last_status) = (BTreeMap::new(), None);
-    let mut keeper = Keeper {
+    let mut supervisor = Supervisor {
         workers,
         next: 0,
-        warden: Warden::default(),
+        process_guard: ProcessGuard::default(),
         asker: None,
         untold: Vec::new(),
         orders: Orders::default(),
@@ -106,30 +106,30 @@
     };
     let own = std::env::current_exe().map_err(|err| err.to_string())?;
     let image = Image { program: own.clone(), operators: None };
-    let first = keeper.start(&image, None).map_err(|err| format!("{}: {err}", own.display()))?;
-    keeper.warden.first(first);
-    keeper.told_of = first;
-    while !keeper.workers.is_empty() {
-        let event = match keeper.orders.next() {
+    let first = supervisor.start(&image, None).map_err(|err| format!("{}: {err}", own.display()))?;
+    supervisor.process_guard.first(first);
+    supervisor.told_of = first;
+    while !supervisor.workers.is_empty() {
+        let event = match supervisor.orders.next() {
             Some(within) => events.recv_timeout(within),
             None => events.recv().map_err(|_| RecvTimeoutError::Disconnected),
         };
         match event {
-            Ok(event) => keeper.handle(event),
-            Err(RecvTimeoutError::Timeout) => keeper.look_at_trial(),
+            Ok(event) => supervisor.handle(event),
+            Err(RecvTimeoutError::Timeout) => supervisor.look_at_trial(),
             Err(RecvTimeoutError::Disconnected) => break,
         }
     }
     let _ = std::fs::remove_file(control);
-    keeper.last_status.ok_or_else(|| "the program that served cannot be waited for".into())
+    supervisor.last_status.ok_or_else(|| "the program that served cannot be waited for".into())
 }
 
 /// A socket for its owner alone.
 fn listen(control: &Path) -> Result<UnixListener, String> {
     let fault = |err: std::io::Error| format!("{}: {err}", control.display());
-    // One that nobody listens at was left by a keeper that was killed.
+    // One that nobody listens at was left by a supervisor that was killed.
     if UnixStream::connect(control).is_ok() {
-        return Err(format!("{}: another keeper listens there", control.display()));
+        return Err(format!("{}: another supervisor listens there", control.display()));
     }
     let _ = std::fs::remove_file(control);
     // Guards against a moment in which others could connect: made under another name, open to nobody else, first.
@@ -144,7 +144,7 @@
     Ok(listener)
 }
 
-impl Keeper {
+impl Supervisor {
     fn start(&mut self, image: &Image, takes: Option<&UnixStream>) -> std::io::Result<u64> {
         let (ours, theirs) = UnixStream::pair()?;
         let theirs = inherit(theirs.as_fd())?;
@@ -201,14 +201,15 @@
     fn said(&mut self, number: u64, line: &str) {
         match line {
             "still?" | "on?" | "begin?" => {
-                let wish = if line == "still?" { Wish::Still } else { Wish::Act };
-                let may = self.warden.may(number, wish);
+                let action = if line == "still?" { ProcessAction::Still } else { ProcessAction::Act };
+                let may = self.process_guard.may(number, action);
                 if let Some(worker) = self.workers.get(&number) {
                     let _ = send_line(&worker.line, if may { "yes" } else { "no" }, None);
                 }
             }
             "end other" => {
-                if let Some(worker) = self.warden.end_other(number).and_then(|other| self.workers.get(&other))
+                if let Some(worker) =
+                    self.process_guard.end_other(number).and_then(|other| self.workers.get(&other))
                 {
                     send_signal(worker.pid, signal_hook::consts::SIGKILL);
                 }
@@ -239,7 +240,7 @@
             None => None,
         };
         self.follow();
-        let left = self.warden.over().and_then(|left| Some((left, self.workers.get(&left)?.pid)));
+        let left = self.process_guard.over().and_then(|left| Some((left, self.workers.get(&left)?.pid)));
         match (left, untold) {
             (Some((left, pid)), untold) => {
                 send_signal(pid, signal_hook::consts::SIGKILL);
@@ -270,7 +271,7 @@
     /// A trial may be over.
     fn look_at_trial(&mut self) {
         let Some((image, anew)) = self.orders.due() else { return };
-        let begun = match self.warden.giver().filter(|_| self.anew.is_none()) {
+        let begun = match self.process_guard.giver().filter(|_| self.anew.is_none()) {
             Some(from) if anew => self.begin_anew(from, image, Asker::Trial),
             Some(from) => self.begin(from, &image, Asker::Trial),
             None => Err(std::io::ErrorKind::ResourceBusy.into()),
@@ -282,7 +283,9 @@
 
     /// From here on the one that acts is told of, on top of what the one before has counted.
     fn follow(&mut self) {
-        let Some(acting) = self.warden.acting().filter(|acting| *acting != self.told_of) else { return };
+        let Some(acting) = self.process_guard.acting().filter(|acting| *acting != self.told_of) else {
+            return;
+        };
         if let Some(before) = self.workers.get(&self.told_of) {
             self.orders.followed(&before.serving);
         }
@@ -296,7 +299,7 @@
             self.tell(asker, None, Err(how));
         }
         // The node's end is that of the one that acted: one that has handed over ends well beside it.
-        let acted = self.warden.ended(number);
+        let acted = self.process_guard.ended(number);
         if acted || self.last_status.is_none() {
             self.last_status = status;
         }
@@ -306,7 +309,7 @@
             }
         }
         // That the new one has ended the one that serves hears by itself.
-        if self.warden.is_giver(number) {
+        if self.process_guard.is_giver(number) {
             self.over("the running program ended in the middle; the new one takes over");
         }
     }
@@ -332,7 +335,7 @@
             let _ = writeln!(stream, "refused: write upgrade PROGRAM");
             return;
         };
-        let Some(from) = self.warden.giver().filter(|_| self.anew.is_none()) else {
+        let Some(from) = self.process_guard.giver().filter(|_| self.anew.is_none()) else {
             let _ = writeln!(stream, "refused: another upgrade is under way");
             return;
         };
@@ -351,7 +354,7 @@
             self.follow();
         }
         let serving = self.workers.get(&self.told_of).map(|worker| &worker.serving);
-        let from = self.warden.giver().filter(|_| self.anew.is_none());
+        let from = self.process_guard.giver().filter(|_| self.anew.is_none());
         match self.orders.asked(&request, serving, from.is_none()) {
             Deed::Answer(said) => orders::say(&mut stream, said),
             Deed::Change(image, ordered) => {
@@ -375,7 +378,7 @@
         let to = self.start(image, Some(&takes))?;
         // Only the two of them hold an end from here on: so the end of either is heard by the other.
         drop(takes);
-        self.warden.begin(from, to);
+        self.process_guard.begin(from, to);
         self.asker = Some(asker);
         let running = self.workers.get(&from).ok_or(std::io::ErrorKind::NotFound)?;
         send_line(&running.line, "give", Some(gives.as_fd()))
@@ -399,7 +402,7 @@
     fn go_on_anew(&mut self, Anew { image, before, asker }: Anew) {
         let how = match self.start(&image, None) {
             Ok(number) => {
-                self.warden.first(number);
+                self.process_guard.first(number);
                 self.follow();
                 Ok("begun anew")
             }
@@ -437,7 +440,7 @@
     }
 }
 
-/// Asks a keeper for an upgrade and waits for its outcome; an error says why it did not come about.
+/// Asks a supervisor for an upgrade and waits for its outcome; an error says why it did not come about.
 pub fn ask(control: &Path, program: &Path) -> Result<String, String> {
     let fault = |err: std::io::Error| format!("{}: {err}", control.display());
     let program = std::fs::canonicalize(program).map_err(|err| format!("{}: {err}", program.display()))?;
@@ -447,7 +450,7 @@
     let mut line = String::new();
     BufReader::new(stream).read_line(&mut line).map_err(fault)?;
     match line.trim_end() {
-        "" => Err("the keeper ended without a word".into()),
+        "" => Err("the supervisor ended without a word".into()),
         "handed over" => Ok("handed over".into()),
         other => Err(other.into()),
     }
--- a/crates/ochrewalk-node/src/node/mod.rs
+++ b/crates/ochrewalk-node/src/node/mod.rs
@@ -12,7 +12,7 @@
 use crate::logger::Logs;
 use crate::moving::counter_report::CounterReport;
 use crate::moving::give::{self, Handing};
-use crate::moving::keeper;
+use crate::moving::supervisor;
 use crate::moving::supervisor_link::{supervised, Supervised, SupervisorLink};
 use crate::moving::take::{self, Begin};
 use crate::moving::wire::Wire;
@@ -40,12 +40,12 @@
 /// A file that cannot be used on SIGHUP may be only half written: it is read so many times, so far apart.
 const READINGS: u32 = 20;
 const BETWEEN_READINGS: Duration = Duration::from_millis(100);
-/// How often the keeper is told what was counted: well within a conductor's moment, so that counts of nodes that tell
+/// How often the supervisor is told what was counted: well within a conductor's moment, so that counts of nodes that tell
 /// theirs at different times can be compared.
 const BETWEEN_TALLIES: Duration = Duration::from_millis(100);
 /// A worker that has run no coroutine for so long hears nobody.
 const HELD: Duration = Duration::from_secs(2);
-/// Beyond `stop_ms`, what the keeper waits for a program that was told to leave.
+/// Beyond `stop_ms`, what the supervisor waits for a program that was told to leave.
 const AFTER_STOP: Duration = Duration::from_secs(1);
 
 /// What signals and hand-overs act on.
@@ -86,7 +86,7 @@
         }
     })?;
     if let (None, Some(control)) = (&supervised, &operators.upgrade_control) {
-        let status = keeper::keep(control, Duration::from_millis(placement.stop_ms) + AFTER_STOP)?;
+        let status = supervisor::keep(control, Duration::from_millis(placement.stop_ms) + AFTER_STOP)?;
         std::process::exit(status.code().unwrap_or(70));
     }
     crate::logger::start(logs);
--- a/crates/ochrewalk-node/src/rollout.rs
+++ b/crates/ochrewalk-node/src/rollout.rs
@@ -37,7 +37,7 @@
 
 /// What the operator asked for with the run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wish {
+pub enum ConductorCommand {
     Run,
     /// What was unclear is taken for good.
     GoOn,
@@ -327,7 +327,7 @@
 }
 
 /// Conducts the change to its end, or until it waits for the operator.
-pub fn run(plan: &Plan, wish: Wish) -> Result<End, String> {
+pub fn run(plan: &Plan, command: ConductorCommand) -> Result<End, String> {
     let prints = Prints::of(plan)?;
     let record = Record::open(plan)?;
     let kept = record.load()?;
@@ -346,7 +346,7 @@
     let habits = Habits { on_trial: plan.trial_us > 0, begins_anew: plan.begins_anew };
     hands.say(json!({"begun": number}));
     let mut conductor = Conductor::new(course, habits, kept, number);
-    let end = conduct(&mut conductor, &mut hands, &heard, wish);
+    let end = conduct(&mut conductor, &mut hands, &heard, command);
     let _ = std::fs::remove_file(socket(plan));
     let end = end?;
     hands.say(json!({"end": format!("{end:?}")}));
@@ -366,7 +366,7 @@
     conductor: &mut Conductor,
     hands: &mut Hands,
     heard: &Receiver<Heard>,
-    wish: Wish,
+    command: ConductorCommand,
 ) -> Result<End, String> {
     let plan = hands.plan;
     let moment = Duration::from_micros(plan.moment_us);
@@ -380,7 +380,7 @@
     };
     let mut nodes: Vec<Before> = plan.nodes.iter().map(|_| Before::default()).collect();
     let mut judge: Option<Judge> = None;
-    let (mut wish, mut last, mut moved_at) = (wish, String::new(), Instant::now());
+    let (mut command, mut last, mut moved_at) = (command, String::new(), Instant::now());
     // What each node usually answers, before the first of them is changed.
     for _ in 0..if conductor.kept().changed.is_empty() { BEFORE } else { 0 } {
         let all = ask_all(plan, conductor.kept().conductor);
@@ -395,15 +395,15 @@
             let report = stands.as_ref().ok().and_then(|stands| report(node, stands, &hands.prints));
             conductor.report(node, report.as_ref(), hands);
         }
-        if wish == Wish::Back && conductor.phase() != &Phase::Asking {
-            (wish, _) = (Wish::Run, conductor.back(hands));
+        if command == ConductorCommand::Back && conductor.phase() != &Phase::Asking {
+            (command, _) = (ConductorCommand::Run, conductor.back(hands));
         }
         if let Some(stage) = hands.judge.take() {
             hands.say(json!({"judged": stage}));
             judge.iter_mut().for_each(Judge::stage);
         }
-        if wish == Wish::GoOn && matches!(conductor.phase(), Phase::Judged { .. }) {
-            (wish, _) = (Wish::Run, conductor.verdict(Verdict::Good, hands));
+        if command == ConductorCommand::GoOn && matches!(conductor.phase(), Phase::Judged { .. }) {
+            (command, _) = (ConductorCommand::Run, conductor.verdict(Verdict::Good, hands));
         }
         let judge = judge.get_or_insert_with(|| Judge::new(measures, methods(&all)));
         let moment = look(conductor, plan, &all, &mut nodes);
--- a/crates/ochrewalk-node/tests/upgrade.rs
+++ b/crates/ochrewalk-node/tests/upgrade.rs
@@ -19,7 +19,7 @@
 }
 
 impl Kept {
-    /// A node under a keeper, its executor up; `fails` is what a program that takes over does wrong.
+    /// A node under a supervisor, its executor up; `fails` is what a program that takes over does wrong.
     fn up(fails: &str) -> (Kept, Peer) {
         Kept::up_with(|_| (), fails)
     }
@@ -251,7 +251,7 @@
     let mut json = kept.stand.caller();
     json.say(&rpc(1, "look"));
     executor.hear_of(&exec(1, "look"));
-    // The keeper itself is the platform's process: its children are the programs that serve.
+    // The supervisor itself is the platform's process: its children are the programs that serve.
     let children = || -> Vec<String> {
         let path = format!("/proc/{0}/task/{0}/children", kept.stand.pid());
         let text = std::fs::read_to_string(path).unwrap();
--- a/crates/ochrewalk-operators/src/plan.rs
+++ b/crates/ochrewalk-operators/src/plan.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlannedNode {
     pub name: String,
-    /// Where its keeper listens.
+    /// Where its supervisor listens.
     pub control: PathBuf,
     pub zone: String,
 }
