--- a/crates/ochrewalk-lab/src/executor.rs
+++ b/crates/ochrewalk-lab/src/executor.rs
@@ -33,9 +33,13 @@
 pub struct Executor {
     pub at: SocketAddr,
     counts: Arc<Mutex<BTreeMap<Vec<u8>, u32>>>,
+    residence: Option<ResidenceTimes>,
     tell: Sender<Heard>,
 }
 
+/// How long each run was here, from the read of its start to the write of its end, until it is asked for.
+type ResidenceTimes = Arc<Mutex<HashMap<String, Duration>>>;
+
 struct Run {
     lane: Work,
     body: Vec<u8>,
@@ -56,13 +60,15 @@
     link: Option<TcpStream>,
     busy: f64,
     counts: Arc<Mutex<BTreeMap<Vec<u8>, u32>>>,
+    residence: Option<ResidenceTimes>,
     mood: Mood,
     cold: bool,
 }
 
 enum Heard {
     Link(TcpStream),
-    Line(Value),
+    /// And when it was read.
+    Line(Value, Instant),
     Mood(Mood),
     /// It ended with its node, and begins anew.
     Restart,
@@ -70,6 +76,19 @@
 
 impl Executor {
     pub fn start(cores: f64, works: HashMap<String, Work>) -> std::io::Result<Executor> {
+        Executor::start_with(cores, works, None)
+    }
+
+    /// One that remembers how long each run was there, for [`Executor::take_residence`].
+    pub fn start_timed(cores: f64, works: HashMap<String, Work>) -> std::io::Result<Executor> {
+        Executor::start_with(cores, works, Some(ResidenceTimes::default()))
+    }
+
+    fn start_with(
+        cores: f64,
+        works: HashMap<String, Work>,
+        residence: Option<ResidenceTimes>,
+    ) -> std::io::Result<Executor> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let at = listener.local_addr()?;
         let counts: Arc<Mutex<BTreeMap<Vec<u8>, u32>>> = Arc::default();
@@ -92,11 +111,12 @@
             link: None,
             busy: 0.0,
             counts: counts.clone(),
+            residence: residence.clone(),
             mood: Mood { slower: 1.0, fails: false },
             cold: false,
         };
         std::thread::spawn(move || state.go(&heard));
-        Ok(Executor { at, counts, tell })
+        Ok(Executor { at, counts, residence, tell })
     }
 
     pub fn set(&self, mood: Mood) {
@@ -108,6 +128,11 @@
         let _ = self.tell.send(Heard::Restart);
     }
 
+    /// How long a run was here that has ended, once; none where that is not remembered.
+    pub fn take_residence(&self, run: &str) -> Option<Duration> {
+        self.residence.as_ref()?.lock().expect("no panic under it").remove(run)
+    }
+
     /// How often each body was run.
     pub fn counts(&self) -> BTreeMap<Vec<u8>, u32> {
         self.counts.lock().expect("no panic under it").clone()
@@ -120,8 +145,9 @@
         return;
     }
     for line in BufReader::new(stream).lines().map_while(Result::ok) {
+        let read_at = Instant::now();
         let Ok(value) = serde_json::from_str(&line) else { return };
-        if say.send(Heard::Line(value)).is_err() {
+        if say.send(Heard::Line(value, read_at)).is_err() {
             return;
         }
     }
@@ -159,7 +185,7 @@
             self.settle();
             match came {
                 Ok(Heard::Link(link)) => self.link = Some(link),
-                Ok(Heard::Line(line)) => self.command(&line),
+                Ok(Heard::Line(line, read_at)) => self.command(&line, read_at),
                 Ok(Heard::Mood(mood)) => self.mood = mood,
                 Ok(Heard::Restart) => {
                     (self.link, self.pos, self.cold) = (None, 0, true);
@@ -201,7 +227,9 @@
     }
 
     fn ended(&mut self, uid: &str, mut what: Value) {
-        self.runs.remove(uid);
+        if let (Some(run), Some(residence)) = (self.runs.remove(uid), &self.residence) {
+            residence.lock().expect("no panic under it").insert(uid.to_string(), run.started.elapsed());
+        }
         self.ended.insert(uid.to_string());
         what["action"] = "EXIT".into();
         what["uid"] = uid.into();
@@ -222,7 +250,7 @@
         }
     }
 
-    fn command(&mut self, line: &Value) {
+    fn command(&mut self, line: &Value, read_at: Instant) {
         let text = |field: &str| line[field].as_str().unwrap_or_default().to_string();
         let uid = text("uid");
         match line["action"].as_str().unwrap_or_default() {
@@ -243,7 +271,7 @@
                 }
                 self.runs.insert(
                     uid,
-                    Run { lane, body, left_us, called: !lane.calls, waits: false, started: Instant::now() },
+                    Run { lane, body, left_us, called: !lane.calls, waits: false, started: read_at },
                 );
             }
             "KILL" if self.runs.contains_key(&uid) => {
--- a/crates/ochrewalk-lab/src/load.rs
+++ b/crates/ochrewalk-lab/src/load.rs
@@ -191,8 +191,8 @@
         Act::Answer { status: 200, never_ran: false, body: b"kept".to_vec(), after: ms(1) }
     })
     .map_err(io)?;
-    let listen = node::free("127.0.0.1").map_err(io)?;
-    let ajp = node::free("127.0.0.1").map_err(io)?;
+    let listen = node::unused_address().map_err(io)?;
+    let ajp = node::unused_address().map_err(io)?;
     let config = node::config(listen, executor.at, node::directory().map_err(io)?, settings());
     let operators = operators(ajp, ledger.at) + more;
     let mut node = Node::spawn_with(program, &config, &operators, plan.log, environment)?;
--- a/crates/ochrewalk-lab/src/node.rs
+++ b/crates/ochrewalk-lab/src/node.rs
@@ -8,6 +8,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 pub struct Node {
@@ -56,9 +57,24 @@
     Ok(at)
 }
 
-/// A free port of that address.
-pub fn free(address: &str) -> std::io::Result<SocketAddr> {
-    TcpListener::bind((address, 0))?.local_addr()
+/// Below the ports that the system gives out by itself.
+const UNUSED_PORT: u16 = 7_400;
+
+/// An address at which nobody listens, and whose port no socket is given by chance: each process has a network of its own on
+/// loopback, each call an address there.
+pub fn unused_address() -> std::io::Result<SocketAddr> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let [high, low] = ((std::process::id() % 16_000) as u16).to_be_bytes();
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let (host, port) = (1 + (number % 250) as u8, UNUSED_PORT + number / 250);
+        let address = SocketAddr::from(([127, 64 + high, low, host], port));
+        match TcpListener::bind(address) {
+            Ok(_) => return Ok(address),
+            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+        }
+    }
 }
 
 impl Node {
--- a/crates/ochrewalk-lab/src/scale/faults.rs
+++ b/crates/ochrewalk-lab/src/scale/faults.rs
@@ -7,8 +7,6 @@
 pub const BURST_CHANGES: usize = 2_880;
 /// Changes of one batch of the burst.
 pub const BURST_BATCH: usize = 10;
-/// Connections that subscribe and never read.
-pub const SLOW_NODES: usize = 50;
 const PUBLISHER_PAUSE: Duration = Duration::from_secs(3);
 const REGION_PAUSE: Duration = Duration::from_secs(5);
 const BEFORE_BURST: Duration = Duration::from_secs(1);
--- a/crates/ochrewalk-lab/src/scale/mod.rs
+++ b/crates/ochrewalk-lab/src/scale/mod.rs
@@ -3,11 +3,14 @@
 
 mod faults;
 mod hollow;
+mod load;
 mod options;
+mod probes;
 mod processes;
 mod real;
 mod report;
 mod run;
+mod slow;
 mod workload;
 
 pub use hollow::run_hollow;
--- a/crates/ochrewalk-lab/src/scale/real.rs
+++ b/crates/ochrewalk-lab/src/scale/real.rs
@@ -1,4 +1,4 @@
-//! The real nodes of a run: the node's program with stand-ins for its executor and directory, no calls at them.
+//! The real nodes of a run: the node's program with stand-ins for its executor and directory.
 
 use super::options::{region_name, FleetShape};
 use super::workload::METHODS;
@@ -16,9 +16,14 @@
 const CALL_PORT: u16 = 7001;
 const AJP_PORT: u16 = 8009;
 
+/// The route that all real nodes have from the start.
+pub const OWN_PATH: &str = "/own";
+
 /// Real nodes, with what they talk to.
 pub struct RealNodes {
     pub nodes: Vec<Node>,
+    /// Where each takes AJP.
+    pub ajp_addresses: Vec<SocketAddr>,
     _executors: Vec<Executor>,
 }
 
@@ -43,7 +48,8 @@
             executors.push(executor);
         }
         nodes.iter_mut().try_for_each(Node::wait).map_err(ScaleError::Node)?;
-        Ok(RealNodes { nodes, _executors: executors })
+        let ajp_addresses = (0..count).map(|number| address(network, number, AJP_PORT)).collect();
+        Ok(RealNodes { nodes, ajp_addresses, _executors: executors })
     }
 }
 
@@ -84,7 +90,7 @@
     let relays: String = relays.iter().map(|relay| format!("config relay {relay}\n")).collect();
     format!(
         "ajp listen {}\najp allow 127.0.0.0/8\najp memory 20.5\najp header tenant X-Tenant\n\
-         ajp route POST /own {}\n{relays}config region {}\nconfig scope {}\nconfig snapshot {}\n",
+         ajp route POST {OWN_PATH} {}\n{relays}config region {}\nconfig scope {}\nconfig snapshot {}\n",
         address(network, number, AJP_PORT),
         METHODS[0],
         region_name(region),
--- a/crates/ochrewalk-lab/src/scale/report.rs
+++ b/crates/ochrewalk-lab/src/scale/report.rs
@@ -1,6 +1,8 @@
 //! Decides what a run comes to: times until changes are in force, what was used, and whether any rule broke.
 
+use super::load::CallCounts;
 use super::options::FleetShape;
+use super::probes::ProbeTimes;
 use super::processes::NodeReport;
 use hdrhistogram::Histogram;
 use serde_json::{json, Value};
@@ -30,6 +32,16 @@
     pub bytes: u64,
 }
 
+/// Subscribers that never read, at the end of the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlowNodes {
+    pub connected: usize,
+    /// Those that the relay had closed.
+    pub closed: usize,
+    /// Those open whose first update had not come whole when they read at last.
+    pub unfinished: usize,
+}
+
 /// What a group of equal processes used.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Usage {
@@ -59,7 +71,12 @@
     pub hollow_cpu_share: f64,
     pub relay: Usage,
     pub publisher: Usage,
+    /// Times until changes were in force at real nodes, by requests.
+    pub probes: ProbeTimes,
+    /// Calls at real nodes.
+    pub calls: CallCounts,
     pub region_cut: Option<RegionCut>,
+    pub slow_nodes: Option<SlowNodes>,
     /// Nodes that the publisher's status named as rejecting, and those still named at the end.
     pub rejecting: Option<(usize, usize)>,
     /// Acknowledged changes that the publisher did not have after a restart.
@@ -70,11 +87,12 @@
 }
 
 impl Measurements {
-    /// Rules that were broken: nodes that went backwards, states that differ, changes that were lost.
+    /// Rules that were broken: nodes that went backwards, states that differ, changes that were lost, calls without an answer,
+    /// changes that never came into force at a real node.
     pub fn broken(&self) -> u64 {
         let went_back = self.reports.iter().filter(|report| report.went_back > 0).count() as u64;
         let missing = (self.nodes - self.real).saturating_sub(self.reports.len() as u64);
-        went_back + self.diverged() + self.lost + missing
+        went_back + self.diverged() + self.lost + missing + self.calls.unanswered + self.probes.never
     }
 
     /// Hollow nodes whose state is not the publisher's.
@@ -137,7 +155,7 @@
         let bytes = self.reports.iter().map(|report| report.bytes);
         let most_bytes = bytes.max().unwrap_or(0) as f64 / self.seconds.max(1.0);
         let mut line = json!({
-            "broken": self.broken(), "nodes": self.nodes, "real": self.real, "processes": self.processes,
+            "broken": self.broken(), "nodes": self.nodes, "processes": self.processes,
             "memory_mb": self.memory_kb / KB_PER_MB, "changes": self.changes.len(),
             "in_force_p50_ms": quantile(&in_force, 0.5), "in_force_p99_ms": quantile(&in_force, 0.99),
             "in_force_max_ms": milliseconds(in_force.max()), "in_force_never": never,
@@ -155,6 +173,11 @@
             "ready_p90_ms": quantile(&self.ready(), 0.9), "ready_max_ms": milliseconds(self.ready().max()),
             "fill_s": round(self.fill_s), "start_s": round(self.start_s)
         });
+        line["real"] = self.real_line();
+        if let Some(slow) = self.slow_nodes {
+            line["slow_nodes"] =
+                json!({"connected": slow.connected, "closed": slow.closed, "unfinished": slow.unfinished});
+        }
         if let Some(cut) = self.cut_catch_up(shape) {
             line["region_cut"] = cut;
         }
@@ -164,6 +187,19 @@
         line
     }
 
+    /// What was seen by requests at real nodes.
+    fn real_line(&self) -> Value {
+        let mut in_force = new_histogram();
+        self.probes.in_force_us.iter().for_each(|us| in_force.saturating_record(*us));
+        json!({
+            "nodes": self.real, "in_force_p50_ms": milliseconds(in_force.value_at_quantile(0.5)),
+            "in_force_p99_ms": milliseconds(in_force.value_at_quantile(0.99)),
+            "in_force_max_ms": milliseconds(in_force.max()), "in_force_samples": in_force.len(),
+            "in_force_never": self.probes.never, "calls": self.calls.sent, "served": self.calls.served,
+            "turned_away": self.calls.turned_away, "unanswered": self.calls.unanswered
+        })
+    }
+
     /// What hollow nodes exchanged with the relays of a region, for each relay, in the busiest region.
     fn relay_bytes_per_second(&self, shape: &FleetShape) -> f64 {
         let of_region = |region| {
--- a/crates/ochrewalk-lab/src/scale/run.rs
+++ b/crates/ochrewalk-lab/src/scale/run.rs
@@ -1,21 +1,20 @@
 //! The course of a scale run: fill the publisher, start the fleet, change and break things, and compare at the end.
 
-use super::faults::{steps, FaultStep, BURST_BATCH, BURST_CHANGES, SLOW_NODES};
+use super::faults::{steps, FaultStep, BURST_BATCH, BURST_CHANGES};
 use super::hollow::Command;
-use super::options::{region_name, ScaleOptions};
+use super::load::RealLoad;
+use super::options::{Fault, ScaleOptions};
+use super::probes::RouteProbes;
 use super::processes::{cpu_us, memory_kb, start_hollow, wait_until, ControlPlane, HollowProcess};
-use super::real::RealNodes;
+use super::real::{RealNodes, OWN_PATH};
 use super::report::{Change, Measurements, RegionCut};
+use super::slow::SlowSubscribers;
 use super::workload::{ChangeSource, METHODS, UNKNOWN_METHOD};
 use super::{monotonic_us, ScaleError};
-use ochrewalk_control_plane::frame::encode;
-use ochrewalk_distribution::messages::{Body, Position, Resource, Status, Subscribe, PROTOCOL_VERSION};
+use ochrewalk_distribution::messages::{Position, Resource, Status};
 use ochrewalk_distribution::MAX_BATCH_CHANGES;
 use rustix::process::Signal;
-use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeSet, VecDeque};
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -28,10 +27,6 @@
 /// How long the CPU of nodes at rest is measured.
 const RESTING: Duration = Duration::from_secs(3);
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// Scopes that a slow subscriber asks for.
-const SLOW_SCOPES: u64 = 400;
-/// The receive buffer of a slow subscriber, so that the relay's writes are refused soon.
-const SLOW_RECEIVE_BYTES: usize = 4_096;
 /// The route of a bad change: it is of the first real node's scope.
 const BAD_ROUTE: u64 = 0;
 
@@ -58,7 +53,9 @@
     is_first_region_cut: bool,
     first_region_bytes_before: u64,
     rejecting: BTreeSet<String>,
-    slow_nodes: Vec<TcpStream>,
+    slow_nodes: SlowSubscribers,
+    probes: RouteProbes,
+    load: RealLoad,
 }
 
 /// Runs it and prints the result, whose last line is JSON. Whether no rule broke.
@@ -143,6 +140,8 @@
             start_s,
             ..Measurements::default()
         };
+        let probes = RouteProbes::new(real.ajp_addresses.iter().copied());
+        let load = RealLoad::start(real.ajp_addresses.iter().copied(), OWN_PATH, shape.hot_tenants());
         Ok(Fleet {
             options,
             network,
@@ -156,7 +155,9 @@
             is_first_region_cut: false,
             first_region_bytes_before: 0,
             rejecting: BTreeSet::new(),
-            slow_nodes: Vec::new(),
+            slow_nodes: SlowSubscribers::default(),
+            probes,
+            load,
         })
     }
 
@@ -183,8 +184,7 @@
         let count = (self.options.rate * self.options.seconds as f64).round() as u64;
         for number in 0..count {
             self.wait_for(Duration::from_secs_f64(number as f64 / self.options.rate))?;
-            let change = self.source.next_change();
-            self.publish_counted(change)?;
+            self.publish_next()?;
         }
         self.wait_for(Duration::from_secs(self.options.seconds))?;
         let beyond = real.shares().into_iter().zip(&resting_shares).map(|(busy, rest)| busy - rest);
@@ -207,16 +207,31 @@
         Ok(())
     }
 
-    /// Publishes one change, as often as it takes, and counts when it was sent.
-    fn publish_counted(&mut self, change: Resource) -> Result<(), ScaleError> {
+    /// Publishes the next change, and beside it one that is watched for at a real node that can hear of it.
+    fn publish_next(&mut self) -> Result<(), ScaleError> {
+        let (shape, cut) = (&self.options.shape, self.is_first_region_cut);
+        let rejects = self.options.faults == Fault::BadChange;
+        let may_probe = |node| !(cut && shape.region_of(node) == 0 || rejects && node == BAD_ROUTE);
+        let probe = self.probes.next(shape, may_probe);
+        let mut batch = vec![self.source.next_change()];
+        batch.extend(probe.as_ref().map(|probe| probe.change.clone()));
+        let sent_us = self.publish_counted(batch)?;
+        if let Some(probe) = probe {
+            self.probes.published(&probe, sent_us);
+        }
+        Ok(())
+    }
+
+    /// Publishes changes, as often as it takes, counts when they were sent, and says when.
+    fn publish_counted(&mut self, batch: Vec<Resource>) -> Result<u64, ScaleError> {
         loop {
             let sent_us = monotonic_us();
-            match self.plane.publish(vec![change.clone()]) {
+            match self.plane.publish(batch.clone()) {
                 Ok(position) => {
                     let spares_first_region = self.is_first_region_cut;
                     let revision = position.revision;
                     self.measured.changes.push(Change { sent_us, revision, spares_first_region });
-                    return Ok(());
+                    return Ok(sent_us);
                 }
                 Err(ScaleError::Control(_)) if !self.steps.is_empty() => {
                     self.wait_for(self.began.elapsed())?;
@@ -246,7 +261,10 @@
                     Some(RegionCut { continued_us: monotonic_us(), revision, bytes: 0 });
             }
             FaultStep::RestartCold => self.tell_hollow(Command::RestartCold)?,
-            FaultStep::ConnectSlowNodes => self.connect_slow_nodes()?,
+            FaultStep::ConnectSlowNodes => {
+                let shape = &self.options.shape;
+                self.slow_nodes = SlowSubscribers::connect(shape, shape.relay_address(self.network, 0, 0))?;
+            }
             FaultStep::PublishBadChange => {
                 self.plane.publish(vec![self.options.shape.route_to(BAD_ROUTE, UNKNOWN_METHOD)])?;
             }
@@ -281,26 +299,6 @@
         Ok(())
     }
 
-    fn connect_slow_nodes(&mut self) -> Result<(), ScaleError> {
-        let shape = &self.options.shape;
-        let relay = shape.relay_address(self.network, 0, 0);
-        for number in 0..SLOW_NODES {
-            let mut stream = connect_with_little_room(relay)?;
-            let subscribe = Subscribe {
-                version: PROTOCOL_VERSION,
-                node: format!("slow-{number}"),
-                region: region_name(0),
-                scopes: (0..SLOW_SCOPES).map(|scope| shape.scope(scope)).collect(),
-                ..Subscribe::default()
-            };
-            let mut bytes = Vec::new();
-            encode(Body::Subscribe(subscribe), &mut bytes);
-            stream.write_all(&bytes)?;
-            self.slow_nodes.push(stream);
-        }
-        Ok(())
-    }
-
     /// Gives the last changes time to be in force.
     fn settle(&mut self) -> Result<(), ScaleError> {
         let Position { epoch, revision } = self.plane.status()?.position;
@@ -320,6 +318,9 @@
     }
 
     fn report(&mut self) -> Result<(), ScaleError> {
+        self.measured.probes = self.probes.finish();
+        self.measured.calls = self.load.stop();
+        self.measured.slow_nodes = self.slow_nodes.count();
         let status = self.plane.status()?;
         if !self.rejecting.is_empty() {
             self.measured.rejecting = Some((self.rejecting.len(), rejecting(&status).len()));
@@ -354,14 +355,6 @@
     }
 }
 
-/// A connection on which the system takes little that nobody reads.
-fn connect_with_little_room(address: SocketAddr) -> std::io::Result<TcpStream> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    socket.set_recv_buffer_size(SLOW_RECEIVE_BYTES)?;
-    socket.connect(&address.into())?;
-    Ok(socket.into())
-}
-
 /// Whether as many relays as there are have all that is published.
 fn are_relays_at_head(plane: &ControlPlane, relays: u64) -> bool {
     let Ok(status) = plane.status() else { return false };
--- a/crates/ochrewalk-lab/src/scale/workload.rs
+++ b/crates/ochrewalk-lab/src/scale/workload.rs
@@ -38,9 +38,30 @@
         route_name(&self.scope(number), HTTP_METHOD, &route_path(number))
     }
 
-    /// All routes that a scope may have.
+    /// All routes that a scope may have, its probe among them.
     pub fn routes_of(&self, scope: u64) -> impl Iterator<Item = ResourceName> + '_ {
-        (scope % self.scopes..self.routes).step_by(self.scopes as usize).map(|number| self.route(number))
+        let numbers = (scope % self.scopes..self.routes).step_by(self.scopes as usize);
+        numbers.map(|number| self.route(number)).chain([self.probe(scope)])
+    }
+
+    /// The path of the route by which changes are seen at real nodes.
+    pub fn probe_path() -> &'static str {
+        "/probe"
+    }
+
+    /// The name of a scope's probe.
+    pub fn probe(&self, scope: u64) -> ResourceName {
+        route_name(&self.scope(scope), HTTP_METHOD, FleetShape::probe_path())
+    }
+
+    /// A scope's probe as a route.
+    pub fn probe_set(&self, scope: u64) -> Resource {
+        let route = Route {
+            http_method: HTTP_METHOD.into(),
+            path: FleetShape::probe_path().into(),
+            method: METHODS[0].into(),
+        };
+        Resource::set(self.probe(scope), Value::Route(route))
     }
 
     /// The scopes that a hollow node subscribes to: one or two.
@@ -58,7 +79,8 @@
         (0..self.wanted).map(|place| random.u64(0..bound(place))).collect()
     }
 
-    fn hot_tenants(&self) -> u64 {
+    /// How many tenants change and are asked for most.
+    pub fn hot_tenants(&self) -> u64 {
         (self.tenants / TENANTS_PER_HOT_ONE).max(1)
     }
 
--- a/crates/ochrewalk-lab/src/slopes/control_plane.rs
+++ b/crates/ochrewalk-lab/src/slopes/control_plane.rs
@@ -51,8 +51,8 @@
     fn start(program: &Path) -> Result<Self, SlopeError> {
         let folder = Folder::create()?;
         let (control, log) = (folder.file("control"), folder.file("log"));
-        let publisher_address = node::free("127.0.0.1")?;
-        let relay_address = node::free("127.0.0.1")?;
+        let publisher_address = node::unused_address()?;
+        let relay_address = node::unused_address()?;
         let text = |path: &Path| path.display().to_string();
         let listen = publisher_address.to_string();
         let words = ["config", "--log", "error", "serve", "--listen", &listen];
--- a/crates/ochrewalk-lab/src/slopes/node_under_test.rs
+++ b/crates/ochrewalk-lab/src/slopes/node_under_test.rs
@@ -11,12 +11,14 @@
 use std::fmt::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Cores of the stand-in executor: enough that no RPC waits for one.
 const EXECUTOR_CORES: f64 = 16.0;
-/// Descriptors that the node may use: more than any measurement opens.
-const NODE_DESCRIPTORS: u64 = 12_000;
+/// Descriptors that the node may use: so many that no measurement opens a quarter of them, from where on a node ends
+/// connections that rest.
+const NODE_DESCRIPTORS: u64 = 40_000;
 const FRONT_CONNECTIONS: u64 = 300;
 /// How long idempotency keys are remembered: longer than a measurement takes.
 const KEY_WINDOW_NS: u64 = 600_000_000_000;
@@ -39,17 +41,17 @@
     pub process: MeasuredProcess,
     pub json_address: SocketAddr,
     pub ajp_address: SocketAddr,
-    _executor: Executor,
+    pub executor: Arc<Executor>,
     _folder: Folder,
 }
 
 impl NodeUnderTest {
     /// Starts it, and waits until it is healthy and its memory has settled.
     pub fn start(program: &Path, files: NodeFiles, more: &str) -> Result<Self, SlopeError> {
-        let executor = start_executor(work_of_an_rpc())?;
+        let executor = Arc::new(start_executor(work_of_an_rpc())?);
         let folder = Folder::create()?;
-        let json_address = node::free("127.0.0.1")?;
-        let ajp_address = node::free("127.0.0.1")?;
+        let json_address = node::unused_address()?;
+        let ajp_address = node::unused_address()?;
         let directory = node::directory()?;
         let mut config = node::config(json_address, executor.at, directory, settings(files));
         config["limits"]["sockets"] = NODE_DESCRIPTORS.into();
@@ -75,14 +77,14 @@
             answer.is_ok_and(|answer| answer["result"]["pass"] == true)
         })?;
         std::thread::sleep(SETTLING);
-        Ok(Self { process, json_address, ajp_address, _executor: executor, _folder: folder })
+        Ok(Self { process, json_address, ajp_address, executor, _folder: folder })
     }
 }
 
 /// A stand-in executor whose methods all take the same work.
 pub fn start_executor(work: Work) -> Result<Executor, SlopeError> {
     let works: HashMap<String, Work> = METHODS.iter().map(|method| (method.name.to_string(), work)).collect();
-    Ok(Executor::start(EXECUTOR_CORES, works)?)
+    Ok(Executor::start_timed(EXECUTOR_CORES, works)?)
 }
 
 /// The work of each RPC: one millisecond without a call upstream.
--- /dev/null
+++ b/crates/ochrewalk-lab/tests/scale.rs
@@ -0,0 +1,88 @@
+//! The scale run at a small size: a real publisher, real relays, real nodes under load and hollow ones. What a run comes to is
+//! judged, no time is.
+
+use ochrewalk_lab::node::program;
+use serde_json::Value;
+use std::process::Command;
+
+const NODES: u64 = 40;
+const REAL: u64 = 2;
+
+/// A small run with this fault. Its last line, and whether it ended well.
+fn run(fault: &str, seconds: &str) -> (Value, bool) {
+    program().expect("the node's program is there, or can be built");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ochrewalk-lab"));
+    command.args(["scale", "--seed", "7", "--nodes", &NODES.to_string(), "--real", &REAL.to_string()]);
+    command.args([
+        "--tenants",
+        "600",
+        "--routes",
+        "300",
+        "--scopes",
+        "20",
+        "--wanted",
+        "10",
+        "--regions",
+        "2",
+    ]);
+    command.args(["--hollow-processes", "2", "--rate", "4", "--seconds", seconds, "--faults", fault]);
+    let output = command.output().unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    let errors = String::from_utf8_lossy(&output.stderr);
+    let last = text.lines().last().unwrap_or_else(|| panic!("nothing was printed; {errors}"));
+    (serde_json::from_str(last).unwrap(), output.status.success())
+}
+
+fn assert_whole(line: &Value, is_success: bool) {
+    assert!(is_success, "{line}");
+    for zero in ["broken", "diverged", "lost"] {
+        assert_eq!(line[zero], 0, "{zero}: {line}");
+    }
+    assert_eq!(line["nodes"], NODES);
+    let real = &line["real"];
+    assert_eq!(real["nodes"], REAL);
+    assert_eq!(real["unanswered"], 0, "{line}");
+    assert_eq!(real["in_force_never"], 0, "{line}");
+    assert!(real["served"].as_u64().unwrap() > 0, "{line}");
+    assert!(real["in_force_samples"].as_u64().unwrap() > 0, "{line}");
+}
+
+#[test]
+fn changes_come_into_force_at_real_and_hollow_nodes() {
+    let (line, is_success) = run("none", "5");
+    assert_whole(&line, is_success);
+    assert_eq!(line["changes"], 20);
+}
+
+#[test]
+fn a_relay_that_is_killed_costs_no_change() {
+    let (line, is_success) = run("relay-killed", "6");
+    assert_whole(&line, is_success);
+}
+
+#[test]
+fn a_publisher_that_is_killed_loses_no_acknowledged_change() {
+    let (line, is_success) = run("publisher-killed", "9");
+    assert_whole(&line, is_success);
+}
+
+#[test]
+fn nodes_that_begin_without_state_end_up_with_all_of_it() {
+    let (line, is_success) = run("zone-cold", "6");
+    assert_whole(&line, is_success);
+}
+
+#[test]
+fn a_bad_change_is_rejected_and_named_until_a_good_one_replaces_it() {
+    let (line, is_success) = run("bad-change", "9");
+    assert_whole(&line, is_success);
+    assert!(line["bad_change"]["named"].as_u64().unwrap() > 0, "{line}");
+    assert_eq!(line["bad_change"]["named_at_end"], 0, "{line}");
+}
+
+#[test]
+fn subscribers_that_never_read_hold_up_nobody() {
+    let (line, is_success) = run("slow-nodes", "6");
+    assert_whole(&line, is_success);
+    assert_eq!(line["slow_nodes"]["connected"], 50, "{line}");
+}
--- a/crates/ochrewalk-node/tests/ajp.rs
+++ b/crates/ochrewalk-node/tests/ajp.rs
@@ -584,7 +584,7 @@
 #[test]
 fn with_one_place_gone_the_other_takes_all_calls() {
     let here = Ledger::start("127.0.0.22:0".parse().unwrap(), IDLE, |_| Act::good(b"A")).unwrap();
-    let nowhere = ochrewalk_lab::node::free("127.0.0.23").unwrap();
+    let nowhere = ochrewalk_lab::node::unused_address().unwrap();
     let more = format!("below ajp {nowhere}\nbelow ajp {}\nbelow leave-out 2\n", here.at);
     let (stand, mut executor) = up(|_| (), &more);
     let mut peer = ajp(&stand);
--- a/crates/ochrewalk-node/tests/places.rs
+++ b/crates/ochrewalk-node/tests/places.rs
@@ -101,7 +101,7 @@
 #[test]
 fn the_table_says_which_place_is_out_and_why() {
     let (here, status) = (Told::start(), status());
-    let nowhere = ochrewalk_lab::node::free("127.0.0.27").unwrap();
+    let nowhere = ochrewalk_lab::node::unused_address().unwrap();
     let more =
         format!("{}below ajp {nowhere}\nbelow leave-out 1\nbelow pause 1m 1m\n", operators(&status, &here));
     let (_stand, mut executor, mut caller) = Stand::up_with(|_| (), &more);
@@ -127,8 +127,7 @@
     // The longest time that the deployment lets be told, as the only place is out for a minute.
     for (nothing_there, told) in [(true, true), (false, false)] {
         let here = Told::start();
-        let at =
-            if nothing_there { ochrewalk_lab::node::free("127.0.0.28").unwrap() } else { here.ledger.at };
+        let at = if nothing_there { ochrewalk_lab::node::unused_address().unwrap() } else { here.ledger.at };
         let status = status();
         let operators = format!(
             "below ajp {at}\nbelow leave-out 1\nbelow pause 1m 1m\nbelow status {}\n",
