A successor has time to read files in proportion to how long this program took

Need: with all files of the size in two years an upgrade took 2.2 to 3.9 s at a load average of 11 to 19 (released program, six upgrades), of 5 s in all, whatever there is to read; at the first try of a test with 49,000 methods the debug program was refused as too slow.

Change: the time until a successor has spoken is 5 s or eight times what this program's own reading took, 30 s at most (giver::Limits::for_reading); nothing stands still meanwhile.

Small files: as before.

--- a/crates/ochrewalk-handover/src/giver.rs
+++ b/crates/ochrewalk-handover/src/giver.rs
@@ -34,6 +34,28 @@
     pub begin_us: u64,
 }
 
+/// A successor may take so many times as long to read its files as this program took: it has them read beside a program that
+/// serves, and on a machine that may be busier than at this one's start.
+const READING_FACTOR: u64 = 8;
+/// However long the files took: whoever asked for the upgrade waits for twice that.
+const LONGEST_PREPARE_US: u64 = 30_000_000;
+
+impl Limits {
+    /// The same with time for a taker to read files that took this program `reading_us`.
+    ///
+    /// ```
+    /// use ochrewalk_handover::giver::Limits;
+    /// let limits = Limits { prepare_us: 5_000_000, freeze_us: 2_000_000, begin_us: 1_000_000 };
+    /// assert_eq!(limits.for_reading(1_000), limits, "small files change nothing");
+    /// assert_eq!(limits.for_reading(1_500_000), Limits { prepare_us: 12_000_000, ..limits });
+    /// assert_eq!(limits.for_reading(60_000_000), Limits { prepare_us: 30_000_000, ..limits });
+    /// ```
+    pub fn for_reading(self, reading_us: u64) -> Limits {
+        let reading_us = reading_us.saturating_mul(READING_FACTOR).min(LONGEST_PREPARE_US);
+        Limits { prepare_us: self.prepare_us.max(reading_us), ..self }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum State {
     /// The stream is up; the taker has not spoken yet.
--- a/crates/ochrewalk-node/src/moving/give.rs
+++ b/crates/ochrewalk-node/src/moving/give.rs
@@ -70,7 +70,8 @@
 pub fn give(node: &Arc<Node>, handing: &Handing, link: &SupervisorLink, wire: Wire) {
     let interrupts = handing.begin();
     let clock = node.core.clock;
-    let mut giver = Giver::new(clock.now_us(), LIMITS, holding(node));
+    let limits = LIMITS.for_reading(node.reading_us.load(Ordering::Relaxed));
+    let mut giver = Giver::new(clock.now_us(), limits, holding(node));
     let mut side = Side { node, handing, link, wire, ahead: false, failed: None };
     while !giver.is_over() {
         if let Ok(why) = interrupts.try_recv() {
--- a/crates/ochrewalk-node/src/node/assembly.rs
+++ b/crates/ochrewalk-node/src/node/assembly.rs
@@ -202,6 +202,7 @@
         descriptors,
         digest,
         settings: AtomicU64::new(0),
+        reading_us: AtomicU64::new(0),
         configuration,
     });
     let name = placement.name.clone();
--- a/crates/ochrewalk-node/src/node/mod.rs
+++ b/crates/ochrewalk-node/src/node/mod.rs
@@ -65,6 +65,8 @@
     pub configuration: Option<ConfigurationHandle>,
     /// A print of the operators' file that it goes by, 0 where there is none or parts of it wait.
     settings: AtomicU64,
+    /// How long it took to read its files at the start.
+    pub reading_us: AtomicU64,
 }
 
 /// Serves as the node of those files until SIGTERM or SIGINT, then ends the process. SIGHUP has them read again. Where
@@ -80,6 +82,7 @@
         files.operators = Some(file);
     }
     let takes = supervised.as_mut().and_then(|by| by.predecessor.take()).map(Wire::new);
+    let reading = Instant::now();
     let (mut placement, operators) = files.read().inspect_err(|why| {
         if let Some(wire) = &takes {
             take::refuse(wire, why);
@@ -98,6 +101,7 @@
         .set_pool_capacity(POOLED_STACKS)
         .set_worker_pin(false);
     let digest = files.digest(&operators)?;
+    let reading_us = reading.elapsed().as_micros() as u64;
     let (mut operators_text, settings) = files.operators_text();
     let mut told_to_end = None;
     let taken = match (takes, &supervised) {
@@ -130,6 +134,7 @@
     };
     let (node, report_now) = begin(built, &placement);
     node.settings.store(settings, Ordering::Relaxed);
+    node.reading_us.store(reading_us, Ordering::Relaxed);
     let handing = Arc::new(Handing::default());
     if let Some(Supervised { link, successors, reads_changes, .. }) = supervised {
         let link = Arc::new(link);
--- a/crates/ochrewalk-node/src/node/reload.rs
+++ b/crates/ochrewalk-node/src/node/reload.rs
@@ -8,6 +8,7 @@
 use ochrewalk_operators::{changes, Needs, Operators};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// Reads the file again and takes over what may change. False where it can't be used and is worth another try.
 pub(super) fn read_again(
@@ -19,6 +20,7 @@
     readings: u32,
 ) -> bool {
     let (text, print) = files.operators_text();
+    let reading = Instant::now();
     let (left_alone, operators) = match files.read() {
         Ok((newer, operators)) => (placement.take_over(newer), operators),
         Err(why) => {
@@ -29,6 +31,8 @@
             return false;
         }
     };
+    // A successor may have as much to read.
+    node.reading_us.fetch_max(reading.elapsed().as_micros() as u64, Ordering::Relaxed);
     let Placement { executor, directory, below, .. } = *placement;
     let below_name = below.map_or("nothing".into(), |at| at.to_string());
     tracing::info!("SIGHUP: executor {executor}, directory {directory}, below {below_name}");
