Test: a caller that reads nothing, on a busy machine

Seen: with 16 busy processes beside all tests, 455 passed and a_caller_that_reads_nothing_does_not_hold_the_exit failed: its RPC was pushed back (four of four failures that were looked at). While the test floods a connection it does not answer as the executor, whose gauges the node then lacks, so it turns work away; that is as it should be.

Change: the executor answers five questions for gauges before the RPC is sent; nothing else is eased.

--- a/crates/ochrewalk-node/tests/crossings/leaving.rs
+++ b/crates/ochrewalk-node/tests/crossings/leaving.rs
@@ -3,6 +3,8 @@
 use crate::helper::*;
 use crate::{is_unseen, WARM};
 
+/// Answers after which a node takes its executor for one that can be relied on.
+const GAUGES: usize = 5;
 const NO_MORE: &str = r#"{"jsonrpc":"2.0","method":"noMore"}"#;
 
 /// The executor comes up only once the node was told to leave: nothing is begun any more.
@@ -97,6 +99,11 @@
     use std::io::Write;
     let line = format!("{HEARTBEAT}\n").repeat(100);
     while slow.stream.write(line.as_bytes()).is_ok() {}
+    // A busy machine takes a while for what was written. The executor has not said how it is meanwhile, and the node turns
+    // RPCs away until it has.
+    for _ in 0..GAUGES {
+        executor.hear_meter();
+    }
     caller.say(&rpc(1, "look"));
     executor.hear_of(&exec(1, "look"));
     stand.terminate();
