--- a/crates/ochrewalk-ingress/tests/memory.rs
+++ b/crates/ochrewalk-ingress/tests/memory.rs
@@ -9,7 +9,7 @@
 
 const ROUTES: usize = 49_000;
 /// A node may hold two tables of that size while its files are read again, beside all else within 128 MB.
-const MOST_BYTES_PER_ROUTE: usize = 320;
+const MOST_BYTES_PER_ROUTE: usize = 256;
 
 #[test]
 fn tens_of_thousands_of_routes_take_few_bytes_each() {
