Lab: one reader of a process's CPU time, and one step for a small scale run and its checks

Seen on reading the change again: scale/processes.rs had Node::cpu_us letter for letter, and each test of the scale run repeated the run and its checks. Change: both call one function; assertions are the same.

--- a/crates/ochrewalk-lab/src/node.rs
+++ b/crates/ochrewalk-lab/src/node.rs
@@ -77,6 +77,16 @@
     }
 }
 
+/// CPU time that a process has used, in microseconds; 0 where it has ended.
+pub fn cpu_us(process: u32) -> u64 {
+    let tasks = std::fs::read_dir(format!("/proc/{process}/task"));
+    let of_task = |task: std::fs::DirEntry| {
+        let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
+        text.split_whitespace().next()?.parse::<u64>().ok()
+    };
+    tasks.map_or(0, |tasks| tasks.flatten().filter_map(of_task).sum::<u64>() / 1_000)
+}
+
 impl Node {
     /// Starts it with the platform's file and the operators' own, and waits until it listens.
     pub fn start(program: &Path, config: &Value, operators: &str, log: &str) -> Result<Node, String> {
@@ -183,12 +193,7 @@
 
     /// CPU time that it has used, in microseconds.
     pub fn cpu_us(&self) -> u64 {
-        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
-        let of = |task: std::fs::DirEntry| {
-            let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
-            text.split_whitespace().next()?.parse::<u64>().ok()
-        };
-        tasks.map_or(0, |tasks| tasks.flatten().filter_map(of).sum::<u64>() / 1_000)
+        cpu_us(self.child.id())
     }
 
     /// Memory that is its own, in KB.
--- a/crates/ochrewalk-lab/src/scale/processes.rs
+++ b/crates/ochrewalk-lab/src/scale/processes.rs
@@ -30,16 +30,6 @@
     Ok(())
 }
 
-/// CPU time that a process has used, in microseconds.
-pub fn cpu_us(process: u32) -> u64 {
-    let tasks = std::fs::read_dir(format!("/proc/{process}/task"));
-    let of_task = |task: std::fs::DirEntry| {
-        let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
-        text.split_whitespace().next()?.parse::<u64>().ok()
-    };
-    tasks.map_or(0, |tasks| tasks.flatten().filter_map(of_task).sum::<u64>() / 1_000)
-}
-
 /// Resident memory of a process, in KB.
 pub fn memory_kb(process: u32) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
--- a/crates/ochrewalk-lab/tests/scale.rs
+++ b/crates/ochrewalk-lab/tests/scale.rs
@@ -8,6 +8,13 @@
 const NODES: u64 = 40;
 const REAL: u64 = 2;
 
+/// A small run with this fault, in which no rule may break. Its last line.
+fn whole_run(fault: &str, seconds: &str) -> Value {
+    let (line, is_success) = run(fault, seconds);
+    assert_whole(&line, is_success);
+    line
+}
+
 /// A small run with this fault. Its last line, and whether it ended well.
 fn run(fault: &str, seconds: &str) -> (Value, bool) {
     program().expect("the node's program is there, or can be built");
@@ -49,40 +56,34 @@
 
 #[test]
 fn changes_come_into_force_at_real_and_hollow_nodes() {
-    let (line, is_success) = run("none", "5");
-    assert_whole(&line, is_success);
+    let line = whole_run("none", "5");
     assert_eq!(line["changes"], 20);
 }
 
 #[test]
 fn a_relay_that_is_killed_costs_no_change() {
-    let (line, is_success) = run("relay-killed", "6");
-    assert_whole(&line, is_success);
+    whole_run("relay-killed", "6");
 }
 
 #[test]
 fn a_publisher_that_is_killed_loses_no_acknowledged_change() {
-    let (line, is_success) = run("publisher-killed", "9");
-    assert_whole(&line, is_success);
+    whole_run("publisher-killed", "9");
 }
 
 #[test]
 fn nodes_that_begin_without_state_end_up_with_all_of_it() {
-    let (line, is_success) = run("zone-cold", "6");
-    assert_whole(&line, is_success);
+    whole_run("zone-cold", "6");
 }
 
 #[test]
 fn a_bad_change_is_rejected_and_named_until_a_good_one_replaces_it() {
-    let (line, is_success) = run("bad-change", "9");
-    assert_whole(&line, is_success);
+    let line = whole_run("bad-change", "9");
     assert!(line["bad_change"]["named"].as_u64().unwrap() > 0, "{line}");
     assert_eq!(line["bad_change"]["named_at_end"], 0, "{line}");
 }
 
 #[test]
 fn subscribers_that_never_read_hold_up_nobody() {
-    let (line, is_success) = run("slow-nodes", "6");
-    assert_whole(&line, is_success);
+    let line = whole_run("slow-nodes", "6");
     assert_eq!(line["slow_nodes"]["connected"], 50, "{line}");
 }
