--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -305,6 +305,51 @@
             pass
 
 
+class AjpTier:
+    """The next tier by AJP/1.3: answers pings at once and each call with its reply after `delay` seconds."""
+
+    def __init__(self, record, delay):
+        self.record, self.delay, self.calls = record, delay, []
+
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        async def packet():
+            head = await reader.readexactly(4)
+            return await reader.readexactly(int.from_bytes(head[2:], "big"))
+
+        def send(payload):
+            writer.write(b"AB" + len(payload).to_bytes(2, "big") + payload)
+
+        try:
+            while True:
+                payload = await packet()
+                if payload[0] == 10:  # CPing
+                    send(b"\x09")
+                    continue
+                length = int(re.search(rb"\xa0\x08\x00.(\d+)\x00", payload, re.S).group(1))  # content-length
+                body = b""
+                while len(body) < length:
+                    if body:
+                        send(b"\x06" + (8000).to_bytes(2, "big"))
+                    body += (await packet())[2:]
+                self.calls.append(body)
+                self.record.write("next tier: call %r" % body)
+                await asyncio.sleep(self.delay)
+                reply = reply_to(body)
+                size = str(len(reply)).encode()
+                send(b"\x04\x00\xc8\x00\x02OK\x00\x00\x01\xa0\x03" + len(size).to_bytes(2, "big") + size + b"\x00")
+                send(b"\x03" + len(reply).to_bytes(2, "big") + reply + b"\x00")
+                send(b"\x05\x01")
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
 class Directory:
     def __init__(self, record):
         self.record, self.mode = record, None
