--- a/review/standins-2/src/reload.rs
+++ b/review/standins-2/src/reload.rs
@@ -14,7 +14,7 @@
 /// No move begins later; a move and its judgement take 14 s at most.
 const LAST_MOVE: Duration = Duration::from_secs(90);
 /// The signal comes this long after the request for the upgrade, in microseconds.
-const OFFSET_US: (u64, u64) = (2_000, 22_000);
+const OFFSET_US: (u64, u64) = (2_000, 32_000);
 /// Connections to the addresses before are closed then.
 const OLD_CLOSES: Duration = Duration::from_millis(1_500);
 /// From then on the node is long at the new addresses; requests sent within the window are judged.
