Review case 10: after an upgrade AJP requests get the ids of earlier ones and are refused

Change: a case with four web servers that send no ids, 30 s of load, one upgrade and 25 s more; the stand-ins gain AJP from a web server's side and an executor that runs whatever it is told to. The root is found from the case's folder, not from the build.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,8 +1,10 @@
 //! The cases of the second review: `review-case NAME FOLDER` plays one, with stand-ins for all that the node talks to.
 //! Ends with 1 where the rule was broken, 0 where it held, 2 where the case couldn't run.
 
+mod ajp;
 mod crash;
 mod executor;
+mod ids;
 mod json;
 mod leak;
 mod peers;
@@ -32,6 +34,7 @@
         "reply" => reply::play(&folder, has_trouble),
         "leak" => leak::play(&folder, has_trouble),
         "reload" => reload::play(&folder, has_trouble),
+        "ids" => ids::play(&folder, has_trouble),
         "crash" => crash::play(&folder, has_trouble),
         _ => Verdict::Unplayed("no such case".into()),
     };
