--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Mutex;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const HEARTBEAT: &str = r#"{"jsonrpc":"2.0","id":99,"method":"heartbeat"}"#;
@@ -47,9 +48,46 @@
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
-/// Returns a loopback address that no other test uses, and whose port the system assigns to no other socket by chance.
+/// A block of 253 loopback addresses that belongs to this test process alone for as long as it holds the listener.
+struct AddressBlock {
+    /// The second and third byte of the addresses.
+    prefix: (u8, u8),
+    /// The number of addresses that have been given out.
+    used: u8,
+    _claim: TcpListener,
+}
+
+impl AddressBlock {
+    const BLOCKS: u32 = 200 * 250;
+    const ADDRESSES: u8 = 253;
+    /// The port at the last address of a block whose listener claims the block; no test uses it otherwise.
+    const CLAIM_PORT: u16 = 7000;
+
+    /// Claims the first block that no running process has claimed, starting at one that depends on the process id.
+    fn claim() -> AddressBlock {
+        let first = std::process::id() % Self::BLOCKS;
+        for index in (first..Self::BLOCKS).chain(0..first) {
+            let prefix = (10 + (index / 250) as u8, 1 + (index % 250) as u8);
+            let claim_address = format!("127.{}.{}.254:{}", prefix.0, prefix.1, Self::CLAIM_PORT);
+            if let Ok(claim) = TcpListener::bind(claim_address) {
+                return AddressBlock { prefix, used: 0, _claim: claim };
+            }
+        }
+        panic!("every block of loopback addresses is claimed");
+    }
+}
+
+/// Returns a loopback address that no other test uses, of this process or of another one that runs at the same time, and
+/// whose port the system assigns to no other socket by chance.
 pub fn own_address(port: u16) -> String {
-    format!("127.{}.{}.1:{port}", 10 + unique_number() % 200, 1 + std::process::id() % 250)
+    static BLOCKS: Mutex<Vec<AddressBlock>> = Mutex::new(Vec::new());
+    let mut blocks = BLOCKS.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    if blocks.last().is_none_or(|block| block.used == AddressBlock::ADDRESSES) {
+        blocks.push(AddressBlock::claim());
+    }
+    let block = blocks.last_mut().expect("a block was claimed");
+    block.used += 1;
+    format!("127.{}.{}.{}:{port}", block.prefix.0, block.prefix.1, block.used)
 }
 
 /// Creates a temporary file with this text under a unique path.
