A reply that is written again after a broken link never answers the run's next call

Cause: RETURN names no call. Replies that were unconfirmed at the break were written again after the first gauge reply on the next link. That reply proves what the run had done before it, not that the run still waits when the repeat arrives. Evidence, record of a failed run here: reply read at 16,204 ms, break at 16,231, next call needed at 16,252.64, wrong reply at 16,252.80, and only then, at 16,252.94, that call at the store: the wrong reply cannot have come from the store or from a connection to it.

Change: such a reply is repeated on the terms of a start that must not happen twice. Its run is paused, a gauge reply after the pause proves that the run stands still, the reply is written, the run is resumed. Where runs cannot be paused it is not repeated. A run that is being stopped is not resumed by the end of a proof. The decision moves to net/unconfirmed_commands.rs, without I/O.

Two tests of node.rs expected the commands after the break in full: they now expect the pause and the resumption, too, and nothing else, as before.

--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -3,17 +3,13 @@
 //!
 //! After a connection breaks, it is unknown whether the executor has read the commands that were written last. The
 //! replies to gauge requests confirm them: gauges are requested continually, and a reply proves that the executor has
-//! read all that was written before the request. Unconfirmed commands are written again after the new connection has
-//! delivered the notices that were missed.
-//!
-//! The start of a run that must not happen twice is repeated only after a proof. Where runs can be paused, the node
-//! pauses the run. A gauge reply that follows the pause, with no notice of the run's end before the reply, proves that
-//! the run is paused or has never started. The start is then written again, which has no effect on an existing run, and
-//! the run is resumed.
+//! read all that was written before the request. [`UnconfirmedCommands`] decides which of the others are written again after
+//! the new connection has delivered the notices that were missed.
 
 use super::buffered_connection::{
     close_gracefully, connect, drive_connection, CloseRequest, MessageHandler, SendQueue,
 };
+use super::unconfirmed_commands::{RunProperties, UnconfirmedCommands};
 use crate::close_reason::CloseReason;
 use crate::coordinator::{EventSender, RequestCoordinator, RequestEvent};
 use crate::handover::records::ExecutorRecord;
@@ -55,16 +51,23 @@
     /// The recipient of its reply, while one waits.
     gauge_sender: Option<Sender<Vec<f64>>>,
     /// Commands whose connection broke before they were confirmed.
-    unconfirmed: Vec<Vec<u8>>,
-    /// The tag after which the reply to a gauge request settles the unconfirmed commands.
-    unconfirmed_until: u64,
-    /// Runs that were paused for a proof.
-    paused: Vec<RpcId>,
+    unconfirmed: UnconfirmedCommands,
 }
 
 struct Run {
     events: EventSender,
-    is_repeatable: bool,
+    properties: RunProperties,
+}
+
+impl Run {
+    fn new(events: EventSender, is_repeatable: bool) -> Run {
+        Run { events, properties: RunProperties { is_repeatable, is_stopping: false } }
+    }
+}
+
+/// Returns the id and the properties of a run that has not ended.
+fn properties_of(runs: &HashMap<RpcId, Run>, id: &str) -> Option<(RpcId, RunProperties)> {
+    runs.get_key_value(id).map(|(id, run)| (id.clone(), run.properties))
 }
 
 impl Executor {
@@ -77,9 +80,7 @@
             is_welcomed: false,
             gauge_tag: 0,
             gauge_sender: None,
-            unconfirmed: Vec::new(),
-            unconfirmed_until: 0,
-            paused: Vec::new(),
+            unconfirmed: UnconfirmedCommands::default(),
         };
         Executor { can_pause, send_queue: SendQueue::retaining_unconfirmed(), state: Mutex::new(state) }
     }
@@ -93,15 +94,15 @@
         runs: Vec<(RpcId, bool, EventSender)>,
     ) -> Executor {
         let mut executor = Executor::new(address, can_pause);
-        let run = |(id, is_repeatable, events)| (id, Run { events, is_repeatable });
+        let run = |(id, is_repeatable, events)| (id, Run::new(events, is_repeatable));
         {
             let mut state = executor.lock();
             state.runs = runs.into_iter().map(run).collect();
-            (state.last_read, state.gauge_tag, state.unconfirmed_until) =
-                (record.last_read, record.last_gauge_tag, record.unconfirmed_until);
+            (state.last_read, state.gauge_tag) = (record.last_read, record.last_gauge_tag);
             state.is_welcomed = record.is_welcomed && record.stream.is_some();
-            state.unconfirmed = record.unconfirmed;
-            state.paused = record.paused.into_iter().map(RpcId::from).collect();
+            let paused = record.paused.into_iter().map(RpcId::from).collect();
+            state.unconfirmed =
+                UnconfirmedCommands::resume(record.unconfirmed, record.unconfirmed_until, paused);
         }
         match record.stream {
             Some(stream) => executor.send_queue = SendQueue::resume(stream, true),
@@ -119,9 +120,9 @@
             last_read: state.last_read,
             is_welcomed: state.is_welcomed,
             last_gauge_tag: state.gauge_tag,
-            unconfirmed: state.unconfirmed.clone(),
-            unconfirmed_until: state.unconfirmed_until,
-            paused: state.paused.iter().map(|id| id.to_string()).collect(),
+            unconfirmed: state.unconfirmed.lines().to_vec(),
+            unconfirmed_until: state.unconfirmed.last_tag(),
+            paused: state.unconfirmed.paused().iter().map(|id| id.to_string()).collect(),
             stream: None,
         };
         match stream {
@@ -146,20 +147,28 @@
     /// Starts a run, whose notices are sent to `events`. Where the run `is_repeatable`, the command is repeated without a
     /// proof after a connection broke.
     pub fn run(&self, id: &RpcId, lane: &str, content: &str, is_repeatable: bool, events: EventSender) {
-        self.lock().runs.insert(id.clone(), Run { events, is_repeatable });
+        self.lock().runs.insert(id.clone(), Run::new(events, is_repeatable));
         self.send_queue.push(notices::exec(id, lane, content));
     }
 
-    /// Resumes a paused run.
+    /// Resumes a paused run. A run that is paused for a proof is resumed at the end of the proof.
     pub fn wake(&self, id: &str) {
-        self.send_queue.push(notices::wake(id));
+        if !self.lock().unconfirmed.is_paused(id) {
+            self.send_queue.push(notices::wake(id));
+        }
     }
 
-    /// Stops a run, or pauses it where the executor can. The caller repeats the command until the run has ended, so a
+    /// Stops a run for good, or pauses it where the executor can. The caller repeats the command until the run has ended, so a
     /// lost command does no harm.
     pub fn stop(&self, id: &str) {
-        if !self.lock().is_welcomed {
-            return;
+        {
+            let mut state = self.lock();
+            if let Some(run) = state.runs.get_mut(id) {
+                run.properties.is_stopping = true;
+            }
+            if !state.is_welcomed {
+                return;
+            }
         }
         self.send_queue.push(notices::kill(id));
     }
@@ -254,45 +263,23 @@
         }
     }
 
-    /// Pauses, on a new connection, the runs whose start is unconfirmed and must not happen twice.
-    fn pause_unconfirmed_starts(&self) {
+    /// Pauses, on a new connection, the runs whose unconfirmed commands are repeated only after a proof. The gauge requests
+    /// that follow are written after these commands.
+    fn begin_proof(&self) {
         let mut state = self.lock();
-        state.unconfirmed_until = state.gauge_tag;
-        // `KILL` is not repeated here, as its caller repeats it for as long as it is needed.
-        state
-            .unconfirmed
-            .retain(|line| notices::action_and_run(line).is_some_and(|(action, _)| action != "KILL"));
-        if !self.can_pause {
-            return;
-        }
-        let State { unconfirmed, runs, paused, .. } = &mut *state;
-        let starts =
-            unconfirmed.iter().filter_map(|line| notices::action_and_run(line).filter(|n| n.0 == "EXEC"));
-        for (id, run) in starts.filter_map(|(_, uid)| runs.get_key_value(uid)) {
-            if !run.is_repeatable {
-                self.send_queue.push(notices::kill(id));
-                paused.push(id.clone());
-            }
+        let State { unconfirmed, runs, gauge_tag, .. } = &mut *state;
+        for id in unconfirmed.begin_proof(*gauge_tag, self.can_pause, |id| properties_of(runs, id)) {
+            self.send_queue.push(notices::kill(&id));
         }
     }
 
-    /// Writes the unconfirmed commands of a broken connection again, except for runs that have ended. All notices up to
-    /// now are read. The start of a run that must not happen twice is repeated only after a proof, to prevent a second
-    /// effect.
-    fn repeat_unconfirmed(&self) {
+    /// Writes unconfirmed commands again, where the gauge reply with this tag completes the proof. All notices up to now are
+    /// read.
+    fn repeat_unconfirmed(&self, tag: u64) {
         let mut state = self.lock();
-        let State { unconfirmed, runs, paused, .. } = &mut *state;
-        for line in unconfirmed.drain(..) {
-            let may_repeat = notices::action_and_run(&line).is_some_and(|(action, uid)| {
-                let is_proven = action != "EXEC" || paused.iter().any(|id| **id == *uid);
-                runs.get(uid).is_some_and(|run| run.is_repeatable || is_proven)
-            });
-            if may_repeat {
-                self.send_queue.push(line);
-            }
-        }
-        for id in paused.drain(..).filter(|id| runs.contains_key(id)) {
-            self.send_queue.push(notices::wake(&id));
+        let State { unconfirmed, runs, .. } = &mut *state;
+        for command in unconfirmed.complete_proof(tag, |id| properties_of(runs, id)) {
+            self.send_queue.push(command);
         }
     }
 
@@ -320,7 +307,7 @@
                     if is_cold { "cold" } else { "warm" }
                 );
                 self.lock().is_welcomed = true;
-                self.pause_unconfirmed_starts();
+                self.begin_proof();
                 coordinator.activate(is_cold, uptime_us);
                 let _ = up.send(());
             }
@@ -341,17 +328,13 @@
                         .is_some_and(|(action, run)| run == uid && !["KILL", "WAKE"].contains(&action))
                 };
                 self.send_queue.confirm_matching(is_read);
-                self.lock()
-                    .unconfirmed
-                    .retain(|line| notices::action_and_run(line).is_none_or(|(_, run)| run != uid));
+                self.lock().unconfirmed.run_continued(&uid);
                 self.notify(&uid, RequestEvent::CallNeeded { pos, body });
             }
             Notice::Meters { echo, meters } => {
                 let Ok(tag) = echo.parse() else { return Ok(()) };
                 self.send_queue.confirm_through(&notices::meter(tag));
-                if tag > self.lock().unconfirmed_until {
-                    self.repeat_unconfirmed();
-                }
+                self.repeat_unconfirmed(tag);
                 let state = self.lock();
                 if let Some(sender) = state.gauge_sender.as_ref().filter(|_| tag == state.gauge_tag) {
                     let _ = sender.send(meters);
--- a/crates/ochrewalk-node/src/net/mod.rs
+++ b/crates/ochrewalk-node/src/net/mod.rs
@@ -9,3 +9,4 @@
 pub mod line_upstream;
 pub mod listener;
 pub mod status;
+pub mod unconfirmed_commands;
--- a/crates/ochrewalk-node/tests/crossings/executor.rs
+++ b/crates/ochrewalk-node/tests/crossings/executor.rs
@@ -137,3 +137,53 @@
     executor.send_line(&exit(2, 1, "complete"));
     assert_eq!(caller.read_line(), served(1));
 }
+
+/// Guards against a reply that is written again, after the link broke, and reaches a run that has meanwhile asked for its next
+/// call: the run would take it for the reply to that call. The run here asks as soon as it is not paused, between the gauge
+/// reply on the new link and the next command.
+#[test]
+fn a_reply_that_is_written_again_never_answers_the_next_call() {
+    for mode in ["pause", "drop", "silent"] {
+        let node = TestNode::start_with(|config| config["settings"]["extra"]["stop-mode"] = mode.into());
+        let mut executor = node.executor();
+        executor.send_line(WARM_WELCOME);
+        let mut caller = node.caller();
+        caller.wait_healthy();
+        caller.send_line(&rpc(1, "look"));
+        executor.read_until(&exec(1, "look"));
+        executor.send_line(&callout(1, 1));
+        let mut upstream = Peer::accept(&node.upstream);
+        answer_call(&mut upstream, "A");
+        executor.disconnect_after(&["\"RETURN\""]);
+        let mut executor = node.link();
+        executor.read_until("JOIN");
+        executor.send_line(WARM_WELCOME);
+        let mut is_paused = false;
+        loop {
+            let line = executor.next_line();
+            is_paused |= line.contains("KILL");
+            if executor.answer_if_gauge_request(&line) {
+                break;
+            }
+        }
+        if is_paused {
+            executor.read_until("WAKE");
+        }
+        executor.send_line(&callout(2, 1));
+        let mut upstream = Peer::accept(&node.upstream);
+        answer_call(&mut upstream, "B");
+        let given = executor.read_until("RETURN");
+        assert!(given.contains("\"Qg==\""), "{mode}: the second call was given {given}");
+        executor.send_line(&exit(3, 1, "complete"));
+        assert_eq!(caller.read_line(), served(1));
+    }
+}
+
+/// Reads the call of the first RPC and answers it. The connection is closed after the reply, so that the next call comes on a
+/// new one.
+fn answer_call(upstream: &mut Peer, body: &str) {
+    assert!(upstream.read_line().starts_with(&format!("CALL {} ", req(1))));
+    upstream.read_bytes(5);
+    upstream.write_bytes(format!("{} OK 1\r\n{body}\r\n", req(1)).as_bytes());
+    upstream.stream.shutdown(Shutdown::Write).unwrap();
+}
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -338,8 +338,15 @@
         }
     }
 
+    /// Returns the next line, of any kind.
+    pub fn next_line(&mut self) -> String {
+        let mut line = String::new();
+        assert!(self.input.read_line(&mut line).unwrap() > 0, "the stream ended");
+        line
+    }
+
     /// Answers this line if it is a request for gauges, and returns whether it was one.
-    fn answer_if_gauge_request(&mut self, line: &str) -> bool {
+    pub fn answer_if_gauge_request(&mut self, line: &str) -> bool {
         let Some(tag) = line.strip_prefix(r#"{"action":"METER","echo":"#) else { return false };
         let tag = tag.trim_end().trim_end_matches('}');
         let answer = format!("{{\"action\":\"METERS\",\"echo\":{tag},\"meters\":[0.1,0]}}\n");
@@ -349,8 +356,7 @@
 
     /// Reads the next line, which has to be a request for gauges, and answers it.
     pub fn expect_gauge_request(&mut self) {
-        let mut line = String::new();
-        self.input.read_line(&mut line).unwrap();
+        let line = self.next_line();
         assert!(self.answer_if_gauge_request(&line), "{line}");
     }
 
--- a/crates/ochrewalk-node/tests/node.rs
+++ b/crates/ochrewalk-node/tests/node.rs
@@ -428,8 +428,10 @@
     executor.send_line(r#"{"action":"WELCOME","code":"hot","wall_ms":6000}"#);
     // The executor had read the first reply: the run waits for its second call.
     executor.send_line(&callout(2, 1));
-    // An unconfirmed command would be sent after the first answer about gauges.
-    executor.expect_gauge_request();
+    // An unconfirmed command would be sent after the first answer about gauges. Only the run, paused until then, is resumed.
+    let command = |action: &str| format!(r#"{{"action":"{action}","uid":"{}"}}"#, req(1));
+    assert_eq!(executor.read_line(), command("KILL"));
+    assert_eq!(executor.read_line(), command("WAKE"));
     executor.expect_gauge_request();
     reply("B");
     assert!(executor.read_until("RETURN").contains("\"Qg==\""));
@@ -459,8 +461,11 @@
     let mut executor = node.link();
     executor.read_until("JOIN");
     executor.send_line(r#"{"action":"WELCOME","code":"hot","wall_ms":6000}"#);
-    // The run still waits for the third reply: it gets that reply once, and none of those before it.
-    assert!(executor.read_until("RETURN").contains("\"Qw==\""));
+    // The run still waits for the third reply: it gets that reply once, and none of those before it. Meanwhile it is paused.
+    let command = |action: &str| format!(r#"{{"action":"{action}","uid":"{}"}}"#, req(1));
+    assert_eq!(executor.read_line(), command("KILL"));
+    assert!(executor.read_line().contains("\"Qw==\""));
+    assert_eq!(executor.read_line(), command("WAKE"));
     executor.send_line(&exit(4, 1, "complete"));
     assert_eq!(caller.read_line(), served(1));
     caller.send_line(&rpc(2, "look"));
