A client that sends at full speed no longer keeps all others waiting

What callers saw: while one connection sent heartbeats at full speed, the answers to others came 3 to 6 s late, past their deadlines.

Cause: the runtime's worker polls for I/O only once no coroutine is ready. After 16 reads a connection yielded, which makes it ready again at once, so that with ever more input nothing else was read or written: no other client, no executor. Ruled out: lock contention and the cost of the messages, which would slow all connections alike. With one worker and two connections, the other one's single line was handled only after the end of the flood, and within a few turns once the yield was replaced by a sleep.

All protocols share the code.

--- a/crates/ochrewalk-node/src/net/ajp_ingress/inbound.rs
+++ b/crates/ochrewalk-node/src/net/ajp_ingress/inbound.rs
@@ -3,7 +3,7 @@
 
 use super::{AjpClient, AjpIngress, Connection, ConnectionState, PendingRequest};
 use crate::close_reason::CloseReason;
-use crate::net::buffered_connection::{CloseRequest, MessageHandler};
+use crate::net::buffered_connection::{CloseRequest, MessageHandler, PeerKind};
 use crate::shared_state::ParsedRequest;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use ochrewalk_ajp::reply;
@@ -54,6 +54,10 @@
 }
 
 impl MessageHandler for RequestHandler<'_> {
+    fn peer_kind(&self) -> PeerKind {
+        PeerKind::Client
+    }
+
     fn handle_message(&mut self, input: &[u8]) -> Result<usize, CloseReason> {
         let (mut actions, mut allow) = (RequestedActions::default(), Vec::new());
         let taken = {
--- a/crates/ochrewalk-node/src/net/buffered_connection.rs
+++ b/crates/ochrewalk-node/src/net/buffered_connection.rs
@@ -3,6 +3,10 @@
 //! `may` lets only one coroutine wait on a stream, and a clone of the stream would use a second descriptor. A
 //! single coroutine therefore waits until the stream is readable, the stream is writable, or a line is queued.
 
+use super::flood_control::{
+    sleep_after_client_turn, sleep_after_trusted_turn, MAX_CLIENT_MESSAGES_PER_TURN,
+    MAX_TRUSTED_MESSAGES_PER_TURN,
+};
 use crate::close_reason::CloseReason;
 use crate::handover::pause::is_paused;
 use crate::handover::records::StreamRecord;
@@ -18,8 +22,8 @@
 
 /// The number of bytes that one read requests.
 const READ_BYTES: usize = 8 * 1024;
-/// The number of reads after which the coroutine yields to others.
-const READS_BEFORE_YIELD: usize = 16;
+/// The number of reads after which a turn of the coroutine ends.
+const READS_PER_TURN: usize = 16;
 /// The time without any progress of a write after which a connection that is to be closed is closed without
 /// flushing the queue.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -246,8 +250,22 @@
     }
 }
 
+/// The trust in the peer of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerKind {
+    /// A part of this server's deployment.
+    Trusted,
+    /// A client, which may send more than the node can handle.
+    Client,
+}
+
 /// The protocol on a connection: handles the messages that are received.
 pub trait MessageHandler {
+    /// The trust in the peer. The messages of a client are limited in their rate.
+    fn peer_kind(&self) -> PeerKind {
+        PeerKind::Trusted
+    }
+
     /// Handles the first complete message in `input` and returns the number of bytes that it takes, or 0 where no
     /// message is complete.
     ///
@@ -371,7 +389,7 @@
     }
     let reason = loop {
         let turn = if is_paused() {
-            Ok(false)
+            Ok(Turn::Idle)
         } else {
             let broken = Err(CloseReason::Broken(ErrorKind::Other));
             contain(|| {
@@ -382,10 +400,13 @@
             .unwrap_or(broken)
         };
         match turn {
-            Ok(false) => {
+            Ok(Turn::Idle) => {
                 stream.wait_io();
             }
-            Ok(true) => may::coroutine::yield_now(),
+            Ok(Turn::UsedUp { messages }) => match handler.peer_kind() {
+                PeerKind::Client => sleep_after_client_turn(messages),
+                PeerKind::Trusted => sleep_after_trusted_turn(),
+            },
             Err(reason) => break reason,
         }
     };
@@ -413,7 +434,18 @@
     stalled_since: Option<Instant>,
 }
 
-/// Writes and reads without waiting. Returns true where more input may be available.
+/// The end of a turn, in which a connection writes and reads without waiting.
+enum Turn {
+    /// Nothing more can be written or read now.
+    Idle,
+    /// More input may be available, but other connections are to be served first.
+    UsedUp {
+        /// The number of messages that were handled in the turn.
+        messages: usize,
+    },
+}
+
+/// Writes and reads without waiting, for one turn.
 fn write_and_read(
     stream: &TcpStream,
     send_queue: &SendQueue,
@@ -421,9 +453,14 @@
     input: &mut Vec<u8>,
     max_message_bytes: usize,
     handler: &mut impl MessageHandler,
-) -> Result<bool, CloseReason> {
+) -> Result<Turn, CloseReason> {
     write(stream, send_queue, writing)?;
-    for _ in 0..READS_BEFORE_YIELD {
+    let max_messages = match handler.peer_kind() {
+        PeerKind::Client => MAX_CLIENT_MESSAGES_PER_TURN,
+        PeerKind::Trusted => MAX_TRUSTED_MESSAGES_PER_TURN,
+    };
+    let mut messages = 0;
+    for _ in 0..READS_PER_TURN {
         if !writing.is_half_closed && !handler.may_read() {
             return close_if_requested(stream, send_queue, writing, handler);
         }
@@ -459,13 +496,19 @@
                     at = input.len();
                 }
                 0 => break,
-                taken => at += taken,
+                taken => {
+                    at += taken;
+                    messages += 1;
+                }
             }
         }
         input.drain(..at);
         write(stream, send_queue, writing)?;
+        if messages > max_messages {
+            break;
+        }
     }
-    Ok(true)
+    Ok(Turn::UsedUp { messages })
 }
 
 /// Closes the stream where a close is requested, the queue is written and the handler agrees. Withdraws the request
@@ -475,7 +518,7 @@
     send_queue: &SendQueue,
     writing: &mut WriteState,
     handler: &mut impl MessageHandler,
-) -> Result<bool, CloseReason> {
+) -> Result<Turn, CloseReason> {
     let is_line_sent = writing.sent == writing.line.len();
     handler.on_drained(is_line_sent && send_queue.lock().lines.is_empty());
     let requested = {
@@ -495,9 +538,9 @@
                 writing.is_half_closed = true;
                 let _ = stream.shutdown(Shutdown::Write);
             }
-            return Ok(false);
+            return Ok(Turn::Idle);
         }
-        None => return Ok(false),
+        None => return Ok(Turn::Idle),
         Some(_) if writing.is_half_closed => CloseReason::Draining,
         Some(CloseRequest::Idle) => CloseReason::Idle,
         Some(CloseRequest::Faulty) => CloseReason::Malformed("too many faults".into()),
@@ -509,7 +552,7 @@
     }
     let mut queue = send_queue.lock();
     queue.close_request = queue.close_request.filter(|request| Some(*request) != requested);
-    Ok(false)
+    Ok(Turn::Idle)
 }
 
 /// Writes queued lines until the queue is empty or the stream would block.
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -2,7 +2,8 @@
 //! dispatcher closes its connection when the connection is idle or the node drains.
 
 use super::buffered_connection::{
-    close_gracefully, drive_connection, stream_from_descriptor, CloseRequest, MessageHandler, SendQueue,
+    close_gracefully, drive_connection, stream_from_descriptor, CloseRequest, MessageHandler, PeerKind,
+    SendQueue,
 };
 use super::listener::{ConnectionListener, MAX_CLOSING};
 use crate::close_reason::CloseReason;
@@ -513,6 +514,10 @@
 }
 
 impl MessageHandler for RequestHandler<'_> {
+    fn peer_kind(&self) -> PeerKind {
+        PeerKind::Client
+    }
+
     fn handle_message(&mut self, input: &[u8]) -> Result<usize, CloseReason> {
         let Some((line, taken)) = crate::wire::line(input) else {
             let now_us = self.core.clock.now_us();
--- a/crates/ochrewalk-node/src/net/mod.rs
+++ b/crates/ochrewalk-node/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod directory;
 pub mod dispatchers;
 pub mod executor;
+pub mod flood_control;
 pub mod line_upstream;
 pub mod listener;
 pub mod status;
--- /dev/null
+++ b/crates/ochrewalk-node/tests/crossings/floods.rs
@@ -0,0 +1,131 @@
+//! Tests one client that sends at full speed: every other caller is served meanwhile, and the node stays within its memory limit.
+
+use crate::helper::*;
+use crate::{start_small_node, AJP_DIRECTIVES, SMALL_MEMORY_MB};
+use serde_json::Value;
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The size of a flood, more than the system's buffers take. At full speed the node needs seconds for it.
+const FLOOD_BYTES: usize = 14_000_000;
+const MESSAGES_PER_WRITE: u64 = 200;
+/// The number of calls that another caller makes beside each flood, one after the other.
+const CALLS: usize = 100;
+const CALL_INTERVAL: Duration = Duration::from_millis(4);
+const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// One kind of message that a client sends at full speed.
+struct Flood {
+    name: &'static str,
+    is_ajp: bool,
+    /// Returns the message with this number.
+    message: fn(u64) -> Vec<u8>,
+}
+
+const FLOODS: [Flood; 7] = [
+    Flood { name: "heartbeats", is_ajp: false, message: |_| format!("{HEARTBEAT}\n").into() },
+    Flood {
+        name: "revokes of unknown RPCs",
+        is_ajp: false,
+        message: |number| {
+            format!("{{\"jsonrpc\":\"2.0\",\"method\":\"revoke\",\"params\":{{\"id\":{number}}}}}\n").into()
+        },
+    },
+    Flood { name: "RPCs", is_ajp: false, message: |number| (rpc(FLOOD_IDS + number, "look") + "\n").into() },
+    Flood {
+        name: "RPCs under new keys",
+        is_ajp: false,
+        message: |number| {
+            (rpc_with(FLOOD_IDS + number, "sale", unix_ms(), &format!(r#","opkey":"f{number}""#)) + "\n")
+                .into()
+        },
+    },
+    Flood {
+        name: "RPCs of unknown methods",
+        is_ajp: false,
+        message: |number| (rpc(FLOOD_IDS + number, &format!("m{number}")) + "\n").into(),
+    },
+    Flood { name: "empty lines", is_ajp: false, message: |_| b"\n".to_vec() },
+    Flood { name: "CPings", is_ajp: true, message: |_| vec![0x12, 0x34, 0, 1, 10] },
+];
+/// The first id of a flood's RPCs, above those of the other caller.
+const FLOOD_IDS: u64 = 1_000_000;
+
+/// Sends a flood, and connects again where the node closes the connection, until the flood is sent or `stop` is set. Returns
+/// whether it was sent. Answers are read and discarded.
+fn send_flood(address: &str, flood: &Flood, stop: &AtomicBool) -> bool {
+    let (mut number, mut sent) = (0, 0);
+    while sent < FLOOD_BYTES {
+        let Ok(mut stream) = TcpStream::connect(address) else { continue };
+        // A client that the node reads too slowly gives up and connects again.
+        stream.set_write_timeout(Some(WRITE_TIMEOUT)).unwrap();
+        let mut answers = stream.try_clone().unwrap();
+        let reader = std::thread::spawn(move || std::io::copy(&mut answers, &mut std::io::sink()));
+        while sent < FLOOD_BYTES && !stop.load(Ordering::Relaxed) {
+            let bytes: Vec<u8> = (number..number + MESSAGES_PER_WRITE).flat_map(flood.message).collect();
+            if stream.write_all(&bytes).is_err() {
+                break;
+            }
+            (number, sent) = (number + MESSAGES_PER_WRITE, sent + bytes.len());
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+        let _ = reader.join();
+        if stop.load(Ordering::Relaxed) {
+            return false;
+        }
+    }
+    true
+}
+
+/// Completes each run at once.
+fn complete_runs(mut executor: Peer) {
+    let mut pos = 0;
+    loop {
+        let line = executor.read_line();
+        if line.is_empty() {
+            return;
+        }
+        let Ok(Value::Object(command)) = serde_json::from_str(&line) else { continue };
+        if command["action"] == "EXEC" {
+            pos += 1;
+            let number = u64::from_str_radix(command["uid"].as_str().unwrap(), 16).unwrap();
+            // Fails once the node has ended.
+            let _ = executor.stream.write_all((exit(pos, number, "complete") + "\n").as_bytes());
+        }
+    }
+}
+
+/// Guards against one client whose messages, at full speed, make every other caller wait until the flood is over, and against
+/// a flood under ever new ids and keys that takes the node over its memory limit.
+#[test]
+fn a_flood_on_one_connection_delays_no_other_caller() {
+    let (node, executor, caller) = start_small_node(AJP_DIRECTIVES);
+    drop(caller);
+    let executor = std::thread::spawn(move || complete_runs(executor));
+    let (mut number, mut waited_for) = (0, Vec::new());
+    for flood in &FLOODS {
+        let stop = Arc::new(AtomicBool::new(false));
+        std::thread::scope(|scope| {
+            let address = if flood.is_ajp { &node.ajp } else { &node.address };
+            let is_over = scope.spawn(|| send_flood(address, flood, &stop));
+            let mut caller = node.caller();
+            for _ in 0..CALLS {
+                number += 1;
+                caller.send_line(&rpc(number, "look"));
+                assert_eq!(caller.read_line(), served(number), "beside {}", flood.name);
+                std::thread::sleep(CALL_INTERVAL);
+            }
+            stop.store(true, Ordering::Relaxed);
+            if is_over.join().unwrap() {
+                waited_for.push(flood.name);
+            }
+        });
+    }
+    assert!(waited_for.is_empty(), "the caller waited for the end of the floods: {waited_for:?}");
+    assert!(node.peak_kb() < SMALL_MEMORY_MB * 1024, "{} kB", node.peak_kb());
+    drop(node);
+    executor.join().unwrap();
+}
--- a/crates/ochrewalk-node/tests/crossings/main.rs
+++ b/crates/ochrewalk-node/tests/crossings/main.rs
@@ -7,6 +7,7 @@
 mod bad_input;
 mod drain;
 mod executor;
+mod floods;
 mod keys;
 mod listeners;
 mod panics;
@@ -22,3 +23,26 @@
 fn is_rejected(line: &str, number: u64) -> bool {
     line.contains(&format!(r#""id":{number},"error":{{"code":-32011"#))
 }
+
+/// The smallest memory limit and the largest number of descriptors that deployments have.
+const SMALL_MEMORY_MB: u64 = 32;
+const MANY_DESCRIPTORS: u64 = 512;
+
+const AJP_DIRECTIVES: &str = "
+ajp listen AJP
+ajp allow 127.0.0.0/8
+ajp memory 20.5
+ajp route POST /look look
+ajp route POST /once once
+";
+
+/// Starts a healthy node with the smallest memory limit for the largest number of connections.
+fn start_small_node(directives: &str) -> (helper::TestNode, helper::Peer, helper::Peer) {
+    helper::TestNode::start_healthy_with(
+        |config| {
+            config["limits"]["memory_mb"] = SMALL_MEMORY_MB.into();
+            config["limits"]["sockets"] = MANY_DESCRIPTORS.into();
+        },
+        directives,
+    )
+}
