Incomplete messages of all clients stay within a share of the memory limit

What operators saw: with hundreds of clients that stopped half way through large messages, or sent heads of very many short fields, a process passed its memory limit and was killed.

Cause: each connection keeps its incomplete message, within its own limit, and nothing bounded the sum. The buffer grew by doubling, so that up to twice the message was kept.

Change: between two turns a buffer is cut to the message in it. Incomplete messages share an eighth of the limit; beyond that a connection may hold its share of it, and one that holds more is treated like one whose message is too long.

--- a/crates/ochrewalk-node/src/net/ajp_ingress/inbound.rs
+++ b/crates/ochrewalk-node/src/net/ajp_ingress/inbound.rs
@@ -4,6 +4,7 @@
 use super::{AjpClient, AjpIngress, Connection, ConnectionState, PendingRequest};
 use crate::close_reason::CloseReason;
 use crate::net::buffered_connection::{CloseRequest, MessageHandler, PeerKind};
+use crate::net::input_budget::InputBudget;
 use crate::shared_state::ParsedRequest;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use ochrewalk_ajp::reply;
@@ -58,6 +59,10 @@
         PeerKind::Client
     }
 
+    fn input_budget(&self) -> Option<&InputBudget> {
+        Some(&self.ingress.core.input_budget)
+    }
+
     fn handle_message(&mut self, input: &[u8]) -> Result<usize, CloseReason> {
         let (mut actions, mut allow) = (RequestedActions::default(), Vec::new());
         let taken = {
--- a/crates/ochrewalk-node/src/net/buffered_connection.rs
+++ b/crates/ochrewalk-node/src/net/buffered_connection.rs
@@ -7,6 +7,7 @@
     sleep_after_client_turn, sleep_after_trusted_turn, MAX_CLIENT_MESSAGES_PER_TURN,
     MAX_TRUSTED_MESSAGES_PER_TURN,
 };
+use super::input_budget::{HeldInput, InputBudget};
 use crate::close_reason::CloseReason;
 use crate::handover::pause::is_paused;
 use crate::handover::records::StreamRecord;
@@ -54,6 +55,8 @@
     fd: Option<RawFd>,
     /// Received bytes that do not form a complete message yet.
     input: Vec<u8>,
+    /// What the input counts against the budget of all clients.
+    held: HeldInput,
     writing: WriteState,
     /// Whether the stream was taken over from another process.
     is_resumed: bool,
@@ -154,7 +157,7 @@
                 .and_then(|at| CloseRequest::ALL.get(at).copied()),
             unconfirmed: retain_unconfirmed.then(|| record.unconfirmed.into()),
         };
-        let stream = StreamState { fd: None, input: record.input, writing, is_resumed: true };
+        let stream = StreamState { input: record.input, writing, is_resumed: true, ..StreamState::default() };
         SendQueue { queue: Mutex::new(queue), stream: Mutex::new(stream) }
     }
 
@@ -266,6 +269,11 @@
         PeerKind::Trusted
     }
 
+    /// The budget for incomplete messages, where the connection shares one with others.
+    fn input_budget(&self) -> Option<&InputBudget> {
+        None
+    }
+
     /// Handles the first complete message in `input` and returns the number of bytes that it takes, or 0 where no
     /// message is complete.
     ///
@@ -394,8 +402,10 @@
             let broken = Err(CloseReason::Broken(ErrorKind::Other));
             contain(|| {
                 let mut state = send_queue.lock_stream();
-                let StreamState { input, writing, .. } = &mut *state;
-                write_and_read(stream, send_queue, writing, input, max_message_bytes, handler)
+                let StreamState { input, held, writing, .. } = &mut *state;
+                let turn = write_and_read(stream, send_queue, writing, input, max_message_bytes, handler)?;
+                hold_input(input, held, handler)?;
+                Ok(turn)
             })
             .unwrap_or(broken)
         };
@@ -411,6 +421,9 @@
         }
     };
     let mut state = send_queue.lock_stream();
+    if let Some(budget) = handler.input_budget() {
+        budget.release(&mut state.held);
+    }
     let WriteState { line, sent, is_for_this_stream, .. } = std::mem::take(&mut state.writing);
     *state = StreamState::default();
     send_queue.update(|queue| {
@@ -423,6 +436,24 @@
     reason
 }
 
+/// Reduces the memory of the input between two turns to the incomplete message that it contains. Where the budget does not
+/// allow the message, it is handled like one that exceeds the size limit.
+fn hold_input(
+    input: &mut Vec<u8>,
+    held: &mut HeldInput,
+    handler: &mut impl MessageHandler,
+) -> Result<(), CloseReason> {
+    input.shrink_to_fit();
+    if handler.input_budget().is_none_or(|budget| budget.hold(held, input.len())) {
+        return Ok(());
+    }
+    *input = Vec::new();
+    if let Some(budget) = handler.input_budget() {
+        budget.release(held);
+    }
+    handler.on_oversized_message()
+}
+
 #[derive(Default)]
 struct WriteState {
     line: Vec<u8>,
@@ -473,9 +504,6 @@
             Ok(0) => return Err(CloseReason::ClosedByPeer),
             Ok(_) => {}
             Err(err) if err.kind() == ErrorKind::WouldBlock => {
-                if input.is_empty() {
-                    *input = Vec::new();
-                }
                 // The stream is closed only where no input is left unread. Unread input would cause a reset, which
                 // could lose commands that are on their way to the peer.
                 return close_if_requested(stream, send_queue, writing, handler);
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -5,6 +5,7 @@
     close_gracefully, drive_connection, stream_from_descriptor, CloseRequest, MessageHandler, PeerKind,
     SendQueue,
 };
+use super::input_budget::InputBudget;
 use super::listener::{ConnectionListener, MAX_CLOSING};
 use crate::close_reason::CloseReason;
 use crate::coordinator::HealthState;
@@ -518,6 +519,10 @@
         PeerKind::Client
     }
 
+    fn input_budget(&self) -> Option<&InputBudget> {
+        Some(&self.core.input_budget)
+    }
+
     fn handle_message(&mut self, input: &[u8]) -> Result<usize, CloseReason> {
         let Some((line, taken)) = crate::wire::line(input) else {
             let now_us = self.core.clock.now_us();
--- a/crates/ochrewalk-node/src/net/mod.rs
+++ b/crates/ochrewalk-node/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod dispatchers;
 pub mod executor;
 pub mod flood_control;
+pub mod input_budget;
 pub mod line_upstream;
 pub mod listener;
 pub mod status;
--- a/crates/ochrewalk-node/src/node/assembly.rs
+++ b/crates/ochrewalk-node/src/node/assembly.rs
@@ -22,7 +22,7 @@
 use crate::net::{buffered_connection::stream_from_descriptor, directory, status};
 use crate::request_state::{PlacedCall, RequestState, UpstreamCall};
 use crate::request_task::OpenRequest;
-use crate::shared_state::SharedState;
+use crate::shared_state::{ProcessLimits, SharedState};
 use may::net::TcpListener;
 use may::sync::mpsc::{channel, Sender};
 use ochrewalk::deployment::Placement;
@@ -173,7 +173,7 @@
         deployment,
         executor,
         upstream,
-        memory_bytes,
+        ProcessLimits { memory_bytes, descriptors: placement.descriptors },
         fingerprint_key,
     ));
     // Each ingress has descriptors of its own, so that neither can use up those of the other: its connections, a few
--- a/crates/ochrewalk-node/src/shared_state.rs
+++ b/crates/ochrewalk-node/src/shared_state.rs
@@ -7,6 +7,7 @@
 use crate::interfaces::{Answer, DownstreamClient, UpstreamClient};
 use crate::method_counters::PerMethodCounters;
 use crate::net::executor::Executor;
+use crate::net::input_budget::InputBudget;
 use crate::request_state::RequestState;
 use crate::request_task::{run_to_completion, submit_and_run, OpenRequest};
 use ochrewalk::deployment::Deployment;
@@ -22,6 +23,15 @@
 /// The maximal difference between a request's time stamp and this node's clock.
 const MAX_CLOCK_DIFFERENCE_MS: u64 = 3_600_000;
 
+/// The resources that the process may use.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessLimits {
+    /// The memory in bytes.
+    pub memory_bytes: usize,
+    /// The number of open descriptors, and thereby of connections.
+    pub descriptors: usize,
+}
+
 /// The parts of a node that all ingress protocols and request tasks use.
 pub struct SharedState {
     /// The node's clock.
@@ -45,6 +55,8 @@
     /// The number of request tasks.
     task_count: AtomicUsize,
     max_tasks: usize,
+    /// The memory for messages that clients have begun and not completed.
+    pub input_budget: InputBudget,
 }
 
 /// A request as parsed by an ingress.
@@ -68,14 +80,15 @@
 }
 
 impl SharedState {
-    /// Returns the shared state of a node whose process may use `memory_bytes`. A quarter of them is for request tasks.
+    /// Returns the shared state of a node whose process has these limits. A quarter of the memory is for request tasks, an
+    /// eighth for incomplete messages.
     pub fn new(
         clock: Clock,
         coordinator: RequestCoordinator,
         deployment: Deployment,
         executor: Executor,
         upstream: Option<Arc<dyn UpstreamClient>>,
-        memory_bytes: usize,
+        limits: ProcessLimits,
         fingerprint_key: (u64, u64),
     ) -> SharedState {
         let method_names =
@@ -91,7 +104,8 @@
             fingerprint_hasher: SipHasher13::new_with_keys(fingerprint_key.0, fingerprint_key.1),
             open_requests: Mutex::default(),
             task_count: AtomicUsize::new(0),
-            max_tasks: memory_bytes / 4 / MAX_REQUEST_BYTES,
+            max_tasks: limits.memory_bytes / 4 / MAX_REQUEST_BYTES,
+            input_budget: InputBudget::new(limits.memory_bytes / 8, limits.descriptors),
         }
     }
 
--- a/crates/ochrewalk-node/tests/crossings/floods.rs
+++ b/crates/ochrewalk-node/tests/crossings/floods.rs
@@ -1,8 +1,7 @@
 //! Tests one client that sends at full speed: every other caller is served meanwhile, and the node stays within its memory limit.
 
 use crate::helper::*;
-use crate::{start_small_node, AJP_DIRECTIVES, SMALL_MEMORY_MB};
-use serde_json::Value;
+use crate::{complete_runs_with, start_small_node, AJP_DIRECTIVES, SMALL_MEMORY_MB};
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -80,31 +79,13 @@
     true
 }
 
-/// Completes each run at once.
-fn complete_runs(mut executor: Peer) {
-    let mut pos = 0;
-    loop {
-        let line = executor.read_line();
-        if line.is_empty() {
-            return;
-        }
-        let Ok(Value::Object(command)) = serde_json::from_str(&line) else { continue };
-        if command["action"] == "EXEC" {
-            pos += 1;
-            let number = u64::from_str_radix(command["uid"].as_str().unwrap(), 16).unwrap();
-            // Fails once the node has ended.
-            let _ = executor.stream.write_all((exit(pos, number, "complete") + "\n").as_bytes());
-        }
-    }
-}
-
 /// Guards against one client whose messages, at full speed, make every other caller wait until the flood is over, and against
 /// a flood under ever new ids and keys that takes the node over its memory limit.
 #[test]
 fn a_flood_on_one_connection_delays_no_other_caller() {
     let (node, executor, caller) = start_small_node(AJP_DIRECTIVES);
     drop(caller);
-    let executor = std::thread::spawn(move || complete_runs(executor));
+    let executor = std::thread::spawn(move || complete_runs_with(executor, "UkVT"));
     let (mut number, mut waited_for) = (0, Vec::new());
     for flood in &FLOODS {
         let stop = Arc::new(AtomicBool::new(false));
--- a/crates/ochrewalk-node/tests/crossings/main.rs
+++ b/crates/ochrewalk-node/tests/crossings/main.rs
@@ -1,6 +1,8 @@
 //! Tests races between a close or a drain and what arrives at the same time. Each race is forced by the order of events: the
 //! stand-ins wait and continue at defined points. `docs/crossings.md` lists which test forces which race.
 
+use std::io::Write;
+
 #[path = "../helper/mod.rs"]
 mod helper;
 
@@ -10,6 +12,7 @@
 mod floods;
 mod keys;
 mod listeners;
+mod memory_limits;
 mod panics;
 mod resource_limits;
 mod restart;
@@ -46,3 +49,22 @@
         directives,
     )
 }
+
+/// Completes each run at once, with this result in base64.
+fn complete_runs_with(mut executor: helper::Peer, result: &str) {
+    let mut pos = 0;
+    loop {
+        let line = executor.read_line();
+        if line.is_empty() {
+            return;
+        }
+        let Ok(serde_json::Value::Object(command)) = serde_json::from_str(&line) else { continue };
+        if command["action"] == "EXEC" {
+            pos += 1;
+            let number = u64::from_str_radix(command["uid"].as_str().unwrap(), 16).unwrap();
+            let notice = helper::exit(pos, number, "complete").replace("UkVT", result) + "\n";
+            // Fails once the node has ended.
+            let _ = executor.stream.write_all(notice.as_bytes());
+        }
+    }
+}
