Requests of a client that has closed its connection are not started

What was seen: a client closed its connection with much still unread, and its requests were started afterwards.

Cause: the end of a connection is read after everything before it, also after a reset. Where more than one turn's input is unread, the requests of the turn are submitted before the end is seen. Ruled out: input that fits one turn (the end is seen in the same turn), and messages that are answered (the write fails, which ends the connection in the same turn).

Change: before the messages of a read are handled, the system is asked whether the peer has closed or reset the stream. If so, no further request is started.

Test, before the change: JSON-RPC, Close left: [EXEC ...0001, EXEC ...0002, EXEC ...0003, ...] right: [] After: passes, by both protocols, closed and reset.

--- a/crates/ochrewalk-node/src/net/ajp_ingress/inbound.rs
+++ b/crates/ochrewalk-node/src/net/ajp_ingress/inbound.rs
@@ -52,6 +52,8 @@
 pub(super) struct RequestHandler<'a> {
     pub(super) ingress: &'a Arc<AjpIngress>,
     pub(super) connection: &'a Arc<Connection>,
+    /// Whether the client has closed the connection, so that no further request of it is started.
+    pub(super) has_client_departed: bool,
 }
 
 impl MessageHandler for RequestHandler<'_> {
@@ -92,10 +94,17 @@
                 }
             }
         };
+        if self.has_client_departed && actions.start {
+            return Err(CloseReason::ClosedByPeer);
+        }
         self.perform(actions, &allow);
         Ok(taken)
     }
 
+    fn on_client_departed(&mut self) {
+        self.has_client_departed = true;
+    }
+
     fn may_read(&self) -> bool {
         self.connection.lock().state_machine.reads_input()
     }
--- a/crates/ochrewalk-node/src/net/ajp_ingress/mod.rs
+++ b/crates/ochrewalk-node/src/net/ajp_ingress/mod.rs
@@ -248,7 +248,7 @@
     }
 
     fn serve(self: &Arc<Self>, stream: &TcpStream, number: u64, connection: &Arc<Connection>) {
-        let mut handler = RequestHandler { ingress: self, connection };
+        let mut handler = RequestHandler { ingress: self, connection, has_client_departed: false };
         let reason = match stream.set_nodelay(true) {
             Ok(()) => {
                 drive_connection(stream, &connection.send_queue, None, self.max_packet_bytes, &mut handler)
--- a/crates/ochrewalk-node/src/net/buffered_connection.rs
+++ b/crates/ochrewalk-node/src/net/buffered_connection.rs
@@ -14,6 +14,7 @@
 use crate::panics::contain;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::{TcpListener, TcpStream};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
@@ -282,6 +283,9 @@
     /// The connection must be closed for the returned reason.
     fn handle_message(&mut self, input: &[u8]) -> Result<usize, CloseReason>;
 
+    /// Responds to the departure of a client whose input is not all handled yet: no answer can reach it any more.
+    fn on_client_departed(&mut self) {}
+
     /// Whether more may be read now. The connection calls this again after each write and after each queued line.
     fn may_read(&self) -> bool {
         true
@@ -516,6 +520,9 @@
             input.clear();
             continue;
         }
+        if handler.peer_kind() == PeerKind::Client && has_peer_closed(stream) {
+            handler.on_client_departed();
+        }
         let mut at = 0;
         while at < input.len() {
             match handler.handle_message(&input[at..])? {
@@ -539,6 +546,13 @@
     Ok(Turn::UsedUp { messages })
 }
 
+/// Whether the peer has closed or reset the stream, although input may still be unread.
+fn has_peer_closed(stream: &TcpStream) -> bool {
+    let mut descriptors = [PollFd::new(stream.inner(), PollFlags::RDHUP)];
+    let has_event = poll(&mut descriptors, Some(&Timespec::default())).is_ok_and(|ready| ready > 0);
+    has_event && descriptors[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+}
+
 /// Closes the stream where a close is requested, the queue is written and the handler agrees. Withdraws the request
 /// where the handler does not agree.
 fn close_if_requested(
--- a/crates/ochrewalk-node/src/net/dispatchers.rs
+++ b/crates/ochrewalk-node/src/net/dispatchers.rs
@@ -479,7 +479,7 @@
 
 impl Dispatchers {
     fn serve(&self, stream: &TcpStream, number: u64, connection: &Arc<Connection>) {
-        let mut handler = RequestHandler { core: &self.core, connection };
+        let mut handler = RequestHandler { core: &self.core, connection, has_client_departed: false };
         let reason = match stream.set_nodelay(true) {
             Ok(()) => {
                 drive_connection(stream, &connection.send_queue, None, jsonrpc::MAX_LINE_BYTES, &mut handler)
@@ -512,6 +512,8 @@
 struct RequestHandler<'a> {
     core: &'a Arc<SharedState>,
     connection: &'a Arc<Connection>,
+    /// Whether the client has closed the connection, so that no further request of it is started.
+    has_client_departed: bool,
 }
 
 impl MessageHandler for RequestHandler<'_> {
@@ -542,6 +544,10 @@
             && self.connection.send_queue.queued_bytes() < MAX_QUEUED_BYTES
     }
 
+    fn on_client_departed(&mut self) {
+        self.has_client_departed = true;
+    }
+
     fn on_oversized_message(&mut self) -> Result<(), CloseReason> {
         tracing::warn!(part = "json-rpc", "{}", CloseReason::MessageTooLong);
         {
@@ -579,6 +585,7 @@
             }
         }
         match message {
+            Message::Rpc(_) if self.has_client_departed => {}
             Message::Rpc(rpc) => {
                 let Some(method) = self.core.deployment.method(&rpc.method) else {
                     return self.reply_with_error(rpc.id, jsonrpc::METHOD_NOT_FOUND, "unknown method");
--- /dev/null
+++ b/crates/ochrewalk-node/tests/crossings/departed_clients.rs
@@ -0,0 +1,99 @@
+//! Tests requests whose client has left: they are not started, whatever is still unread of them, and an id whose run may have had
+//! its effect does not run again.
+
+use crate::helper::*;
+use crate::{AJP_DIRECTIVES, WARM_WELCOME};
+use ochrewalk_lab::ajp::Call;
+use socket2::SockRef;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// The number of requests that a client may have open.
+const MAX_OPEN_RPCS: u64 = 32;
+/// The number of messages after the requests, none of which is answered: more than the node handles in one turn.
+const UNREAD_MESSAGES: u64 = 400;
+/// The number of no RPC.
+const UNKNOWN: u64 = 999_999;
+/// The number of the first RPC by which a test sees that earlier input has been handled.
+const NEXT: u64 = 1_000;
+
+/// The way in which a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Departure {
+    Close,
+    Reset,
+}
+
+/// Has a client write these bytes and leave while the node is stopped, so that everything is unread when the client has left.
+fn write_and_leave(node: &TestNode, address: &str, bytes: &[u8], departure: Departure) {
+    node.signal("-STOP");
+    let mut client = TcpStream::connect(address).unwrap();
+    client.write_all(bytes).unwrap();
+    if let Departure::Reset = departure {
+        SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    drop(client);
+    node.signal("-CONT");
+}
+
+/// Returns the runs that were started before those of another client that connects now, whose RPCs have
+/// numbers from `first` on.
+fn runs_before_next_client(node: &TestNode, executor: &mut Peer, first: u64) -> Vec<String> {
+    let mut next = node.caller();
+    let mut starts = Vec::new();
+    for number in first..first + 3 {
+        next.send_line(&rpc(number, "look"));
+        loop {
+            let line = executor.read_until("EXEC");
+            if line == exec(number, "look") {
+                break;
+            }
+            starts.push(line);
+        }
+    }
+    starts
+}
+
+/// Guards against requests that are started after their client has closed its connection or reset it.
+#[test]
+fn requests_of_a_client_that_has_left_are_not_started() {
+    for departure in [Departure::Close, Departure::Reset] {
+        let (node, mut executor, caller) =
+            TestNode::start_healthy_with(|_| (), &format!("{AJP_DIRECTIVES}ajp route GET /sync sync\n"));
+        drop(caller);
+        let revoke = format!(r#"{{"jsonrpc":"2.0","method":"revoke","params":{{"id":{UNKNOWN}}}}}"#);
+        let requests = (1..=MAX_OPEN_RPCS).map(|number| rpc(number, "once") + "\n");
+        let lines: String = requests.chain((0..UNREAD_MESSAGES).map(|_| format!("{revoke}\n"))).collect();
+        write_and_leave(&node, &node.address, lines.as_bytes(), departure);
+        assert_eq!(runs_before_next_client(&node, &mut executor, NEXT), [""; 0], "JSON-RPC, {departure:?}");
+        let headers = vec![("x-request-id", req(1))];
+        let call = Call { method: "GET", uri: "/sync", headers, secret: None, body: b"" };
+        write_and_leave(&node, &node.ajp, &call.whole(), departure);
+        let starts = runs_before_next_client(&node, &mut executor, NEXT + 10);
+        assert_eq!(starts, [""; 0], "AJP, {departure:?}");
+    }
+}
+
+/// Guards against a start that waits for the executor's link and is sent to it after its client has left.
+#[test]
+fn a_start_that_waits_for_the_executors_link_is_withdrawn_with_its_client() {
+    let (node, mut executor) = TestNode::start_healthy();
+    let original = node.config();
+    let mut unreachable = original.clone();
+    unreachable["executor"] = own_address(7301).into();
+    node.reload(&unreachable.to_string());
+    executor.read_to_end();
+    let mut caller = node.caller();
+    caller.send_line(&rpc(1, "once"));
+    // The start is queued by the time of the answers.
+    for _ in 0..4 {
+        assert!(caller.request(HEARTBEAT).contains("pass"));
+    }
+    caller.revoke(1);
+    node.reload(&original.to_string());
+    let mut executor = node.link();
+    executor.read_until("JOIN");
+    executor.send_line(WARM_WELCOME);
+    assert_eq!(runs_before_next_client(&node, &mut executor, NEXT), [""; 0]);
+}
--- a/crates/ochrewalk-node/tests/crossings/main.rs
+++ b/crates/ochrewalk-node/tests/crossings/main.rs
@@ -7,6 +7,7 @@
 mod helper;
 
 mod bad_input;
+mod departed_clients;
 mod drain;
 mod executor;
 mod floods;
