A start that waits for the executor's link is withdrawn with its client

What was seen: a request's client left while the executor's link was down, and the run was started on the next link all the same.

Cause: the start stays in the send queue, and Executor::stop has no effect while there is no link. (Found on a path related to requests that are sent on after their client has left.)

Change: stop withdraws a start of which nothing was written, and ends the run as one that never ran. A start that may have been written before, on a link that broke or by an earlier process, is not withdrawn, as it proves nothing.

--- a/crates/ochrewalk-node/src/net/buffered_connection.rs
+++ b/crates/ochrewalk-node/src/net/buffered_connection.rs
@@ -209,6 +209,19 @@
         self.update(|queue| queue.close_request = None);
     }
 
+    /// Removes the queued lines that satisfy `is_withdrawn` and of which nothing was written. Returns whether there were any.
+    pub fn withdraw(&self, is_withdrawn: impl Fn(&[u8]) -> bool) -> bool {
+        let mut queue = self.lock();
+        let before = queue.bytes;
+        let Queue { lines, bytes, .. } = &mut *queue;
+        lines.retain(|line| {
+            let stays = !is_withdrawn(line);
+            *bytes -= if stays { 0 } else { line.len() };
+            stays
+        });
+        queue.bytes < before
+    }
+
     /// Removes and returns the lines that were not written.
     pub fn take_unwritten(&self) -> VecDeque<Vec<u8>> {
         self.update(|queue| {
--- a/crates/ochrewalk-node/src/net/executor.rs
+++ b/crates/ochrewalk-node/src/net/executor.rs
@@ -57,14 +57,22 @@
 struct Run {
     events: EventSender,
     properties: RunProperties,
+    /// Whether the start may have been written, on a connection that has closed since or by another process.
+    may_have_started: bool,
 }
 
 impl Run {
     fn new(events: EventSender, is_repeatable: bool) -> Run {
-        Run { events, properties: RunProperties { is_repeatable, is_stopping: false } }
+        let properties = RunProperties { is_repeatable, is_stopping: false };
+        Run { events, properties, may_have_started: false }
     }
 }
 
+/// Whether this command starts the run with this id.
+fn is_start_of(id: &str, command: &[u8]) -> bool {
+    notices::action_and_run(command) == Some(("EXEC", id))
+}
+
 /// Returns the id and the properties of a run that has not ended.
 fn properties_of(runs: &HashMap<RpcId, Run>, id: &str) -> Option<(RpcId, RunProperties)> {
     runs.get_key_value(id).map(|(id, run)| (id.clone(), run.properties))
@@ -94,7 +102,9 @@
         runs: Vec<(RpcId, bool, EventSender)>,
     ) -> Executor {
         let mut executor = Executor::new(address, can_pause);
-        let run = |(id, is_repeatable, events)| (id, Run::new(events, is_repeatable));
+        let run = |(id, is_repeatable, events)| {
+            (id, Run { may_have_started: true, ..Run::new(events, is_repeatable) })
+        };
         {
             let mut state = executor.lock();
             state.runs = runs.into_iter().map(run).collect();
@@ -158,17 +168,22 @@
         }
     }
 
-    /// Stops a run for good, or pauses it where the executor can. The caller repeats the command until the run has ended, so a
+    /// Stops a run for good, or pauses it where the executor can. A start that is still queued is withdrawn. The caller repeats the command until the run has ended, so a
     /// lost command does no harm.
     pub fn stop(&self, id: &str) {
-        {
+        let (is_welcomed, may_have_started) = {
             let mut state = self.lock();
-            if let Some(run) = state.runs.get_mut(id) {
+            let may_have_started = state.runs.get_mut(id).is_none_or(|run| {
                 run.properties.is_stopping = true;
-            }
-            if !state.is_welcomed {
-                return;
-            }
+                run.may_have_started
+            });
+            (state.is_welcomed, may_have_started)
+        };
+        if !may_have_started && self.send_queue.withdraw(|line| is_start_of(id, line)) {
+            return self.end_run(id, RunEnd::NeverRan, None);
+        }
+        if !is_welcomed {
+            return;
         }
         self.send_queue.push(notices::kill(id));
     }
@@ -279,6 +294,9 @@
         let mut state = self.lock();
         let State { unconfirmed, runs, .. } = &mut *state;
         for command in unconfirmed.complete_proof(tag, |id| properties_of(runs, id)) {
+            if let Some(run) = notices::action_and_run(&command).and_then(|(_, uid)| runs.get_mut(uid)) {
+                run.may_have_started = true;
+            }
             self.send_queue.push(command);
         }
     }
--- a/crates/ochrewalk-node/tests/crossings/departed_clients.rs
+++ b/crates/ochrewalk-node/tests/crossings/departed_clients.rs
@@ -13,6 +13,8 @@
 const MAX_OPEN_RPCS: u64 = 32;
 /// The number of messages after the requests, none of which is answered: more than the node handles in one turn.
 const UNREAD_MESSAGES: u64 = 400;
+/// The number of health checks that take longer than a decision on a request.
+const HEARTBEATS: usize = 3_000;
 /// The number of no RPC.
 const UNKNOWN: u64 = 999_999;
 /// The number of the first RPC by which a test sees that earlier input has been handled.
@@ -86,8 +88,8 @@
     executor.read_to_end();
     let mut caller = node.caller();
     caller.send_line(&rpc(1, "once"));
-    // The start is queued by the time of the answers.
-    for _ in 0..4 {
+    // The node decides on the start meanwhile.
+    for _ in 0..HEARTBEATS {
         assert!(caller.request(HEARTBEAT).contains("pass"));
     }
     caller.revoke(1);
