An id whose run must not happen twice does not run again once its client has left

What was seen: a client left while its request ran, the request came again under the same id, and it ran a second time.

Cause: the coordinator knew the ids of open requests alone; once the first run had ended, its id was as good as new. Keys are remembered, these ids were not. The executor's stand-in got EXEC, KILL, and EXEC again on the same link, so that no command had been repeated after a break.

An id whose run never began is forgotten. The record of a hand-over has a new field, which older programs skip.

--- a/crates/ochrewalk-node/src/coordinator.rs
+++ b/crates/ochrewalk-node/src/coordinator.rs
@@ -6,13 +6,16 @@
 use crate::clock::{age_us, channel_timeout, Clock};
 use crate::close_reason::CallResult;
 use crate::handover::pause::is_paused;
-use crate::handover::records::{IdempotencyKeyRecord, NodeRecord};
+use crate::handover::records::{IdempotencyKeyRecord, NodeRecord, RecentRunRecord};
 use crate::idempotency_keys::{IdempotencyKeyStore, KeyExpiry, KeyLookup, KeyState, SharedResult};
+use crate::recent_runs::RecentRuns;
 use crate::wire::notices::RunEnd;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use ochrewalk::admission::AdmissionController;
 use ochrewalk::deployment::Deployment;
-use ochrewalk::host::{Arrival, Gauges, Host, Outcome, Readiness, Rejection, Retry, RpcId, Tenant};
+use ochrewalk::host::{
+    Arrival, Effect, Gauges, Host, Method, Outcome, Readiness, Rejection, Retry, RpcId, Tenant,
+};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -20,6 +23,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+/// The size of the memory for results for which one id of a recent run is remembered as well, in bytes.
+const RESULT_BYTES_PER_RECENT_RUN: usize = 1_024;
+
 /// A request, as far as the coordinator needs to know it.
 #[derive(Clone, Debug)]
 pub struct IncomingRequest {
@@ -53,6 +59,8 @@
 pub enum SubmitError {
     /// A request with this id is already open.
     IdAlreadyOpen,
+    /// A request with this id, which must not run twice, has run.
+    IdHasRun,
     /// The idempotency key belongs to a request with another fingerprint.
     KeyOfOtherRequest {
         /// Whether that request may have run; otherwise it is still open.
@@ -118,6 +126,13 @@
     RunEnded(RunEnd, Option<SharedResult>),
 }
 
+/// Returns the time until which the id of a request that arrives now must not run again, in Unix milliseconds; none where the
+/// method's requests may run twice, or where an idempotency key recognises repeats.
+fn run_once_until_ms(method: &Method, unix_ms: u64) -> Option<u64> {
+    let repeat_us = method.deadline_us.max(method.key_window_us);
+    (method.effect == Effect::NonIdempotent).then(|| unix_ms + repeat_us.div_ceil(1_000))
+}
+
 fn run_outcome(end: RunEnd) -> Outcome {
     match end {
         RunEnd::Complete => Outcome::Ok,
@@ -268,6 +283,7 @@
     clock: Clock,
     requests: HashMap<RpcId, RequestEntry>,
     keys: IdempotencyKeyStore,
+    recent_runs: RecentRuns,
     health: HealthState,
     timer_due_us: u64,
     timer_token: u64,
@@ -283,6 +299,8 @@
 struct RequestEntry {
     events: EventSender,
     idempotency_key: Option<IdempotencyKey>,
+    /// The time until which its id must not run again, in Unix milliseconds, where it must not run twice.
+    run_once_until_ms: Option<u64>,
 }
 
 impl RequestCoordinator {
@@ -298,6 +316,7 @@
             clock,
             requests: HashMap::new(),
             keys: IdempotencyKeyStore::new(max_result_bytes),
+            recent_runs: RecentRuns::new(max_result_bytes / RESULT_BYTES_PER_RECENT_RUN),
             health: HealthState { is_healthy: None, load_signal: None, max_idle_us: idle_us },
             timer_due_us: u64::MAX,
             timer_token: 0,
@@ -343,6 +362,9 @@
         let HealthState { is_healthy, load_signal, max_idle_us } = host.health;
         (node.is_healthy, node.load_signal, node.max_idle_us) = (is_healthy, load_signal, max_idle_us);
         (node.timer_us, node.timer_token) = (host.timer_due_us, host.timer_token);
+        let recent_run =
+            |(until_ms, id): &(u64, RpcId)| RecentRunRecord { id: id.to_string(), until_ms: *until_ms };
+        node.recent_runs = host.recent_runs.iter().map(recent_run).collect();
         (node.keys, node.removed_keys) =
             if keys_sent_ahead { host.keys.export_changed() } else { (host.keys.export_all(), Vec::new()) };
     }
@@ -378,23 +400,19 @@
             host.keys = keys_sent_ahead;
             host.keys.import(std::mem::take(&mut node.keys), &node.removed_keys);
             host.keys.set_max_result_bytes(max_result_bytes);
+            for RecentRunRecord { id, until_ms } in std::mem::take(&mut node.recent_runs) {
+                host.recent_runs.insert(id.into(), until_ms);
+            }
             for (rpc, handle) in open_requests.iter().zip(&handles) {
-                host.requests.insert(
-                    rpc.id.clone(),
-                    RequestEntry {
-                        events: handle.event_sender(),
-                        idempotency_key: rpc.idempotency_key.clone(),
-                    },
-                );
+                let entry = RequestEntry {
+                    events: handle.event_sender(),
+                    idempotency_key: rpc.idempotency_key.clone(),
+                    run_once_until_ms: run_once_until_ms(&deployment.methods[rpc.method], clock.unix_ms()),
+                };
+                host.requests.insert(rpc.id.clone(), entry);
             }
             if let Some(snapshot) = node.decisions.take() {
-                let placeholder = ControllerHost {
-                    keys: IdempotencyKeyStore::new(0),
-                    requests: HashMap::new(),
-                    finished_repeats: Vec::new(),
-                    ..**host
-                };
-                let host = std::mem::replace(&mut **host, placeholder);
+                let host = host.take();
                 *state = CoordinatorState::Active(Box::new(
                     deployment.resume(host, snapshot).map_err(|error| error.to_string())?,
                 ));
@@ -414,13 +432,7 @@
     pub fn activate(&self, is_cold: bool, up_us: u64) {
         let mut state = self.lock();
         let CoordinatorState::Inactive(host) = &mut *state else { return };
-        let placeholder = ControllerHost {
-            keys: IdempotencyKeyStore::new(0),
-            requests: HashMap::new(),
-            finished_repeats: Vec::new(),
-            ..**host
-        };
-        let host = std::mem::replace(&mut **host, placeholder);
+        let host = host.take();
         let mut deployment = self.deployment.clone();
         deployment.survivable_load.is_cold = is_cold;
         let now_us = self.clock.now_us();
@@ -453,6 +465,10 @@
             if host.requests.contains_key(&new.id) {
                 return Err(SubmitError::IdAlreadyOpen);
             }
+            let run_once_until_ms = run_once_until_ms(method, unix_ms);
+            if run_once_until_ms.is_some() && host.recent_runs.contains(&new.id) {
+                return Err(SubmitError::IdHasRun);
+            }
             let idempotency_key = new.idempotency_key.clone();
             // Guards against a time stamp ahead of the clock, which would lie beyond the key's window.
             let arrived_unix_ms = new.arrived_unix_ms.min(unix_ms);
@@ -466,7 +482,8 @@
                 Some(KeyLookup::SameRequest(holder)) => Some(holder),
                 Some(KeyLookup::Unknown) | None => None,
             };
-            host.requests.insert(new.id.clone(), RequestEntry { events, idempotency_key });
+            let entry = RequestEntry { events, idempotency_key, run_once_until_ms };
+            host.requests.insert(new.id.clone(), entry);
             let arrival = Arrival {
                 id: new.id.clone(),
                 method: new.method,
@@ -500,6 +517,9 @@
                 controller.call_ended(now_us, &handle.id, outcome, took_us);
             }
             ProgressReport::RunEnded(end, result) => {
+                if matches!(end, RunEnd::NeverRan | RunEnd::Unknown) {
+                    controller.host().recent_runs.remove(&handle.id);
+                }
                 controller.host().record_key_outcome(&handle.id, end, result);
                 controller.run_ended(now_us, &handle.id, run_outcome(end));
             }
@@ -538,6 +558,7 @@
         self.with_controller(|controller, now_us| {
             let host = controller.host();
             host.keys.remove_expired(unix_ms);
+            host.recent_runs.remove_expired(unix_ms);
             // A timer that is not due yet stays set: the controller recognises it by its token.
             if now_us >= host.timer_due_us {
                 host.timer_due_us = u64::MAX;
@@ -639,6 +660,18 @@
 }
 
 impl ControllerHost {
+    /// Takes the host out of its place, and leaves an empty one.
+    fn take(&mut self) -> ControllerHost {
+        let empty = ControllerHost {
+            keys: IdempotencyKeyStore::new(0),
+            recent_runs: RecentRuns::new(0),
+            requests: HashMap::new(),
+            finished_repeats: Vec::new(),
+            ..*self
+        };
+        std::mem::replace(self, empty)
+    }
+
     fn send_event(&self, id: &str, event: RequestEvent) {
         if let Some(request) = self.requests.get(id) {
             request.events.send(event);
@@ -690,6 +723,11 @@
 
 impl Host for ControllerHost {
     fn start(&mut self, id: &str) {
+        if let Some((id, entry)) = self.requests.get_key_value(id) {
+            if let Some(until_ms) = entry.run_once_until_ms {
+                self.recent_runs.insert(id.clone(), until_ms);
+            }
+        }
         self.send_event(id, RequestEvent::Run);
     }
 
--- a/crates/ochrewalk-node/src/handover/records/mod.rs
+++ b/crates/ochrewalk-node/src/handover/records/mod.rs
@@ -65,6 +65,20 @@
     /// Idempotency keys that were sent ahead and have been removed since.
     #[prost(string, repeated, tag = "11")]
     pub removed_keys: Vec<String>,
+    /// The ids of recent runs that must not happen twice.
+    #[prost(message, repeated, tag = "12")]
+    pub recent_runs: Vec<RecentRunRecord>,
+}
+
+/// The id of a recent run that must not happen twice.
+#[derive(Clone, PartialEq, Message)]
+pub struct RecentRunRecord {
+    /// The RPC's id.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// The time until which the id must not run again.
+    #[prost(uint64, tag = "2")]
+    pub until_ms: u64,
 }
 
 /// A chunk of the idempotency keys that are sent ahead of the pause.
--- a/crates/ochrewalk-node/src/lib.rs
+++ b/crates/ochrewalk-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod net;
 pub mod node;
 pub mod panics;
+pub mod recent_runs;
 pub mod request_state;
 pub mod request_task;
 pub mod rollout;
--- a/crates/ochrewalk-node/src/request_task.rs
+++ b/crates/ochrewalk-node/src/request_task.rs
@@ -60,6 +60,7 @@
                 SubmitError::KeyOfOtherRequest { has_run: true } => {
                     Answer::InvalidRequest("a token that stands for other work")
                 }
+                SubmitError::IdHasRun => Answer::InvalidRequest("an id that has run"),
                 SubmitError::IdAlreadyOpen => Answer::InvalidRequest("an id that is open already"),
             };
             request.client.answer(answer, None);
--- a/crates/ochrewalk-node/tests/crossings/departed_clients.rs
+++ b/crates/ochrewalk-node/tests/crossings/departed_clients.rs
@@ -2,7 +2,7 @@
 //! its effect does not run again.
 
 use crate::helper::*;
-use crate::{AJP_DIRECTIVES, WARM_WELCOME};
+use crate::{is_rejected, AJP_DIRECTIVES, WARM_WELCOME};
 use ochrewalk_lab::ajp::Call;
 use socket2::SockRef;
 use std::io::Write;
@@ -77,6 +77,33 @@
     }
 }
 
+/// Guards against a request that runs a second time when its id comes again after its client has left.
+#[test]
+fn an_id_that_has_run_does_not_run_again_once_its_client_has_left() {
+    let (node, mut executor) = TestNode::start_healthy();
+    let mut first = node.caller();
+    first.send_line(&rpc(1, "once"));
+    executor.read_until(&exec(1, "once"));
+    drop(first);
+    executor.read_until("KILL");
+    executor.send_line(&exit(1, 1, "cancelled"));
+    let mut second = node.caller();
+    // While the run ends, the id counts as open.
+    let answer = second.request(&rpc(1, "once"));
+    assert!(answer.contains("-32602"), "{answer}");
+    assert_eq!(runs_before_next_client(&node, &mut executor, NEXT), [""; 0]);
+    let answer = node.caller().request(&rpc(1, "once"));
+    assert!(answer.contains("an id that has run"), "{answer}");
+    // A run that never began does not count.
+    let mut third = node.caller();
+    third.send_line(&rpc(2, "once"));
+    executor.read_until(&exec(2, "once"));
+    executor.send_line(&exit(20, 2, "unknown"));
+    assert!(is_rejected(&third.read_line(), 2));
+    third.send_line(&rpc(2, "once"));
+    executor.read_until(&exec(2, "once"));
+}
+
 /// Guards against a start that waits for the executor's link and is sent to it after its client has left.
 #[test]
 fn a_start_that_waits_for_the_executors_link_is_withdrawn_with_its_client() {
--- a/crates/ochrewalk-node/tests/handover_records.rs
+++ b/crates/ochrewalk-node/tests/handover_records.rs
@@ -80,6 +80,8 @@
         timer_token: 42,
         keys: vec![key_record("t0", 0), key_record("t1", 1), key_record("t2", 2)],
         removed_keys: vec!["lapsed".into()],
+        // The record is of a program that did not have this field.
+        recent_runs: Vec::new(),
     };
     assert_eq!(node, expected);
 }
