A later process gives other ids to AJP requests that have none

Cause: each process generated ids from the seed in the node's file, so that a successor counted through the ids of its predecessor. The executor knows those requests as over and starts nothing for them.

Change: the seed of generated ids is random in each process.

After: passes.

--- a/crates/ochrewalk-node/src/net/ajp_ingress/mod.rs
+++ b/crates/ochrewalk-node/src/net/ajp_ingress/mod.rs
@@ -107,7 +107,8 @@
 }
 
 impl AjpIngress {
-    /// Returns an ingress for up to `max_connections`, with packets of up to `max_packet_bytes`.
+    /// Returns an ingress for up to `max_connections`, with packets of up to `max_packet_bytes`. `seed` is that of generated
+    /// ids. It must differ between processes: an id that an earlier process has given stands for a request that is over.
     pub fn new(
         core: Arc<SharedState>,
         config: ReloadableConfig,
--- a/crates/ochrewalk-node/src/node/assembly.rs
+++ b/crates/ochrewalk-node/src/node/assembly.rs
@@ -205,7 +205,7 @@
             max_packet_bytes,
             settings.max_connections,
             idle_us,
-            placement.seed,
+            fastrand::u64(..),
         )
     });
     let agent = prepare_configuration(placement, &operators, ajp_ingress.as_ref(), ajp_upstream.as_ref())
--- a/crates/ochrewalk-node/tests/ajp.rs
+++ b/crates/ochrewalk-node/tests/ajp.rs
@@ -638,3 +638,16 @@
     assert!(!is_valid && output.contains("secret /none: "), "{output}");
     std::fs::remove_file(config).unwrap();
 }
+
+/// Guards against requests without an id that get, after an upgrade or a restart, the ids of earlier ones: the executor knows
+/// those as over, and every such request was rejected.
+#[test]
+fn a_later_process_gives_other_ids_to_requests_without_one() {
+    let first_ids = || {
+        let (node, mut executor) = start(|_| (), "");
+        let mut peer = connect(&node);
+        peer.send(&Call { headers: Vec::new(), ..look(1) }.whole()).unwrap();
+        executor.read_until("EXEC")
+    };
+    assert_ne!(first_ids(), first_ids());
+}
