A second copy of an upstream reply does not answer the run's next call

Cause: replies name the run, not the call, and a connection that had been idle for less than 50 ms was used again, first the one that was used last: that of the run's first call.

Change: a connection carries at most one call of a run. It is not used again after 64 runs, which bounds the memory for their ids. The ids are handed over in a new field, which older programs skip.

Test, before the change: the second call was given {"action":"RETURN","uid":"","content":"QQ=="} After: passes.

--- a/crates/ochrewalk-node/src/handover/records/connections.rs
+++ b/crates/ochrewalk-node/src/handover/records/connections.rs
@@ -236,4 +236,7 @@
     /// The time at which the incomplete reply began.
     #[prost(uint64, optional, tag = "5")]
     pub partial_since_us: Option<u64>,
+    /// RPCs for which the connection has carried a call.
+    #[prost(string, repeated, tag = "6")]
+    pub carried_runs: Vec<String>,
 }
--- a/crates/ochrewalk-node/src/net/line_upstream.rs
+++ b/crates/ochrewalk-node/src/net/line_upstream.rs
@@ -2,6 +2,9 @@
 //! available, because one corrupted reply makes a connection unusable for all calls on it. Idle connections are
 //! retained for a short time, for later calls that may be repeated, and are then closed before the peer would close
 //! them.
+//!
+//! A reply names the run and not the call, and may come a second time. Each connection therefore carries at most one call
+//! of a run: a reply to an earlier call of the run arrives on another connection, where it is discarded.
 
 use super::buffered_connection::{
     close_gracefully, connect, drive_connection, stream_from_descriptor, CloseRequest, MessageHandler,
@@ -15,7 +18,7 @@
 use crate::wire::calls::{self, Status};
 use may::net::TcpStream;
 use ochrewalk::host::RpcId;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::os::fd::{OwnedFd, RawFd};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -26,6 +29,10 @@
 /// and reset it at the next call, which cannot be distinguished from a reset that replaces a reply. A new connection
 /// costs little.
 const MAX_IDLE_US: u64 = 50_000;
+/// The number of runs after which a connection is not used again, which bounds the memory for their ids.
+const MAX_CARRIED_RUNS: usize = 64;
+/// The same, while all connections that may exist are in use.
+const MAX_CARRIED_RUNS_WHILE_FULL: usize = 1_024;
 /// The interval at which idle connections and overdue replies are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The time limit for a reply, from its first byte to its last. Without the limit, a reply that is shorter than its
@@ -57,6 +64,8 @@
 
 struct ConnectionState {
     calls: HashMap<RpcId, EventSender>,
+    /// The runs for which the connection has carried a call.
+    carried_runs: HashSet<RpcId>,
     used_us: u64,
     /// The time since which a reply is incomplete.
     partial_since_us: Option<u64>,
@@ -112,6 +121,7 @@
                 endpoint: connection.address.to_string(),
                 stream,
                 calls: inner.calls.keys().map(|id| id.to_string()).collect(),
+                carried_runs: inner.carried_runs.iter().map(|id| id.to_string()).collect(),
                 used_us: inner.used_us,
                 partial_since_us: inner.partial_since_us,
             });
@@ -138,9 +148,13 @@
             let call = |id: String| {
                 event_senders.get_key_value(id.as_str()).map(|(id, events)| (id.clone(), events.clone()))
             };
+            // An older program records the calls in flight alone.
+            let carried_runs = record.carried_runs.into_iter().chain(record.calls.iter().cloned());
+            let carried_runs = carried_runs.map(RpcId::from).collect();
             let calls = record.calls.into_iter().filter_map(call).collect();
             let connection_state = ConnectionState {
                 calls,
+                carried_runs,
                 used_us: record.used_us,
                 partial_since_us: record.partial_since_us,
                 is_closed: false,
@@ -173,7 +187,9 @@
         let is_usable = |connection: &Connection| {
             let inner = connection.lock();
             let may_reuse = is_repeatable && inner.calls.is_empty() && now_us < inner.used_us + MAX_IDLE_US;
-            !inner.is_closed && (!has_capacity || may_reuse)
+            let max_runs = if has_capacity { MAX_CARRIED_RUNS } else { MAX_CARRIED_RUNS_WHILE_FULL };
+            let may_carry = inner.carried_runs.len() < max_runs && !inner.carried_runs.contains(id);
+            !inner.is_closed && may_carry && (!has_capacity || may_reuse)
         };
         // The connection that was used last is used first, so that the others are closed as idle.
         let least_used = state
@@ -187,9 +203,13 @@
         let connection = match least_used.cloned() {
             Some(connection) => connection,
             None => {
-                let (calls, used_us) = (HashMap::new(), now_us);
-                let connection_state =
-                    Mutex::new(ConnectionState { calls, used_us, partial_since_us: None, is_closed: false });
+                let connection_state = Mutex::new(ConnectionState {
+                    calls: HashMap::new(),
+                    carried_runs: HashSet::new(),
+                    used_us: now_us,
+                    partial_since_us: None,
+                    is_closed: false,
+                });
                 let connection = Arc::new(Connection {
                     address: state.address,
                     send_queue: SendQueue::default(),
@@ -204,6 +224,7 @@
         {
             let mut inner = connection.lock();
             inner.calls.insert(id.clone(), events);
+            inner.carried_runs.insert(id.clone());
             inner.used_us = now_us;
         }
         connection.send_queue.push(calls::call(id, wait_ms, body));
--- a/crates/ochrewalk-node/tests/crossings/upstream.rs
+++ b/crates/ochrewalk-node/tests/crossings/upstream.rs
@@ -1,7 +1,13 @@
 //! Tests upstream calls whose replies break off.
 
 use crate::helper::*;
+use std::io::Write;
 use std::net::Shutdown;
+use std::time::Duration;
+
+/// The number of further copies of a reply, and the interval between two of them.
+const COPIES: usize = 20;
+const COPY_INTERVAL: Duration = Duration::from_millis(2);
 
 /// A short reply breaks off after each of its bytes as its connection is closed. A partial reply is never given to the run, and
 /// the RPC gets exactly one answer. The complete reply is forwarded unchanged.
@@ -72,3 +78,36 @@
     executor.send_line(&exit(3, 1, "complete"));
     assert_eq!(caller.read_line(), served(1));
 }
+
+/// Guards against a second copy of the reply to a run's call that answers the run's next call: replies name the run alone. The
+/// next call comes while the first connection may still be used again.
+#[test]
+fn a_second_copy_of_a_reply_does_not_answer_the_next_call() {
+    let (node, mut executor) = TestNode::start_healthy();
+    let mut caller = node.caller();
+    start_with_callout(1, "look", &mut caller, &mut executor);
+    let mut first = Peer::accept(&node.upstream);
+    assert!(first.read_until("CALL").starts_with(&format!("CALL {} ", req(1))));
+    first.read_bytes(5);
+    let copy = format!("{} OK 1\r\nA\r\n", req(1));
+    first.write_bytes(copy.as_bytes());
+    assert!(executor.read_until("RETURN").contains("\"QQ==\""));
+    executor.send_line(&callout(3, 1));
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut second = Peer::accept(&node.upstream);
+            second.read_until("CALL");
+            second.read_bytes(5);
+            second.write_bytes(format!("{} OK 1\r\nB\r\n", req(1)).as_bytes());
+        });
+        // Copies that come before the next call are discarded in any case.
+        for _ in 0..COPIES {
+            let _ = first.stream.write_all(copy.as_bytes());
+            std::thread::sleep(COPY_INTERVAL);
+        }
+        let given = executor.read_until("RETURN");
+        assert!(given.contains("\"Qg==\""), "the second call was given {given}");
+    });
+    executor.send_line(&exit(4, 1, "complete"));
+    assert_eq!(caller.read_line(), served(1));
+}
--- a/crates/ochrewalk-node/tests/handover_records.rs
+++ b/crates/ochrewalk-node/tests/handover_records.rs
@@ -220,6 +220,8 @@
         calls: vec!["00000000000000a1".into()],
         used_us: 7_000_003,
         partial_since_us: Some(6_500_000),
+        // The record is of a program that did not have this field.
+        carried_runs: Vec::new(),
     };
     assert_record(
         "below.bin",
