Test of departed clients: waits until the node is stopped

The signal stops the node's threads one after the other, so that on a busy machine one could have read a part before the client had left.

--- a/crates/ochrewalk-node/tests/crossings/departed_clients.rs
+++ b/crates/ochrewalk-node/tests/crossings/departed_clients.rs
@@ -27,9 +27,22 @@
     Reset,
 }
 
+/// Whether all threads of this process are stopped by a signal.
+fn is_stopped(pid: u32) -> bool {
+    let mut threads = std::fs::read_dir(format!("/proc/{pid}/task")).unwrap();
+    threads.all(|thread| {
+        let stat = std::fs::read_to_string(thread.unwrap().path().join("stat")).unwrap();
+        // The state follows the name in parentheses.
+        stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+    })
+}
+
 /// Has a client write these bytes and leave while the node is stopped, so that everything is unread when the client has left.
 fn write_and_leave(node: &TestNode, address: &str, bytes: &[u8], departure: Departure) {
     node.signal("-STOP");
+    while !is_stopped(node.pid()) {
+        std::thread::yield_now();
+    }
     let mut client = TcpStream::connect(address).unwrap();
     client.write_all(bytes).unwrap();
     if let Departure::Reset = departure {
