Buffered connections: the send queue has a module of its own

The queue of lines and the state of a stream, which another process can resume, move to net/send_queue.rs as they are; what drives a connection stays. No behaviour changes.

--- a/crates/ochrewalk-node/src/net/mod.rs
+++ b/crates/ochrewalk-node/src/net/mod.rs
@@ -10,5 +10,6 @@
 pub mod input_budget;
 pub mod line_upstream;
 pub mod listener;
+pub mod send_queue;
 pub mod status;
 pub mod unconfirmed_commands;
