--- a/crates/ochrewalk-node/src/net/buffered_connection.rs
+++ b/crates/ochrewalk-node/src/net/buffered_connection.rs
@@ -7,7 +7,7 @@
     sleep_after_client_turn, sleep_after_trusted_turn, MAX_CLIENT_MESSAGES_PER_TURN,
     MAX_TRUSTED_MESSAGES_PER_TURN,
 };
-use super::input_budget::{HeldInput, InputBudget};
+use super::input_budget::{InputBudget, ReservedInput};
 pub use super::send_queue::{CloseRequest, SendQueue};
 use super::send_queue::{StreamState, WriteState, MAX_UNCONFIRMED_LINES};
 use crate::close_reason::CloseReason;
@@ -188,9 +188,9 @@
             let broken = Err(CloseReason::Broken(ErrorKind::Other));
             contain(|| {
                 let mut state = send_queue.lock_stream();
-                let StreamState { input, held, writing, .. } = &mut *state;
+                let StreamState { input, reserved, writing, .. } = &mut *state;
                 let turn = write_and_read(stream, send_queue, writing, input, max_message_bytes, handler)?;
-                hold_input(input, held, handler)?;
+                reserve_input(input, reserved, handler)?;
                 Ok(turn)
             })
             .unwrap_or(broken)
@@ -208,7 +208,7 @@
     };
     let mut state = send_queue.lock_stream();
     if let Some(budget) = handler.input_budget() {
-        budget.release(&mut state.held);
+        budget.release(&mut state.reserved);
     }
     let WriteState { line, sent, is_for_this_stream, .. } = std::mem::take(&mut state.writing);
     *state = StreamState::default();
@@ -224,18 +224,18 @@
 
 /// Reduces the memory of the input between two turns to the incomplete message that it contains. Where the budget does not
 /// allow the message, it is handled like one that exceeds the size limit.
-fn hold_input(
+fn reserve_input(
     input: &mut Vec<u8>,
-    held: &mut HeldInput,
+    reserved: &mut ReservedInput,
     handler: &mut impl MessageHandler,
 ) -> Result<(), CloseReason> {
     input.shrink_to_fit();
-    if handler.input_budget().is_none_or(|budget| budget.hold(held, input.len())) {
+    if handler.input_budget().is_none_or(|budget| budget.reserve(reserved, input.len())) {
         return Ok(());
     }
     *input = Vec::new();
     if let Some(budget) = handler.input_budget() {
-        budget.release(held);
+        budget.release(reserved);
     }
     handler.on_oversized_message()
 }
--- a/crates/ochrewalk-node/src/net/send_queue.rs
+++ b/crates/ochrewalk-node/src/net/send_queue.rs
@@ -1,6 +1,6 @@
 //! The queue of lines to one peer, and the state of the stream that carries them, which another process can resume.
 
-use super::input_budget::HeldInput;
+use super::input_budget::ReservedInput;
 use crate::handover::records::StreamRecord;
 use may::io::WaitIoWaker;
 use std::collections::VecDeque;
@@ -27,8 +27,8 @@
     pub(super) fd: Option<RawFd>,
     /// Received bytes that do not form a complete message yet.
     pub(super) input: Vec<u8>,
-    /// What the input counts against the budget of all clients.
-    pub(super) held: HeldInput,
+    /// The part of the budget of all clients that the input takes.
+    pub(super) reserved: ReservedInput,
     pub(super) writing: WriteState,
     /// Whether the stream was taken over from another process.
     pub(super) is_resumed: bool,
