--- a/crates/ochrewalk-node/src/recent_runs.rs
+++ b/crates/ochrewalk-node/src/recent_runs.rs
@@ -20,12 +20,6 @@
         RecentRuns { max_ids, until_ms: HashMap::new(), by_expiry: BTreeSet::new() }
     }
 
-    /// Sets the maximum number of ids.
-    pub fn set_max_ids(&mut self, max_ids: usize) {
-        self.max_ids = max_ids;
-        self.forget_excess();
-    }
-
     /// Remembers the id of a run that has been started.
     pub fn insert(&mut self, id: RpcId, until_ms: u64) {
         self.remove(&id);
--- a/crates/ochrewalk-node/tests/crossings/main.rs
+++ b/crates/ochrewalk-node/tests/crossings/main.rs
@@ -51,14 +51,17 @@
     )
 }
 
-/// Completes each run at once, with this result in base64.
+/// Completes each run at once, with this result in base64, however long none is started.
 fn complete_runs_with(mut executor: helper::Peer, result: &str) {
     let mut pos = 0;
     loop {
-        let line = executor.read_line();
+        let line = executor.next_line_or_end();
         if line.is_empty() {
             return;
         }
+        if executor.answer_if_gauge_request(&line) {
+            continue;
+        }
         let Ok(serde_json::Value::Object(command)) = serde_json::from_str(&line) else { continue };
         if command["action"] == "EXEC" {
             pos += 1;
--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -326,12 +326,7 @@
         let start = Instant::now();
         loop {
             assert!(start.elapsed() < READ_TIMEOUT, "received only requests for gauges");
-            let mut line = String::new();
-            match self.input.read_line(&mut line) {
-                Ok(_) => {}
-                Err(err) if err.kind() == ErrorKind::ConnectionReset => return String::new(),
-                Err(err) => panic!("received no line: {err}"),
-            }
+            let line = self.next_line_or_end();
             if !self.answer_if_gauge_request(&line) {
                 return line.trim_end().to_string();
             }
@@ -340,11 +335,21 @@
 
     /// Returns the next line, of any kind.
     pub fn next_line(&mut self) -> String {
-        let mut line = String::new();
-        assert!(self.input.read_line(&mut line).unwrap() > 0, "the stream ended");
+        let line = self.next_line_or_end();
+        assert!(!line.is_empty(), "the stream ended");
         line
     }
 
+    /// Returns the next line, of any kind, and an empty one at the end of the stream.
+    pub fn next_line_or_end(&mut self) -> String {
+        let mut line = String::new();
+        match self.input.read_line(&mut line) {
+            Ok(_) => line,
+            Err(err) if err.kind() == ErrorKind::ConnectionReset => String::new(),
+            Err(err) => panic!("received no line: {err}"),
+        }
+    }
+
     /// Answers this line if it is a request for gauges, and returns whether it was one.
     pub fn answer_if_gauge_request(&mut self, line: &str) -> bool {
         let Some(tag) = line.strip_prefix(r#"{"action":"METER","echo":"#) else { return false };
