Test of floods: what the node discards after it has ended a connection is not handled

Cause, measured connection by connection: the node answers 54 messages of such a connection (8 KB), ends it for its faults and closes it gracefully, which discards up to 1 MiB (`LINGER_BYTES`) in a moment; the rest is in the sockets' buffers and never read. The test counted all of it, 1.17 to 1.26 MB a connection, as sent, so that 12 connections were the whole flood of 14 MB, "for which the node needs seconds". The other six floods were at 3.6 to 4.4 MB by then, on one connection each. Ruled out: a wait of the other caller; its 100 calls take as long as beside the other floods.

Change: of a connection that the node has ended, the bytes of the answered messages count, and all beyond 4 MiB, so that a close without a bound still shows. So that the smaller count loosens nothing, a flood is also over once the node has ended a connection for each of the other caller's calls. Connections that the node has not ended count as before.

--- a/crates/ochrewalk-node/tests/crossings/floods.rs
+++ b/crates/ochrewalk-node/tests/crossings/floods.rs
@@ -2,7 +2,7 @@
 
 use crate::helper::*;
 use crate::{complete_runs_with, is_rejected, start_small_node, AJP_DIRECTIVES, SMALL_MEMORY_MB};
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -53,30 +53,79 @@
 /// The first id of a flood's RPCs, above those of the other caller.
 const FLOOD_IDS: u64 = 1_000_000;
 
-/// Sends a flood, and connects again where the node closes the connection, until the flood is sent or `stop` is set. Returns
-/// whether it was sent. Answers are read and discarded.
+/// The number of bytes of one connection that may pass without being handled after the node has ended it: those that the node
+/// discards while it closes, 1 MiB, and those that the buffers of both sockets hold.
+const MAX_UNHANDLED_BYTES: usize = 4 * 1024 * 1024;
+
+/// The progress of a flood.
+#[derive(Default)]
+struct Progress {
+    next_number: u64,
+    /// The bytes of the messages that the node had to handle.
+    bytes: usize,
+    /// The number of connections that the node has ended.
+    ended_connections: usize,
+}
+
+impl Progress {
+    /// Whether the flood is sent, or has had the node end a connection for each of the other caller's calls.
+    fn is_over(&self) -> bool {
+        self.bytes >= FLOOD_BYTES || self.ended_connections >= CALLS
+    }
+
+    /// Adds the bytes of a connection that the node has ended. What it had not answered until then is not handled, within a
+    /// bound: the node discards it, or never reads it.
+    fn add_ended_connection(&mut self, sent: usize, answered: usize) {
+        self.ended_connections += 1;
+        self.bytes += answered.max(sent.saturating_sub(MAX_UNHANDLED_BYTES));
+    }
+}
+
+/// Sends a flood, and connects again where the node closes the connection, until the flood is over or `stop` is set. Returns
+/// whether it was over.
 fn send_flood(address: &str, flood: &Flood, stop: &AtomicBool) -> bool {
-    let (mut number, mut sent) = (0, 0);
-    while sent < FLOOD_BYTES {
-        let Ok(mut stream) = TcpStream::connect(address) else { continue };
-        // A client that the node reads too slowly gives up and connects again.
-        stream.set_write_timeout(Some(WRITE_TIMEOUT)).unwrap();
-        let mut answers = stream.try_clone().unwrap();
-        let reader = std::thread::spawn(move || std::io::copy(&mut answers, &mut std::io::sink()));
-        while sent < FLOOD_BYTES && !stop.load(Ordering::Relaxed) {
-            let bytes: Vec<u8> = (number..number + MESSAGES_PER_WRITE).flat_map(flood.message).collect();
-            if stream.write_all(&bytes).is_err() {
-                break;
-            }
-            (number, sent) = (number + MESSAGES_PER_WRITE, sent + bytes.len());
-        }
-        let _ = stream.shutdown(Shutdown::Both);
-        let _ = reader.join();
-        if stop.load(Ordering::Relaxed) {
-            return false;
+    let mut progress = Progress::default();
+    while !progress.is_over() && !stop.load(Ordering::Relaxed) {
+        let Ok(stream) = TcpStream::connect(address) else { continue };
+        send_on_connection(stream, flood, &mut progress, stop);
+    }
+    progress.is_over()
+}
+
+/// Sends a flood on one connection until that ends, the flood is over or `stop` is set. Answers are read and counted.
+fn send_on_connection(mut stream: TcpStream, flood: &Flood, progress: &mut Progress, stop: &AtomicBool) {
+    // A client that the node reads too slowly gives up and connects again.
+    stream.set_write_timeout(Some(WRITE_TIMEOUT)).unwrap();
+    let answers = stream.try_clone().unwrap();
+    let reader = std::thread::spawn(move || count_lines(answers));
+    let first_message_bytes = (flood.message)(progress.next_number).len();
+    let (mut sent, mut is_ended_by_node) = (0, false);
+    while progress.bytes + sent < FLOOD_BYTES && !stop.load(Ordering::Relaxed) {
+        let numbers = progress.next_number..progress.next_number + MESSAGES_PER_WRITE;
+        let bytes: Vec<u8> = numbers.flat_map(flood.message).collect();
+        if let Err(error) = stream.write_all(&bytes) {
+            is_ended_by_node = matches!(error.kind(), ErrorKind::BrokenPipe | ErrorKind::ConnectionReset);
+            break;
         }
+        progress.next_number += MESSAGES_PER_WRITE;
+        sent += bytes.len();
+    }
+    let _ = stream.shutdown(Shutdown::Both);
+    let answers = reader.join().unwrap();
+    if is_ended_by_node {
+        progress.add_ended_connection(sent, answers * first_message_bytes);
+    } else {
+        progress.bytes += sent;
+    }
+}
+
+/// Reads to the end of a stream, and returns the number of lines that were received.
+fn count_lines(mut stream: TcpStream) -> usize {
+    let (mut chunk, mut lines) = ([0; 8 * 1024], 0);
+    while let Ok(received @ 1..) = stream.read(&mut chunk) {
+        lines += chunk[..received].iter().filter(|byte| **byte == b'\n').count();
     }
-    true
+    lines
 }
 
 /// Guards against one client whose messages, at full speed, make every other caller wait until the flood is over, and against
