--- a/crates/ochrewalk-node/tests/helper/mod.rs
+++ b/crates/ochrewalk-node/tests/helper/mod.rs
@@ -1,6 +1,8 @@
 //! Starts a node as a process on loopback, with stand-ins for every peer that the node talks to.
 #![allow(dead_code)]
 
+pub mod supervised_node;
+
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
--- a/crates/ochrewalk-node/tests/upgrade.rs
+++ b/crates/ochrewalk-node/tests/upgrade.rs
@@ -3,55 +3,14 @@
 
 mod helper;
 
+use helper::supervised_node::SupervisedNode;
 use helper::*;
 use ochrewalk_ajp::request::Message;
-use ochrewalk_lab::ajp::{piece, plain, Call, Peer as Ajp};
+use ochrewalk_lab::ajp::{piece, plain, Call};
 use std::io::{BufRead, BufReader, Write};
 use std::os::unix::net::UnixStream;
-use std::path::PathBuf;
 use std::time::Duration;
 
-/// The time limit of every wait, far longer than any successful operation takes.
-const TIMEOUT: Duration = Duration::from_secs(10);
-
-struct SupervisedNode {
-    stand: TestNode,
-    control: PathBuf,
-}
-
-impl SupervisedNode {
-    /// Starts a node under a supervisor, with its executor up. `failure` is the injected failure of a successor.
-    fn up(failure: &str) -> (SupervisedNode, Peer) {
-        SupervisedNode::up_with(|_| (), failure)
-    }
-
-    /// Starts such a node with changes to its file.
-    fn up_with(change: impl FnOnce(&mut serde_json::Value), failure: &str) -> (SupervisedNode, Peer) {
-        let control = file("").with_extension("sock");
-        let operators = format!(
-            "ajp listen AJP\najp allow 127.0.0.0/8\najp memory 20.5\najp header token X-Sale\najp route GET /look look\n\
-             ajp route POST /sale sale\nupgrade control {}\n",
-            control.display()
-        );
-        let stand =
-            TestNode::start_with_environment(change, &operators, &[("OCHREWALK_TAKE_FAILS", failure)]);
-        let mut executor = stand.executor();
-        executor.send_line(r#"{"action":"WELCOME","code":"hot","wall_ms":5000}"#);
-        stand.caller().wait_healthy();
-        (SupervisedNode { stand, control }, executor)
-    }
-
-    fn upgrade(&self) -> String {
-        let (control, own) = (self.control.to_str().unwrap(), env!("CARGO_BIN_EXE_ochrewalk"));
-        let output = program(&["upgrade", "--control", control, "--program", own]).output().unwrap();
-        String::from_utf8([output.stdout, output.stderr].concat()).unwrap().trim_end().to_string()
-    }
-
-    fn ajp(&self) -> Ajp {
-        Ajp::connect(self.stand.ajp.parse().unwrap(), TIMEOUT).unwrap()
-    }
-}
-
 fn sale(number: u64, token: &str) -> String {
     rpc_with(number, "sale", unix_ms(), &format!(r#","opkey":"{token}""#))
 }
@@ -287,21 +246,15 @@
     let mut json = node.stand.caller();
     json.send_line(&rpc(1, "look"));
     executor.read_until(&exec(1, "look"));
-    // The process that the platform started is the supervisor, and its children are the programs that serve.
-    let children = || -> Vec<String> {
-        let path = format!("/proc/{0}/task/{0}/children", node.stand.pid());
-        let text = std::fs::read_to_string(path).unwrap();
-        text.split_whitespace().map(String::from).collect()
-    };
-    let before = children();
+    let before = node.children();
     assert_eq!(before.len(), 1);
     for _ in 0..3 {
         assert_eq!(node.upgrade(), "the new program ended before it began");
-        assert_eq!(children(), before, "no process is left behind");
+        assert_eq!(node.children(), before, "no process is left behind");
     }
     executor.send_line(&exit(1, 1, "complete"));
     assert_eq!(json.read_line(), served(1));
-    let kill = std::process::Command::new("kill").args(["-KILL", &before[0]]).status().unwrap();
+    let kill = std::process::Command::new("kill").args(["-KILL", &before[0].to_string()]).status().unwrap();
     assert!(kill.success());
     // Without another child, the end of this one is the end of the node.
     assert!(!node.stand.wait().success());
