Drain: no program is started in place of one that drains

Cause: the notice was known to the child alone. The supervisor forwarded the signal and kept no record, so that `available_predecessor` still offered the child that drained: to the control socket, to rollouts and, once the notice had cancelled a restart, to whatever came next. The revert of an unconfirmed change asks the same function. Ruled out: the drain and the hand-over themselves, each of which is right without the other.

Change: the supervisor records the notice, and `available_predecessor` gives the reason, `NotReplaceable`, to all who ask.

Tests, on the code before: an_upgrade_requested_during_a_drain_is_refused_and_the_drain_goes_on: "handed over", not "refused: the node is draining" nothing_replaces_the_program_once_the_notice_has_cancelled_a_restart: "handed over", not "refused: the node is draining" The tests of the rollout agent say `Ok(())` and `Err(NotReplaceable::InProgress)` in place of `Replacement::Idle` and `InProgress`; a check of the new reason is added.

--- a/crates/ochrewalk-node/src/handover/rollout_agent.rs
+++ b/crates/ochrewalk-node/src/handover/rollout_agent.rs
@@ -4,6 +4,7 @@
 use super::counter_report::CountersByMethod;
 use super::fingerprint::{verify_content, ContentError};
 use super::serving_child::{ChildIdentity, ChildSpec, ServingChild};
+use super::supervisor::NotReplaceable;
 use ochrewalk_rollout::messages::{CommandMessage, NodeStatus, Reply, Request, Target, PROTOCOL_VERSION};
 use ochrewalk_rollout::{
     Admission, CommitConfirm, ControllerNumber, Fence, FencingToken, Outcome, RevertAction,
@@ -11,15 +12,6 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// Whether a child is being replaced, on any request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Replacement {
-    /// No child is being replaced.
-    Idle,
-    /// A child is being replaced: no command may begin another replacement.
-    InProgress,
-}
-
 /// The supervisor's response to a request.
 pub enum AgentAction {
     /// Sends this reply.
@@ -78,13 +70,13 @@
         self.started_at.elapsed().as_micros() as u64
     }
 
-    /// Decides how a request of the socket's owner is handled. While a child is being replaced no command is begun, and the
-    /// status is unhealthy.
+    /// Decides how a request of the socket's owner is handled. `replaceable` states whether the child that serves can be
+    /// replaced now. Otherwise no command is begun, and the status is unhealthy.
     pub fn handle_request(
         &mut self,
         request: &Request,
         serving: Option<&ServingChild>,
-        replacement: Replacement,
+        replaceable: Result<(), NotReplaceable>,
     ) -> AgentAction {
         if request.protocol_version != PROTOCOL_VERSION {
             let reason = format!("messages of version {PROTOCOL_VERSION} are known here");
@@ -95,9 +87,11 @@
         let highest = self.fence.highest().controller;
         self.commit_confirm.renew(self.now_us(), controller, highest);
         match (&request.command, serving) {
-            (None, Some(serving)) => AgentAction::Reply(Reply::Status(self.status(serving, replacement))),
+            (None, Some(serving)) => {
+                AgentAction::Reply(Reply::Status(self.status(serving, replaceable.is_ok())))
+            }
             (None, None) => AgentAction::Reply(Reply::Rejected("no program serves".into())),
-            (Some(command), serving) => self.handle_command(command, serving, replacement),
+            (Some(command), serving) => self.handle_command(command, serving, replaceable),
         }
     }
 
@@ -105,11 +99,11 @@
         &mut self,
         command: &CommandMessage,
         serving: Option<&ServingChild>,
-        replacement: Replacement,
+        replaceable: Result<(), NotReplaceable>,
     ) -> AgentAction {
         let token = command.token();
-        if replacement == Replacement::InProgress && token > self.fence.highest() {
-            return AgentAction::Reply(Reply::Busy("another upgrade is under way".into()));
+        if let Some(reason) = replaceable.err().filter(|_| token > self.fence.highest()) {
+            return AgentAction::Reply(Reply::Busy(reason.to_string()));
         }
         let reply = match self.fence.admit(token) {
             Admission::Execute => return self.execute(command, serving),
@@ -217,12 +211,12 @@
         }
     }
 
-    fn status(&self, serving: &ServingChild, replacement: Replacement) -> NodeStatus {
+    fn status(&self, serving: &ServingChild, is_replaceable: bool) -> NodeStatus {
         NodeStatus {
             fingerprint: serving.fingerprint,
             path: serving.spec.program.display().to_string(),
             highest: Some(self.fence.highest().into()),
-            is_healthy: serving.is_healthy() && replacement == Replacement::Idle,
+            is_healthy: serving.is_healthy() && is_replaceable,
             incarnation: self.incarnation,
             counters: serving.counters_on_top_of(&self.previous_counters),
             is_unconfirmed: self.commit_confirm.is_pending(),
--- a/crates/ochrewalk-node/src/handover/supervisor/control_socket.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/control_socket.rs
@@ -101,7 +101,7 @@
 
     /// Begins an upgrade that an operator has requested. The new child uses the same operators' file as the present one.
     fn begin_upgrade(&mut self, stream: &UnixStream, program: String) -> Result<(), RequestError> {
-        let child = self.available_predecessor().ok_or(RequestError::Busy)?;
+        let child = self.available_predecessor()?;
         let operators = self.children.get(child).and_then(|child| child.serving.spec.operators.clone());
         let spec = ChildSpec { program: PathBuf::from(&program), operators };
         let requester = stream.try_clone().map(Requester::Operator);
--- a/crates/ochrewalk-node/src/handover/supervisor/error.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/error.rs
@@ -40,6 +40,17 @@
     UnknownStatus,
 }
 
+/// The reason why the child that serves cannot be replaced now.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum NotReplaceable {
+    /// The node has been notified to drain. This is final: the node ends.
+    #[error("the node is draining")]
+    Draining,
+    /// The child is being replaced already.
+    #[error("another upgrade is under way")]
+    InProgress,
+}
+
 /// The reason why a requested upgrade failed.
 #[derive(Debug, Error)]
 pub enum UpgradeError {
@@ -93,8 +104,8 @@
     NoRequest,
     #[error("refused: write upgrade PROGRAM")]
     UnknownRequest,
-    #[error("refused: another upgrade is under way")]
-    Busy,
+    #[error("refused: {0}")]
+    NotReplaceable(#[from] NotReplaceable),
     #[error("refused: {program}: {error}")]
     Start { program: String, error: io::Error },
 }
--- a/crates/ochrewalk-node/src/handover/supervisor/hand_over.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/hand_over.rs
@@ -1,6 +1,6 @@
 //! Replaces the child that serves by a hand-over to a successor.
 
-use super::error::UpgradeFailure;
+use super::error::{NotReplaceable, UpgradeFailure};
 use super::requester::Requester;
 use super::signals::ChildSignal;
 use super::Supervisor;
@@ -19,9 +19,17 @@
 }
 
 impl Supervisor {
-    /// Returns the child that can be replaced now; none while another upgrade is under way.
-    pub(super) fn available_predecessor(&self) -> Option<ChildId> {
-        self.process_guard.available_predecessor().filter(|_| self.pending_restart.is_none())
+    /// Returns the child that can be replaced now.
+    ///
+    /// # Errors
+    ///
+    /// The node drains, or another upgrade is under way.
+    pub(super) fn available_predecessor(&self) -> Result<ChildId, NotReplaceable> {
+        if self.is_draining {
+            return Err(NotReplaceable::Draining);
+        }
+        let predecessor = self.process_guard.available_predecessor();
+        predecessor.filter(|_| self.pending_restart.is_none()).ok_or(NotReplaceable::InProgress)
     }
 
     /// Starts a successor, and has the predecessor hand over to it.
--- a/crates/ochrewalk-node/src/handover/supervisor/mod.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/mod.rs
@@ -14,7 +14,7 @@
 mod signals;
 
 pub use control_socket::request_upgrade;
-pub use error::{SupervisorError, UpgradeError};
+pub use error::{NotReplaceable, SupervisorError, UpgradeError};
 
 use super::process_guard::{ChildId, ProcessAction, ProcessGuard};
 use super::rollout_agent::RolloutAgent;
@@ -54,6 +54,8 @@
     failed_attempts: Vec<FailedAttempt>,
     rollout_agent: RolloutAgent,
     pending_restart: Option<PendingRestart>,
+    /// Whether the node has been notified to drain. No child is started any more.
+    is_draining: bool,
     /// The time limit for a child to drain.
     drain_timeout: Duration,
     /// The child whose counters are reported. A successor's counters are reported only from the end of the attempt on, so
@@ -88,6 +90,7 @@
         failed_attempts: Vec::new(),
         rollout_agent: RolloutAgent::default(),
         pending_restart: None,
+        is_draining: false,
         drain_timeout,
         reported_child: first,
         last_status: None,
@@ -126,6 +129,7 @@
 
     fn handle_signal(&mut self, signal: NodeSignal) {
         if signal.is_to_drain() {
+            self.is_draining = true;
             self.cancel_restart();
         }
         self.children.signal_all(signal.into());
--- a/crates/ochrewalk-node/src/handover/supervisor/rollout.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/rollout.rs
@@ -2,7 +2,7 @@
 
 use super::requester::Requester;
 use super::Supervisor;
-use crate::handover::rollout_agent::{AcceptedCommand, AgentAction, DueRevert, Replacement};
+use crate::handover::rollout_agent::{AcceptedCommand, AgentAction, DueRevert};
 use crate::handover::rollout_socket;
 use crate::handover::serving_child::ChildSpec;
 use ochrewalk_rollout::framing::read_message;
@@ -19,11 +19,8 @@
             self.report_counters_of_acting();
         }
         let serving = self.children.get(self.reported_child).map(|child| &child.serving);
-        let replacement = match self.available_predecessor() {
-            Some(_) => Replacement::Idle,
-            None => Replacement::InProgress,
-        };
-        match self.rollout_agent.handle_request(&request, serving, replacement) {
+        let replaceable = self.available_predecessor().map(|_| ());
+        match self.rollout_agent.handle_request(&request, serving, replaceable) {
             AgentAction::Reply(reply) => rollout_socket::send_reply(&mut stream, reply),
             AgentAction::ReplaceChild(spec, accepted) => self.replace_child(stream, spec, accepted),
         }
@@ -33,10 +30,10 @@
     fn replace_child(&mut self, mut stream: UnixStream, spec: ChildSpec, accepted: AcceptedCommand) {
         let program = spec.program.clone();
         let begun = match (self.available_predecessor(), stream.try_clone()) {
-            (Some(child), Ok(connection)) if accepted.restart => {
+            (Ok(child), Ok(connection)) if accepted.restart => {
                 self.begin_restart(child, spec, Requester::Rollout(connection, accepted))
             }
-            (Some(child), Ok(connection)) => {
+            (Ok(child), Ok(connection)) => {
                 self.begin_hand_over(child, &spec, Requester::Rollout(connection, accepted))
             }
             _ => Err(ErrorKind::ResourceBusy.into()),
@@ -52,9 +49,9 @@
     pub(super) fn revert_if_due(&mut self) {
         let Some(revert) = self.rollout_agent.due_revert() else { return };
         let begun = match (self.available_predecessor(), revert) {
-            (Some(child), DueRevert::Restart(spec)) => self.begin_restart(child, spec, Requester::Revert),
-            (Some(child), DueRevert::HandOver(spec)) => self.begin_hand_over(child, &spec, Requester::Revert),
-            (None, _) => Err(ErrorKind::ResourceBusy.into()),
+            (Ok(child), DueRevert::Restart(spec)) => self.begin_restart(child, spec, Requester::Revert),
+            (Ok(child), DueRevert::HandOver(spec)) => self.begin_hand_over(child, &spec, Requester::Revert),
+            (Err(_), _) => Err(ErrorKind::ResourceBusy.into()),
         };
         if begun.is_err() {
             self.rollout_agent.revert_failed();
--- /dev/null
+++ b/crates/ochrewalk-node/tests/drain_and_hand_over.rs
@@ -0,0 +1,121 @@
+//! Tests a notice to drain together with replacements of the running program: whatever is requested, and in whichever order,
+//! the notice stays in force and the node ends in time.
+
+mod helper;
+
+use helper::supervised_node::SupervisedNode;
+use helper::*;
+use ochrewalk_lab::ajp::Call;
+use ochrewalk_node::handover::fingerprint::fingerprint_of_file;
+use ochrewalk_node::handover::rollout_socket::send_request;
+use ochrewalk_rollout::messages::{CommandMessage, CommandOutcome, Reply, Request, Target};
+use std::path::Path;
+use std::time::Duration;
+
+const NO_MORE: &str = r#"{"jsonrpc":"2.0","method":"noMore"}"#;
+/// The time limit of a rollout's request, far longer than any reply takes.
+const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Starts a node that runs nothing which arrives after the notice to drain.
+fn start_without_grace(failure: &str) -> (SupervisedNode, Peer) {
+    let without_grace =
+        |config: &mut serde_json::Value| config["settings"]["rules"]["drain-grace-ns"] = 0.into();
+    SupervisedNode::up_with(without_grace, failure)
+}
+
+/// Returns an RPC that arrives after the notice to drain, however coarse the clock is.
+fn late_rpc(number: u64) -> String {
+    rpc_with(number, "look", unix_ms() + 60_000, "")
+}
+
+fn is_rejected(line: &str, number: u64) -> bool {
+    line.contains(&format!(r#""id":{number},"error":{{"code":-32011"#))
+}
+
+fn ajp_look(number: u64) -> Call<'static> {
+    Call {
+        method: "GET",
+        uri: "/look",
+        headers: vec![("x-request-id", req(number))],
+        secret: None,
+        body: b"ABC",
+    }
+}
+
+/// Returns the command that replaces the program by a restart with these settings.
+fn restart_with(operators: &Path) -> Request {
+    let target = Target {
+        is_settings: true,
+        path: operators.display().to_string(),
+        fingerprint: fingerprint_of_file(operators).unwrap(),
+    };
+    let (controller, command) = (1, 1);
+    let message = CommandMessage {
+        controller,
+        command,
+        target: Some(target),
+        restart: true,
+        ..CommandMessage::default()
+    };
+    Request::command(message)
+}
+
+/// Sends a request of a rollout, and returns the reply.
+fn rollout_reply(control: &Path, request: &Request) -> Reply {
+    send_request(control, request, ROLLOUT_TIMEOUT).unwrap().reply.unwrap()
+}
+
+/// Guards against an upgrade that is granted while the node drains: the new program knew nothing of the notice, ran what came
+/// later, and was killed with requests unanswered.
+#[test]
+fn an_upgrade_requested_during_a_drain_is_refused_and_the_drain_goes_on() {
+    let (mut node, mut executor) = start_without_grace("");
+    let (mut json, mut ajp) = (node.stand.caller(), node.ajp());
+    json.send_line(&rpc(1, "look"));
+    executor.read_until(&exec(1, "look"));
+    ajp.send(&ajp_look(2).whole()).unwrap();
+    executor.read_until(&exec(2, "look"));
+    let serving = node.children();
+    node.stand.terminate();
+    assert_eq!(json.read_line(), NO_MORE);
+    for _ in 0..3 {
+        assert_eq!(node.upgrade(), "refused: the node is draining");
+    }
+    assert_eq!(node.children(), serving, "no other program was started");
+    assert!(is_rejected(&json.request(&late_rpc(3)), 3));
+    executor.send_line(&exit(1, 1, "complete"));
+    executor.send_line(&exit(2, 2, "complete"));
+    assert!(json.read_line().contains(r#""id":1,"result""#));
+    assert_eq!(ajp.answer().unwrap().text(), "RES");
+    assert_eq!(executor.read_line(), "", "a run was started after the notice");
+    assert!(node.stand.wait().success());
+}
+
+/// Guards against a restart that is cancelled by the notice to drain, after which the node grants replacements again.
+#[test]
+fn nothing_replaces_the_program_once_the_notice_has_cancelled_a_restart() {
+    let (mut node, mut executor) = start_without_grace("");
+    let mut json = node.stand.caller();
+    json.send_line(&rpc(1, "look"));
+    executor.read_until(&exec(1, "look"));
+    let serving = node.children();
+    let settings = file(&(std::fs::read_to_string(&node.stand.operators).unwrap() + "# changed\n"));
+    let restart = restart_with(&settings);
+    let (control, request) = (node.control.clone(), restart.clone());
+    let requested = std::thread::spawn(move || rollout_reply(&control, &request));
+    // The restart has begun once the program drains; the notice to the node comes then.
+    assert_eq!(json.read_line(), NO_MORE);
+    node.stand.terminate();
+    let cancelled = Reply::Finished(CommandOutcome { failure: "the node is draining".into() });
+    assert_eq!(requested.join().unwrap(), cancelled);
+    assert_eq!(node.upgrade(), "refused: the node is draining");
+    let mut later = restart;
+    later.command.as_mut().unwrap().command = 2;
+    assert_eq!(rollout_reply(&node.control, &later), Reply::Busy("the node is draining".into()));
+    assert_eq!(node.children(), serving, "no other program was started");
+    assert!(is_rejected(&json.request(&late_rpc(2)), 2));
+    executor.send_line(&exit(1, 1, "complete"));
+    assert!(json.read_line().contains(r#""id":1,"result""#));
+    assert!(node.stand.wait().success());
+    std::fs::remove_file(settings).unwrap();
+}
--- a/crates/ochrewalk-node/tests/rollout_agent.rs
+++ b/crates/ochrewalk-node/tests/rollout_agent.rs
@@ -3,10 +3,9 @@
 
 use ochrewalk_node::handover::counter_report::CounterReport;
 use ochrewalk_node::handover::fingerprint::fingerprint_of_file;
-use ochrewalk_node::handover::rollout_agent::{
-    AcceptedCommand, AgentAction, DueRevert, Replacement, RolloutAgent,
-};
+use ochrewalk_node::handover::rollout_agent::{AcceptedCommand, AgentAction, DueRevert, RolloutAgent};
 use ochrewalk_node::handover::serving_child::{ChildSpec, ServingChild};
+use ochrewalk_node::handover::supervisor::NotReplaceable;
 use ochrewalk_rollout::messages::{
     CommandMessage, CommandOutcome, FencingTokenMessage, MethodCounters, NodeStatus, Reply, Request,
     ServingCounters, Target, PROTOCOL_VERSION,
@@ -58,11 +57,7 @@
 }
 
 fn status(agent: &mut RolloutAgent, child: &ServingChild) -> NodeStatus {
-    match reply(agent.handle_request(
-        &Request::status(ControllerNumber::OBSERVER),
-        Some(child),
-        Replacement::Idle,
-    )) {
+    match reply(agent.handle_request(&Request::status(ControllerNumber::OBSERVER), Some(child), Ok(()))) {
         Reply::Status(status) => status,
         other => panic!("{other:?}"),
     }
@@ -89,7 +84,7 @@
     let busy = reply(agent.handle_request(
         &Request::status(ControllerNumber::OBSERVER),
         Some(&child),
-        Replacement::InProgress,
+        Err(NotReplaceable::InProgress),
     ));
     assert!(matches!(busy, Reply::Status(status) if !status.is_healthy), "while the child is being replaced");
     agent.child_replaced(&child);
@@ -97,8 +92,7 @@
     next.take(CounterReport::All(counters(3, 7)));
     let sums = status(&mut agent, &next).counters.unwrap();
     assert_eq!((sums.methods[0].calls, sums.methods[0].missed, sums.methods[0].failed), (8, 4, 2));
-    let none =
-        reply(agent.handle_request(&Request::status(ControllerNumber::OBSERVER), None, Replacement::Idle));
+    let none = reply(agent.handle_request(&Request::status(ControllerNumber::OBSERVER), None, Ok(())));
     assert_eq!(none, Reply::Rejected("no program serves".into()));
 }
 
@@ -106,7 +100,7 @@
 fn requests_of_another_protocol_version_are_rejected_with_the_supported_one() {
     let request =
         Request { protocol_version: PROTOCOL_VERSION + 1, ..Request::status(ControllerNumber::OBSERVER) };
-    let reply = reply(RolloutAgent::default().handle_request(&request, Some(&child()), Replacement::Idle));
+    let reply = reply(RolloutAgent::default().handle_request(&request, Some(&child()), Ok(())));
     assert_eq!(reply, Reply::Rejected("messages of version 2 are known here".into()));
 }
 
@@ -114,25 +108,23 @@
 fn a_command_is_executed_once_and_a_stale_or_a_busy_one_not_at_all() {
     let (mut agent, child, new) = (RolloutAgent::default(), child(), file("acts", "new"));
     let request = |number| Request::command(command(7, number, Some(target(&new))));
-    let busy = reply(agent.handle_request(&request(1), Some(&child), Replacement::InProgress));
+    let busy = reply(agent.handle_request(&request(1), Some(&child), Err(NotReplaceable::InProgress)));
     assert_eq!(busy, Reply::Busy("another upgrade is under way".into()));
-    let (spec, accepted) = replacement(agent.handle_request(&request(1), Some(&child), Replacement::Idle));
+    let draining = reply(agent.handle_request(&request(1), Some(&child), Err(NotReplaceable::Draining)));
+    assert_eq!(draining, Reply::Busy("the node is draining".into()));
+    let (spec, accepted) = replacement(agent.handle_request(&request(1), Some(&child), Ok(())));
     assert_eq!(spec, ChildSpec { program: new.clone(), operators: Some("/etc/old.conf".into()) });
     assert!(!accepted.restart);
-    let again = reply(agent.handle_request(&request(1), Some(&child), Replacement::InProgress));
+    let again = reply(agent.handle_request(&request(1), Some(&child), Err(NotReplaceable::InProgress)));
     assert_eq!(again, Reply::Busy("it is being carried out".into()));
     let done = agent.command_finished(accepted, Some(child.identity()), Outcome::Done);
     assert_eq!(done, Reply::Finished(CommandOutcome::default()));
-    assert_eq!(
-        reply(agent.handle_request(&request(1), Some(&child), Replacement::Idle)),
-        done,
-        "the same reply"
-    );
-    let stale = reply(agent.handle_request(&request(0), Some(&child), Replacement::Idle));
+    assert_eq!(reply(agent.handle_request(&request(1), Some(&child), Ok(()))), done, "the same reply");
+    let stale = reply(agent.handle_request(&request(0), Some(&child), Ok(())));
     assert_eq!(stale, Reply::Stale(FencingTokenMessage { controller: 7, command: 1 }));
     // A poll of a later controller makes the commands of earlier ones stale.
-    reply(agent.handle_request(&Request::status(ControllerNumber(8)), Some(&child), Replacement::Idle));
-    let replaced = reply(agent.handle_request(&request(9), Some(&child), Replacement::Idle));
+    reply(agent.handle_request(&Request::status(ControllerNumber(8)), Some(&child), Ok(())));
+    let replaced = reply(agent.handle_request(&request(9), Some(&child), Ok(())));
     assert_eq!(replaced, Reply::Stale(FencingTokenMessage { controller: 8, command: 0 }));
     assert_eq!(agent.time_to_next_action(), None, "a confirmed change is never reverted");
 }
@@ -142,7 +134,7 @@
     let (mut agent, mut child, new) = (RolloutAgent::default(), child(), file("unusable", "new"));
     let mut finished = |number, target| {
         let request = Request::command(command(7, number, target));
-        failure(reply(agent.handle_request(&request, Some(&child), Replacement::Idle)))
+        failure(reply(agent.handle_request(&request, Some(&child), Ok(()))))
     };
     assert_eq!(finished(1, None), "nothing is wanted, or no program serves");
     let other = Target { fingerprint: 1, ..target(&new) };
@@ -153,7 +145,7 @@
     child.take(CounterReport::All(counters(5, 7)));
     let settings = Target { is_settings: true, path: "/etc/old.conf".into(), fingerprint: 7 };
     let request = Request::command(command(7, 5, Some(settings)));
-    assert_eq!(failure(reply(agent.handle_request(&request, Some(&child), Replacement::Idle))), "");
+    assert_eq!(failure(reply(agent.handle_request(&request, Some(&child), Ok(())))), "");
 }
 
 #[test]
@@ -162,7 +154,7 @@
     let settings = Target { is_settings: true, ..target(&new) };
     let message = CommandMessage { restart: true, ..command(7, 1, Some(settings)) };
     let (spec, accepted) =
-        replacement(agent.handle_request(&Request::command(message), Some(&child), Replacement::Idle));
+        replacement(agent.handle_request(&Request::command(message), Some(&child), Ok(())));
     assert_eq!(spec, ChildSpec { program: std::env::current_exe().unwrap(), operators: Some(new) });
     assert!(accepted.restart);
 }
@@ -171,8 +163,7 @@
 fn unconfirmed(child: &ServingChild, new: &Path) -> RolloutAgent {
     let mut agent = RolloutAgent::default();
     let message = CommandMessage { lease_ms: 1, ..command(7, 1, Some(target(new))) };
-    let (_, accepted) =
-        replacement(agent.handle_request(&Request::command(message), Some(child), Replacement::Idle));
+    let (_, accepted) = replacement(agent.handle_request(&Request::command(message), Some(child), Ok(())));
     agent.command_finished(accepted, Some(child.identity()), Outcome::Done);
     std::thread::sleep(Duration::from_millis(5));
     agent
@@ -200,7 +191,7 @@
     let mut agent = unconfirmed(&child, &new);
     let running = ServingChild::of(child.spec.clone(), std::process::id());
     let confirm = Request::command(command(7, 2, Some(target(&std::env::current_exe().unwrap()))));
-    assert_eq!(failure(reply(agent.handle_request(&confirm, Some(&running), Replacement::Idle))), "");
+    assert_eq!(failure(reply(agent.handle_request(&confirm, Some(&running), Ok(())))), "");
     assert!(!status(&mut agent, &child).is_unconfirmed);
     assert_eq!((agent.due_revert(), agent.time_to_next_action()), (None, None));
     // An upgrade by an operator confirms the change, too.
