Hand-over: a program that drains refuses every later attempt

Seen: where a signal reaches the program alone, or its supervisor is of a version that keeps no record of the notice (a supervisor outlives the programs that it starts), an upgrade was still granted in a drain. Nothing on this side refuses it.

Cause: `HandOverControl::interrupt` acted on the attempt that had begun, and `begin` cleared the mark of an interruption that came first. A program that had taken over with the notice pending never called `interrupt` at all.

`serve` records it whichever way the notice came.

Test, on the code before: a_program_that_drains_hands_over_to_none: "handed over", not "the running program is draining".

--- a/crates/ochrewalk-node/src/node/mod.rs
+++ b/crates/ochrewalk-node/src/node/mod.rs
@@ -176,13 +176,11 @@
             std::thread::sleep(RELOAD_INTERVAL);
             signals.pending().collect()
         };
-        if !received.is_empty() {
-            control.interrupt(Interruption::Signal);
-        }
         if let Some(signal) = received.iter().find(|signal| **signal != SIGHUP) {
             break *signal;
         }
         if received.contains(&SIGHUP) {
+            control.interrupt(Interruption::Reload);
             attempts_left = RELOAD_ATTEMPTS;
         }
         if attempts_left > 0 {
@@ -191,6 +189,7 @@
             attempts_left = if is_done { 0 } else { attempts_left - 1 };
         }
     };
+    control.interrupt(Interruption::Drain);
     let stop_ms = placement.stop_ms;
     tracing::info!("signal {signal}: draining for at most {stop_ms} ms");
     let (done, drained) = channel();
--- a/crates/ochrewalk-node/tests/drain_and_hand_over.rs
+++ b/crates/ochrewalk-node/tests/drain_and_hand_over.rs
@@ -10,6 +10,7 @@
 use ochrewalk_node::handover::rollout_socket::send_request;
 use ochrewalk_rollout::messages::{CommandMessage, CommandOutcome, Reply, Request, Target};
 use std::path::Path;
+use std::process::Command;
 use std::time::Duration;
 
 const NO_MORE: &str = r#"{"jsonrpc":"2.0","method":"noMore"}"#;
@@ -42,6 +43,10 @@
     }
 }
 
+fn signal(name: &str, pid: u32) {
+    assert!(Command::new("kill").args([name, &pid.to_string()]).status().unwrap().success());
+}
+
 /// Returns the command that replaces the program by a restart with these settings.
 fn restart_with(operators: &Path) -> Request {
     let target = Target {
@@ -119,3 +124,24 @@
     assert!(node.stand.wait().success());
     std::fs::remove_file(settings).unwrap();
 }
+
+/// Guards against a hand-over by a program that drains, where its supervisor does not know of the notice: it is of a version
+/// that keeps no record of it, or the signal reached the program alone.
+#[test]
+fn a_program_that_drains_hands_over_to_none() {
+    let (mut node, mut executor) = start_without_grace("");
+    let mut json = node.stand.caller();
+    json.send_line(&rpc(1, "look"));
+    executor.read_until(&exec(1, "look"));
+    let serving = node.children();
+    signal("-TERM", serving[0]);
+    assert_eq!(json.read_line(), NO_MORE);
+    for _ in 0..2 {
+        assert_eq!(node.upgrade(), "the running program is draining");
+    }
+    assert_eq!(node.children(), serving, "no other program is left");
+    assert!(is_rejected(&json.request(&late_rpc(2)), 2));
+    executor.send_line(&exit(1, 1, "complete"));
+    assert!(json.read_line().contains(r#""id":1,"result""#));
+    assert!(node.stand.wait().success());
+}
