Signals: one receiver for the life of a process, so that none is lost between two

Seen: SIGTERM that comes while a node with a supervisor reads its files is lost; the node starts and serves on.

Cause: signals were taken in several places in turn. `serve` registered before it read the files, `supervisor::run` again after that, and the first receiver was never asked again. Ruled out: the reading itself; without a supervisor the notice is acted on.

Change: `SignalReceiver`, a thread from start to end that records the time of each signal; the supervisor is given the receiver, a successor only looks whether a notice is pending. With a notice pending the supervisor starts no child; a child that the notice ended before it registered counts as ended in order. The loop of `serve` is a function of its own.

--- a/crates/ochrewalk-node/src/handover/successor.rs
+++ b/crates/ochrewalk-node/src/handover/successor.rs
@@ -70,7 +70,7 @@
     stream: HandOverStream,
     link: &SupervisorLink,
     limits: &TakeOverLimits,
-    is_interrupted: impl Fn() -> bool,
+    mut is_interrupted: impl FnMut() -> bool,
     assemble: impl FnMut(ReceivedState) -> Result<N, String>,
 ) -> Result<StartMode<N>, TakeOverError> {
     fail_if_requested(Step::BeforeHello);
--- a/crates/ochrewalk-node/src/handover/supervisor/error.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/error.rs
@@ -7,9 +7,6 @@
 /// The reason why a supervisor cannot run.
 #[derive(Debug, Error)]
 pub enum SupervisorError {
-    /// Signals cannot be received.
-    #[error("cannot wait for signals: {0}")]
-    Signals(#[source] io::Error),
     /// The control socket cannot be created.
     #[error("{}: {error}", path.display())]
     ControlSocket {
--- a/crates/ochrewalk-node/src/handover/supervisor/mod.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/mod.rs
@@ -20,12 +20,15 @@
 use super::rollout_agent::RolloutAgent;
 use super::serving_child::ChildSpec;
 use super::supervisor_protocol::{ChildLine, Question, SupervisorLine};
+use crate::signals::{NodeSignal, SignalReceiver};
 use children::Children;
 use hand_over::FailedAttempt;
 use requester::Requester;
 use restart::PendingRestart;
-use signals::{ChildSignal, NodeSignal};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signals::ChildSignal;
 use std::os::unix::net::UnixStream;
+use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::process::ExitStatus;
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
@@ -66,14 +69,22 @@
 }
 
 /// Starts the program of this process as a child, and supervises children until none is left. Returns the exit status of
-/// the child that acted last. A child may take up to `drain_timeout` to drain.
+/// the child that acted last. A child may take up to `drain_timeout` to drain. No child is started where a notice to drain
+/// came first.
 ///
 /// # Errors
 ///
 /// No child was started, or the exit status of the last one is unknown.
-pub fn run(control: &Path, drain_timeout: Duration) -> Result<ExitStatus, SupervisorError> {
+pub fn run(
+    control: &Path,
+    drain_timeout: Duration,
+    mut signals: SignalReceiver,
+) -> Result<ExitStatus, SupervisorError> {
+    if signals.pending_notice().is_some() {
+        return Ok(ExitStatus::default());
+    }
     let (sender, events) = channel();
-    signals::report_signals(sender.clone())?;
+    signals::report_signals(signals, sender.clone());
     control_socket::report_connections(control, sender.clone())?;
     let program = std::env::current_exe().map_err(SupervisorError::OwnProgram)?;
     let spec = ChildSpec { program, operators: None };
@@ -172,7 +183,7 @@
         // successor serves.
         let acted = self.process_guard.child_ended(child);
         if acted || self.last_status.is_none() {
-            self.last_status = status;
+            self.last_status = status.map(|status| self.status_in_drain(status));
         }
         if acted {
             if let Some(restart) = self.pending_restart.take() {
@@ -181,4 +192,14 @@
         }
         self.predecessor_may_have_ended(child);
     }
+
+    /// Returns the status of a child that has ended. In a drain it is success where the notice ended the child before it
+    /// registered for signals: such a child has accepted nothing.
+    fn status_in_drain(&self, status: ExitStatus) -> ExitStatus {
+        let is_ended_by_notice = matches!(status.signal(), Some(SIGTERM | SIGINT));
+        if self.is_draining && is_ended_by_notice {
+            return ExitStatus::default();
+        }
+        status
+    }
 }
--- a/crates/ochrewalk-node/src/handover/supervisor/restart.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/restart.rs
@@ -2,10 +2,11 @@
 
 use super::error::UpgradeFailure;
 use super::requester::Requester;
-use super::signals::{ChildSignal, NodeSignal};
+use super::signals::ChildSignal;
 use super::{Event, Supervisor};
 use crate::handover::process_guard::ChildId;
 use crate::handover::serving_child::{ChildIdentity, ChildSpec};
+use crate::signals::NodeSignal;
 use std::io::ErrorKind;
 
 /// A restart that waits for the previous child to end.
--- a/crates/ochrewalk-node/src/handover/supervisor/signals.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/signals.rs
@@ -1,35 +1,9 @@
-//! Receives signals to the node, and sends signals to the supervisor's children.
+//! Forwards signals to the node, and sends signals to the supervisor's children.
 
-use super::{Event, SupervisorError};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
+use super::Event;
+use crate::signals::{NodeSignal, SignalReceiver};
 use std::sync::mpsc::Sender;
 
-/// A signal to the node, which is the supervisor's process for the platform.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum NodeSignal {
-    Terminate,
-    Interrupt,
-    /// SIGHUP: the node reloads its files.
-    Reload,
-}
-
-impl NodeSignal {
-    fn of_number(number: i32) -> Option<NodeSignal> {
-        match number {
-            SIGTERM => Some(NodeSignal::Terminate),
-            SIGINT => Some(NodeSignal::Interrupt),
-            SIGHUP => Some(NodeSignal::Reload),
-            _ => None,
-        }
-    }
-
-    /// Whether the signal has the node drain and end.
-    pub(super) fn is_to_drain(self) -> bool {
-        self != NodeSignal::Reload
-    }
-}
-
 /// A signal to a child.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ChildSignal {
@@ -60,13 +34,11 @@
     }
 }
 
-/// Starts a thread that reports signals to the node.
-pub(super) fn report_signals(events: Sender<Event>) -> Result<(), SupervisorError> {
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(SupervisorError::Signals)?;
+/// Starts a thread that reports signals to the node, with those that came before.
+pub(super) fn report_signals(mut signals: SignalReceiver, events: Sender<Event>) {
     std::thread::spawn(move || {
-        for signal in signals.forever().filter_map(NodeSignal::of_number) {
-            let _ = events.send(Event::Signal(signal));
+        while let Some(received) = signals.next(None) {
+            let _ = events.send(Event::Signal(received.signal));
         }
     });
-    Ok(())
 }
--- a/crates/ochrewalk-node/src/lib.rs
+++ b/crates/ochrewalk-node/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod request_task;
 pub mod rollout;
 pub mod shared_state;
+pub mod signals;
 pub mod wire;
--- a/crates/ochrewalk-node/src/node/mod.rs
+++ b/crates/ochrewalk-node/src/node/mod.rs
@@ -23,12 +23,12 @@
 use crate::net::dispatchers::Dispatchers;
 use crate::net::line_upstream::LineUpstreamClient;
 use crate::shared_state::SharedState;
+use crate::signals::{ReceivedSignal, SignalReceiver};
 use assembly::{assemble, start};
 use drain::{drain, EXIT_MS};
 use may::sync::mpsc::channel;
 use ochrewalk_rollout::messages::ServingCounters;
 use reload::reload;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -85,8 +85,8 @@
 /// The node cannot start. No RPC has been accepted in this case.
 pub fn serve(files: &Files, logs: LogSettings) -> Result<(), String> {
     // Registered before anything else: guards against a SIGHUP that ends the process while it starts.
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
-        .map_err(|err| format!("cannot wait for signals: {err}"))?;
+    let mut signals =
+        SignalReceiver::register().map_err(|error| format!("cannot wait for signals: {error}"))?;
     let mut supervised = supervised();
     let mut files = files.clone();
     if let Some(file) = supervised.as_mut().and_then(|supervised| supervised.operators.take()) {
@@ -101,8 +101,8 @@
         }
     })?;
     if let (None, Some(control)) = (&supervised, &operators.upgrade_control) {
-        let status = supervisor::run(control, Duration::from_millis(placement.stop_ms) + EXTRA_DRAIN_TIME)
-            .map_err(|error| error.to_string())?;
+        let drain_timeout = Duration::from_millis(placement.stop_ms) + EXTRA_DRAIN_TIME;
+        let status = supervisor::run(control, drain_timeout, signals).map_err(|error| error.to_string())?;
         std::process::exit(status.code().unwrap_or(70));
     }
     crate::logger::start(logs);
@@ -116,7 +116,6 @@
     let digest = files.digest(&operators)?;
     let reading_us = reading.elapsed().as_micros() as u64;
     let (mut operators_text, settings_fingerprint) = files.operators_text();
-    let mut drain_signal = None;
     let assembled = match (predecessor, &supervised) {
         (Some(stream), Some(supervised)) => {
             let limits = TakeOverLimits {
@@ -124,18 +123,11 @@
                 bytes: placement.memory_mb * 1024 * 1024 / 2,
                 descriptors: placement.descriptors as u32,
             };
-            let pending_drain_signal =
-                |signals: &mut signal_hook::iterator::Signals| signals.pending().find(|s| *s != SIGHUP);
-            let interruption = std::cell::RefCell::new((&mut signals, &mut drain_signal));
             let mode = take_over(
                 stream,
                 &supervised.link,
                 &limits,
-                || {
-                    let (signals, drain_signal) = &mut *interruption.borrow_mut();
-                    **drain_signal = drain_signal.or_else(|| pending_drain_signal(signals));
-                    drain_signal.is_some()
-                },
+                || signals.pending_notice().is_some(),
                 |received| assemble(&placement, operators.clone(), digest, Some(received)),
             )
             .map_err(|error| error.to_string())?;
@@ -165,33 +157,12 @@
             }
         });
     }
-    let mut attempts_left = 0;
-    let signal = loop {
-        if let Some(signal) = drain_signal {
-            break signal;
-        }
-        let received: Vec<i32> = if attempts_left == 0 {
-            signals.wait().collect()
-        } else {
-            std::thread::sleep(RELOAD_INTERVAL);
-            signals.pending().collect()
-        };
-        if let Some(signal) = received.iter().find(|signal| **signal != SIGHUP) {
-            break *signal;
-        }
-        if received.contains(&SIGHUP) {
-            control.interrupt(Interruption::Reload);
-            attempts_left = RELOAD_ATTEMPTS;
-        }
-        if attempts_left > 0 {
-            let is_done =
-                reload(&node, &report_now, &files, &mut placement, &mut operators_text, attempts_left);
-            attempts_left = if is_done { 0 } else { attempts_left - 1 };
-        }
-    };
+    let notice = reload_until_notice(&mut signals, &control, |attempts_left| {
+        reload(&node, &report_now, &files, &mut placement, &mut operators_text, attempts_left)
+    });
     control.interrupt(Interruption::Drain);
     let stop_ms = placement.stop_ms;
-    tracing::info!("signal {signal}: draining for at most {stop_ms} ms");
+    tracing::info!("signal {}: draining for at most {stop_ms} ms", notice.signal.number());
     let (done, drained) = channel();
     may::go!(move || {
         drain(&node, stop_ms, &report_now);
@@ -204,6 +175,30 @@
     std::process::exit(0)
 }
 
+/// Calls `reload` for each request to reload, with the number of attempts that are left, until it returns true or none is
+/// left. Returns the notice to drain once one has been received.
+fn reload_until_notice(
+    signals: &mut SignalReceiver,
+    control: &HandOverControl,
+    mut reload: impl FnMut(u32) -> bool,
+) -> ReceivedSignal {
+    let mut attempts_left = 0;
+    loop {
+        let timeout = (attempts_left > 0).then_some(RELOAD_INTERVAL);
+        match signals.next(timeout) {
+            Some(notice) if notice.signal.is_to_drain() => return notice,
+            Some(_) => {
+                control.interrupt(Interruption::Reload);
+                attempts_left = RELOAD_ATTEMPTS;
+            }
+            None => {}
+        }
+        if attempts_left > 0 {
+            attempts_left = if reload(attempts_left) { 0 } else { attempts_left - 1 };
+        }
+    }
+}
+
 /// Probes whether the runtime's worker still runs coroutines, by starting a coroutine again and again.
 struct WorkerProbe {
     has_run: Arc<AtomicBool>,
--- a/crates/ochrewalk-node/tests/helper/supervised_node.rs
+++ b/crates/ochrewalk-node/tests/helper/supervised_node.rs
@@ -46,6 +46,11 @@
         AjpPeer::connect(self.stand.ajp.parse().unwrap(), TIMEOUT).unwrap()
     }
 
+    /// Returns the texts of the node's own file and of the operators' file.
+    pub fn file_texts(&self) -> (String, String) {
+        (self.stand.config().to_string(), std::fs::read_to_string(&self.stand.operators).unwrap())
+    }
+
     /// Returns the process ids of the supervisor's children, which are the programs that serve.
     pub fn children(&self) -> Vec<u32> {
         let path = format!("/proc/{0}/task/{0}/children", self.stand.pid());
