Drain: the grace and the end of the process count from the notice

Seen: a notice in the middle of a hand-over whose successor hangs after it has loaded the state. A request sent once the node had said noMore, more than the grace of 300 ms after the notice, was run. Likewise, where the executor came up in a drain, what came after the grace was run.

Cause: `drain` counted from its own start. `HandOverControl::interrupt` returns once the attempt has ended, up to a second after the signal; the grace began then, and so did stop_ms, at whose end the platform kills the process. `RequestCoordinator::activate` gave the controller the time of the activation. Ruled out: the controller's rule; with a grace of 0 nothing is run in either case. No decision under policy is changed.

Change: `DrainNotice` has the time of the notice, which the receiver of signals has recorded; the drain, the coordinator and the main thread count from it.

--- a/crates/ochrewalk-node/src/coordinator.rs
+++ b/crates/ochrewalk-node/src/coordinator.rs
@@ -291,8 +291,23 @@
     has_changed: bool,
     /// Repeats that were finished by an outcome already known, to be reported to the controller next.
     finished_repeats: Vec<(RpcId, Outcome)>,
-    /// The time by which all requests must be answered, once this server drains.
-    drain_deadline_us: Option<u64>,
+    /// The notice to drain, once there is one.
+    drain_notice: Option<DrainNotice>,
+}
+
+/// A notice to drain. Its times do not depend on when the node acts on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainNotice {
+    /// The time of the notice, from which the grace for requests that still arrive counts.
+    pub at_us: u64,
+    /// The time by which all requests must be answered.
+    pub deadline_us: u64,
+}
+
+impl DrainNotice {
+    fn notify(self, controller: &mut AdmissionController<ControllerHost>) {
+        controller.drain(self.at_us, self.deadline_us.saturating_sub(self.at_us));
+    }
 }
 
 /// An open request.
@@ -322,7 +337,7 @@
             timer_token: 0,
             has_changed: false,
             finished_repeats: Vec::new(),
-            drain_deadline_us: None,
+            drain_notice: None,
         };
         let ((state_changed, on_state_changed), (timer_moved, on_timer_moved)) = (channel(), channel());
         let state = Mutex::new(CoordinatorState::Inactive(Box::new(host)));
@@ -437,12 +452,12 @@
         deployment.survivable_load.is_cold = is_cold;
         let now_us = self.clock.now_us();
         let started_us = now_us.saturating_sub(up_us);
-        let drain_deadline_us = host.drain_deadline_us;
+        let drain_notice = host.drain_notice;
         let mut controller = Box::new(deployment.start(host, started_us, self.seed));
         // Guards against an executor that comes up after this server has begun to drain: no request is started any
         // more.
-        if let Some(deadline_us) = drain_deadline_us {
-            controller.drain(now_us, deadline_us.saturating_sub(now_us));
+        if let Some(notice) = drain_notice {
+            notice.notify(&mut controller);
         }
         *state = CoordinatorState::Active(controller);
         drop(state);
@@ -582,14 +597,11 @@
         }
     }
 
-    /// Starts draining: the server reports itself as unhealthy, and all open requests must be answered within
-    /// `time_left_us`.
-    pub fn drain(&self, time_left_us: u64) {
-        let deadline_us = self.clock.now_us() + time_left_us;
-        self.with_host(|host| {
-            (host.health.is_healthy, host.drain_deadline_us) = (Some(false), Some(deadline_us))
-        });
-        self.with_controller(|controller, now_us| controller.drain(now_us, time_left_us));
+    /// Starts draining: the server reports itself as unhealthy, and all open requests must be answered by the notice's
+    /// deadline.
+    pub fn drain(&self, notice: DrainNotice) {
+        self.with_host(|host| (host.health.is_healthy, host.drain_notice) = (Some(false), Some(notice)));
+        self.with_controller(|controller, _| notice.notify(controller));
     }
 
     /// Returns the health state.
--- a/crates/ochrewalk-node/src/handover/failure_injection.rs
+++ b/crates/ochrewalk-node/src/handover/failure_injection.rs
@@ -1,5 +1,6 @@
-//! Injects failures for tests: a successor crashes or hangs at a given step of the hand-over.
+//! Injects failures for tests: a successor crashes, hangs or is stopped at a given step of the hand-over.
 
+use signal_hook::consts::SIGSTOP;
 use std::time::Duration;
 
 /// The environment variable that names the failure and the step, as in `crash:ready`.
@@ -32,7 +33,7 @@
     }
 }
 
-/// Crashes or hangs if the environment variable requests a failure at this step.
+/// Crashes, hangs or stops if the environment variable requests a failure at this step. A stopped process continues on SIGCONT.
 pub(super) fn fail_if_requested(step: Step) {
     let Ok(requested) = std::env::var(VARIABLE) else { return };
     match requested.split_once(':') {
@@ -40,6 +41,7 @@
         Some(("hang", name)) if name == step.name() => loop {
             std::thread::sleep(Duration::from_secs(1));
         },
+        Some(("stop", name)) if name == step.name() => drop(signal_hook::low_level::raise(SIGSTOP)),
         _ => {}
     }
 }
--- a/crates/ochrewalk-node/src/node/mod.rs
+++ b/crates/ochrewalk-node/src/node/mod.rs
@@ -26,11 +26,11 @@
 use crate::signals::{ReceivedSignal, SignalReceiver};
 use assembly::{assemble, start};
 use drain::{drain, EXIT_MS};
-use may::sync::mpsc::channel;
 use ochrewalk_rollout::messages::ServingCounters;
 use reload::reload;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -165,10 +165,11 @@
     tracing::info!("signal {}: draining for at most {stop_ms} ms", notice.signal.number());
     let (done, drained) = channel();
     may::go!(move || {
-        drain(&node, stop_ms, &report_now);
+        drain(&node, notice.at, stop_ms, &report_now);
         let _ = done.send(());
     });
-    let _ = drained.recv_timeout(Duration::from_millis(stop_ms.saturating_sub(EXIT_MS / 2)));
+    let drain_time = Duration::from_millis(stop_ms.saturating_sub(EXIT_MS / 2));
+    let _ = drained.recv_timeout(drain_time.saturating_sub(notice.at.elapsed()));
     tracing::info!("drain is over, the process exits");
     crate::logger::flush();
     // Coroutines that are still waiting end with the process.
--- a/crates/ochrewalk-node/tests/crossings/drain.rs
+++ b/crates/ochrewalk-node/tests/crossings/drain.rs
@@ -2,9 +2,12 @@
 
 use crate::helper::*;
 use crate::{is_rejected, WARM_WELCOME};
+use std::time::Duration;
 
 /// The number of answers about gauges after which a node treats its executor as reliable.
 const RELIABLE_AFTER: usize = 5;
+/// The time by which the rules let a grace be longer.
+const GRACE_SLACK: Duration = Duration::from_millis(50);
 const NO_MORE: &str = r#"{"jsonrpc":"2.0","method":"noMore"}"#;
 
 /// An executor that starts only after the drain has begun gets no run.
@@ -26,6 +29,25 @@
     assert!(node.wait().success());
 }
 
+/// Guards against a grace that begins once the executor is up: what came later than the grace after the notice was run.
+#[test]
+fn an_executor_that_starts_after_the_grace_gets_no_run() {
+    let mut node = TestNode::start();
+    let mut executor = node.executor();
+    let mut caller = node.caller();
+    assert!(caller.request(HEARTBEAT).contains("\"pass\":false"));
+    node.terminate();
+    assert_eq!(caller.read_line(), NO_MORE);
+    let grace_ns = node.config()["settings"]["rules"]["drain-grace-ns"].as_u64().unwrap();
+    std::thread::sleep(Duration::from_nanos(grace_ns) + GRACE_SLACK);
+    executor.send_line(WARM_WELCOME);
+    executor.expect_gauge_request();
+    caller.send_line(&rpc(2, "look"));
+    assert!(is_rejected(&caller.read_line(), 2));
+    assert_eq!(executor.read_line(), "", "a run was started");
+    assert!(node.wait().success());
+}
+
 /// Further signals during a drain change nothing: a running RPC is answered, and the process exits in order.
 #[test]
 fn a_second_sigterm_and_a_sighup_during_a_drain_lose_nothing() {
--- a/crates/ochrewalk-node/tests/drain_and_hand_over.rs
+++ b/crates/ochrewalk-node/tests/drain_and_hand_over.rs
@@ -19,6 +19,13 @@
 /// The time limit of a rollout's request and of a node's end, far longer than either takes.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The grace after a notice to drain, unless a test sets another.
+const GRACE: Duration = Duration::from_millis(300);
+/// The time that a notice may take to the program that serves.
+const GRACE_SLACK: Duration = Duration::from_millis(50);
+/// The number of attempts to have a notice meet a hand-over at a certain step.
+const MAX_ATTEMPTS: u32 = 10;
+
 /// Starts a node that runs nothing which arrives after the notice to drain.
 fn start_without_grace(failure: &str) -> (SupervisedNode, Peer) {
     let without_grace =
@@ -49,6 +56,11 @@
     assert!(Command::new("kill").args([name, &pid.to_string()]).status().unwrap().success());
 }
 
+fn is_stopped(pid: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    status.lines().any(|line| line.starts_with("State:\tT"))
+}
+
 /// Waits for the end of a process, and kills it if it has not ended in time.
 fn wait_or_kill(mut process: Child) -> ExitStatus {
     let until = Instant::now() + TIMEOUT;
@@ -185,3 +197,64 @@
     std::fs::remove_file(config).unwrap();
     std::fs::remove_file(operators).unwrap();
 }
+
+/// Guards against a grace that begins once the program acts on the notice: what came later than the grace after the notice was
+/// run, and the node ended too late. Here the program gets the notice while it waits for a successor that hangs.
+#[test]
+fn the_grace_counts_from_the_notice_and_not_from_the_end_of_a_hand_over() {
+    for _ in 0..MAX_ATTEMPTS {
+        let (mut node, mut executor) = SupervisedNode::up("hang:commit");
+        let mut json = node.stand.caller();
+        assert!(json.request(HEARTBEAT).contains("pass"));
+        let upgrade = node.begin_upgrade();
+        while node.children().len() < 2 {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        // In most cases the successor hangs by then, with the complete state.
+        std::thread::sleep(GRACE);
+        let notified = Instant::now();
+        node.stand.terminate();
+        assert_eq!(json.read_line(), NO_MORE);
+        let is_grace_over = notified.elapsed() > GRACE + GRACE_SLACK;
+        json.send_line(&rpc(1, "look"));
+        let answers = is_grace_over.then(|| json.read_line());
+        std::thread::spawn(move || executor.read_to_end());
+        assert_ne!(upgrade.join().unwrap(), "handed over");
+        assert!(node.stand.wait().success());
+        if let Some(answer) = answers {
+            assert!(is_rejected(&answer, 1), "{answer}");
+            return;
+        }
+    }
+    panic!("the hand-over was over within the grace in all {MAX_ATTEMPTS} attempts");
+}
+
+/// A notice that the successor gets before its first act is in force from the start.
+#[test]
+fn a_successor_that_is_notified_before_its_first_act_drains() {
+    let (mut node, mut executor) = start_without_grace("stop:done");
+    let (mut json, mut ajp) = (node.stand.caller(), node.ajp());
+    json.send_line(&rpc(1, "look"));
+    executor.read_until(&exec(1, "look"));
+    ajp.send(&ajp_look(2).whole()).unwrap();
+    executor.read_until(&exec(2, "look"));
+    let predecessor = node.children();
+    assert_eq!(node.upgrade(), "handed over");
+    let successor = loop {
+        match node.children().as_slice() {
+            [pid] if predecessor != [*pid] && is_stopped(*pid) => break *pid,
+            _ => std::thread::sleep(Duration::from_millis(1)),
+        }
+    };
+    node.stand.terminate();
+    assert_eq!(node.upgrade(), "refused: the node is draining");
+    signal("-CONT", successor);
+    assert_eq!(json.read_line(), NO_MORE);
+    assert_eq!(node.upgrade(), "refused: the node is draining");
+    assert!(is_rejected(&json.request(&late_rpc(3)), 3));
+    executor.send_line(&exit(1, 1, "complete"));
+    executor.send_line(&exit(2, 2, "complete"));
+    assert!(json.read_line().contains(r#""id":1,"result""#));
+    assert_eq!(ajp.answer().unwrap().text(), "RES");
+    assert!(node.stand.wait().success());
+}
--- a/crates/ochrewalk-node/tests/helper/supervised_node.rs
+++ b/crates/ochrewalk-node/tests/helper/supervised_node.rs
@@ -3,6 +3,7 @@
 use super::{file, program, Peer, TestNode};
 use ochrewalk_lab::ajp::Peer as AjpPeer;
 use std::path::PathBuf;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// The time limit of every wait, far longer than any successful operation takes.
@@ -36,10 +37,19 @@
         (SupervisedNode { stand, control }, executor)
     }
 
+    /// Requests an upgrade to the same program, and returns the outcome.
     pub fn upgrade(&self) -> String {
-        let (control, own) = (self.control.to_str().unwrap(), env!("CARGO_BIN_EXE_ochrewalk"));
-        let output = program(&["upgrade", "--control", control, "--program", own]).output().unwrap();
-        String::from_utf8([output.stdout, output.stderr].concat()).unwrap().trim_end().to_string()
+        self.begin_upgrade().join().unwrap()
+    }
+
+    /// Requests an upgrade to the same program. The thread returns the outcome.
+    pub fn begin_upgrade(&self) -> JoinHandle<String> {
+        let (control, own) = (self.control.clone(), env!("CARGO_BIN_EXE_ochrewalk"));
+        std::thread::spawn(move || {
+            let arguments = ["upgrade", "--control", control.to_str().unwrap(), "--program", own];
+            let output = program(&arguments).output().unwrap();
+            String::from_utf8([output.stdout, output.stderr].concat()).unwrap().trim_end().to_string()
+        })
     }
 
     pub fn ajp(&self) -> AjpPeer {
