Supervisor: requests are read by threads of their own, so that no client delays the notice

Seen: with four clients at the control socket that send nothing, or half of a request, SIGTERM was acted on some 8 s later. The socket is its owner's alone, but a rollout's controller whose link hangs is such a client.

Cause: `Supervisor::handle_request` read from the connection in the thread that owns all state, up to 2 s for each read. The event of the signal stood behind it. So did the questions of children, among them whether a paused program may resume.

Change: `report_requests` reads each request in a thread of its own, 32 at most, and reports it once it is complete.

--- a/crates/ochrewalk-node/src/handover/supervisor/control_socket.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/control_socket.rs
@@ -7,17 +7,22 @@
 use crate::handover::serving_child::ChildSpec;
 use crate::handover::supervisor_protocol::AttemptOutcome;
 use ochrewalk_control_plane::control::is_owner;
+use ochrewalk_rollout::framing::read_message;
+use ochrewalk_rollout::messages::Request;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::Sender;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The prefix of a request for an upgrade; the program's path follows.
 const UPGRADE: &str = "upgrade ";
 /// The time limit for a client to send its request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// The number of requests that are read at the same time.
+const MAX_READERS: usize = 32;
 /// The maximal length of a request in bytes.
 const MAX_REQUEST_BYTES: u64 = 4096;
 /// The time for which a client waits for the outcome of an upgrade.
@@ -27,8 +32,9 @@
 /// The mode of the socket: access for its owner only.
 const SOCKET_MODE: u32 = 0o600;
 
-/// Listens at the control socket, and starts a thread that reports connections.
-pub(super) fn report_connections(control: &Path, events: Sender<Event>) -> Result<(), SupervisorError> {
+/// Listens at the control socket, and starts a thread that reports requests. Each request is read by a thread of its own, as
+/// its client may be slow or send nothing: the supervisor waits for no client.
+pub(super) fn report_requests(control: &Path, events: Sender<Event>) -> Result<(), SupervisorError> {
     // A socket without a listener was left by a supervisor that was killed, and is replaced.
     if UnixStream::connect(control).is_ok() {
         return Err(SupervisorError::AlreadyRunning { path: control.into() });
@@ -36,8 +42,19 @@
     let listener =
         listen(control).map_err(|error| SupervisorError::ControlSocket { path: control.into(), error })?;
     std::thread::spawn(move || {
+        let readers = Arc::new(());
         for stream in listener.incoming().flatten() {
-            let _ = events.send(Event::Connected(stream));
+            // A connection beyond the limit is closed without an answer; its client requests again.
+            if Arc::strong_count(&readers) > MAX_READERS {
+                continue;
+            }
+            let (events, reader) = (events.clone(), readers.clone());
+            std::thread::spawn(move || {
+                if let Some(request) = read_request(&stream).transpose() {
+                    let _ = events.send(Event::Request { stream, request });
+                }
+                drop(reader);
+            });
         }
     });
     Ok(())
@@ -59,14 +76,15 @@
 }
 
 /// A request at the control socket.
-enum ControlRequest {
+pub(super) enum ControlRequest {
     /// An operator's request to run another program.
     Upgrade { program: String },
-    /// A request of a rollout, whose message follows in `input`.
-    Rollout { input: BufReader<io::Take<UnixStream>> },
+    /// A request of a rollout.
+    Rollout(Request),
 }
 
-/// Reads a request. Returns none where the connection cannot be read for lack of descriptors.
+/// Reads a request. Returns none where the connection cannot be read for lack of descriptors, or the message of a rollout is
+/// missing or invalid.
 fn read_request(stream: &UnixStream) -> Result<Option<ControlRequest>, RequestError> {
     if !is_owner(stream) {
         return Err(RequestError::AnotherUser);
@@ -77,21 +95,22 @@
     let mut line = String::new();
     input.read_line(&mut line).map_err(|_| RequestError::NoRequest)?;
     if line.trim_end() == rollout_socket::REQUEST_LINE {
-        return Ok(Some(ControlRequest::Rollout { input }));
+        return Ok(read_message(&mut input).ok().map(ControlRequest::Rollout));
     }
     let program = line.strip_prefix(UPGRADE).ok_or(RequestError::UnknownRequest)?;
     Ok(Some(ControlRequest::Upgrade { program: program.trim_end().into() }))
 }
 
 impl Supervisor {
-    /// Handles a connection to the control socket.
-    pub(super) fn handle_request(&mut self, mut stream: UnixStream) {
-        let handled = match read_request(&stream) {
-            Ok(None) => Ok(()),
-            Ok(Some(ControlRequest::Rollout { mut input })) => {
-                return self.handle_rollout_request(stream, &mut input);
-            }
-            Ok(Some(ControlRequest::Upgrade { program })) => self.begin_upgrade(&stream, program),
+    /// Handles a request at the control socket.
+    pub(super) fn handle_request(
+        &mut self,
+        mut stream: UnixStream,
+        request: Result<ControlRequest, RequestError>,
+    ) {
+        let handled = match request {
+            Ok(ControlRequest::Rollout(request)) => return self.handle_rollout_request(stream, &request),
+            Ok(ControlRequest::Upgrade { program }) => self.begin_upgrade(&stream, program),
             Err(error) => Err(error),
         };
         if let Err(error) = handled {
--- a/crates/ochrewalk-node/src/handover/supervisor/mod.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/mod.rs
@@ -22,6 +22,8 @@
 use super::supervisor_protocol::{ChildLine, Question, SupervisorLine};
 use crate::signals::{NodeSignal, SignalReceiver};
 use children::Children;
+use control_socket::ControlRequest;
+use error::RequestError;
 use hand_over::FailedAttempt;
 use requester::Requester;
 use restart::PendingRestart;
@@ -40,8 +42,8 @@
     ChildLine { child: ChildId, line: String },
     /// A child has ended, and all of its lines have been reported.
     ChildEnded { child: ChildId, status: Option<ExitStatus> },
-    /// A client has connected to the control socket.
-    Connected(UnixStream),
+    /// A client has sent a request to the control socket, or none that is valid.
+    Request { stream: UnixStream, request: Result<ControlRequest, RequestError> },
     /// The platform or an operator has sent a signal.
     Signal(NodeSignal),
     /// The time limit for a child to drain has passed.
@@ -85,7 +87,7 @@
     }
     let (sender, events) = channel();
     signals::report_signals(signals, sender.clone());
-    control_socket::report_connections(control, sender.clone())?;
+    control_socket::report_requests(control, sender.clone())?;
     let program = std::env::current_exe().map_err(SupervisorError::OwnProgram)?;
     let spec = ChildSpec { program, operators: None };
     let mut children = Children::new(sender.clone());
@@ -132,7 +134,7 @@
         match event {
             Event::ChildLine { child, line } => self.handle_line(child, &line),
             Event::ChildEnded { child, status } => self.child_ended(child, status),
-            Event::Connected(stream) => self.handle_request(stream),
+            Event::Request { stream, request } => self.handle_request(stream, request),
             Event::Signal(signal) => self.handle_signal(signal),
             Event::DrainOverdue(child) => self.children.signal(child, ChildSignal::Kill),
         }
--- a/crates/ochrewalk-node/src/handover/supervisor/rollout.rs
+++ b/crates/ochrewalk-node/src/handover/supervisor/rollout.rs
@@ -5,22 +5,20 @@
 use crate::handover::rollout_agent::{AcceptedCommand, AgentAction, DueRevert};
 use crate::handover::rollout_socket;
 use crate::handover::serving_child::ChildSpec;
-use ochrewalk_rollout::framing::read_message;
 use ochrewalk_rollout::messages::Request;
 use ochrewalk_rollout::Outcome;
-use std::io::{ErrorKind, Read};
+use std::io::ErrorKind;
 use std::os::unix::net::UnixStream;
 
 impl Supervisor {
     /// Handles the request of a rollout on a connection to the control socket.
-    pub(super) fn handle_rollout_request(&mut self, mut stream: UnixStream, input: &mut impl Read) {
-        let Ok(request) = read_message::<Request>(input) else { return };
+    pub(super) fn handle_rollout_request(&mut self, mut stream: UnixStream, request: &Request) {
         if self.children.get(self.reported_child).is_none() {
             self.report_counters_of_acting();
         }
         let serving = self.children.get(self.reported_child).map(|child| &child.serving);
         let replaceable = self.available_predecessor().map(|_| ());
-        match self.rollout_agent.handle_request(&request, serving, replaceable) {
+        match self.rollout_agent.handle_request(request, serving, replaceable) {
             AgentAction::Reply(reply) => rollout_socket::send_reply(&mut stream, reply),
             AgentAction::ReplaceChild(spec, accepted) => self.replace_child(stream, spec, accepted),
         }
--- a/crates/ochrewalk-node/tests/drain_and_hand_over.rs
+++ b/crates/ochrewalk-node/tests/drain_and_hand_over.rs
@@ -9,8 +9,10 @@
 use ochrewalk_node::handover::fingerprint::fingerprint_of_file;
 use ochrewalk_node::handover::rollout_socket::send_request;
 use ochrewalk_rollout::messages::{CommandMessage, CommandOutcome, Reply, Request, Target};
+use ochrewalk_rollout::ControllerNumber;
 use std::fs::OpenOptions;
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
+use std::os::unix::net::UnixStream;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus};
 use std::time::{Duration, Instant};
@@ -258,3 +260,34 @@
     assert_eq!(ajp.answer().unwrap().text(), "RES");
     assert!(node.stand.wait().success());
 }
+
+/// Guards against a client of the control socket that sends nothing, or half of a request: the notice waited until the node had
+/// given that client up, 2 s for each.
+#[test]
+fn a_silent_client_of_the_control_socket_does_not_delay_the_notice() {
+    let (mut node, mut executor) = start_without_grace("");
+    let mut json = node.stand.caller();
+    json.send_line(&rpc(1, "look"));
+    executor.read_until(&exec(1, "look"));
+    let mut silent: Vec<UnixStream> = ["", "upgr", "rollout\n", "rollout\n\u{9}"]
+        .into_iter()
+        .map(|half_request| {
+            let mut client = UnixStream::connect(&node.control).unwrap();
+            client.write_all(half_request.as_bytes()).unwrap();
+            client.set_nonblocking(true).unwrap();
+            client
+        })
+        .collect();
+    // Another client is served meanwhile, after all of those have been accepted.
+    assert!(matches!(
+        rollout_reply(&node.control, &Request::status(ControllerNumber::OBSERVER)),
+        Reply::Status(_)
+    ));
+    node.stand.terminate();
+    assert_eq!(json.read_line(), NO_MORE);
+    let is_open = |client: &mut UnixStream| matches!(client.read(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock);
+    assert!(silent.iter_mut().all(is_open), "the notice waited until a silent client was given up");
+    executor.send_line(&exit(1, 1, "complete"));
+    assert!(json.read_line().contains(r#""id":1,"result""#));
+    assert!(node.stand.wait().success());
+}
