AJP: in a drain a request arrives with its last byte, so that none is run after the grace

Seen: the head of an AJP request before the notice, its body 350 ms after it, with a grace of 300 ms: the request was run.

"A node has a request once the request's last byte is written." Ruled out: the grace; a head that comes after it is refused.

Change: once the node drains, the time of the last byte counts. Outside of a drain nothing changes.

Test, on the code before: an_ajp_request_whose_body_is_complete_after_the_grace_gets_no_run: status 500, an aborted run, not 503. In the same test a body within the grace is run and answered.

--- a/crates/ochrewalk-node/src/coordinator.rs
+++ b/crates/ochrewalk-node/src/coordinator.rs
@@ -604,6 +604,11 @@
         self.with_controller(|controller, _| notice.notify(controller));
     }
 
+    /// Whether this server drains.
+    pub fn is_draining(&self) -> bool {
+        self.with_host(|host| host.drain_notice.is_some())
+    }
+
     /// Returns the health state.
     pub fn health_state(&self) -> HealthState {
         self.with_host(|host| host.health)
--- a/crates/ochrewalk-node/src/net/ajp_ingress/inbound.rs
+++ b/crates/ochrewalk-node/src/net/ajp_ingress/inbound.rs
@@ -264,11 +264,14 @@
             format!("{:016x}", generator.u64(..))
         });
         let body = format!("\"{}\"", BASE64_STANDARD.encode(&body));
+        // Once the node drains, a request has arrived only with its last byte: the grace does not hold for a later one.
+        let is_draining = ingress.core.coordinator.is_draining();
+        let arrived_unix_ms = if is_draining { ingress.core.clock.unix_ms() } else { pending.read_ms };
         let request = ParsedRequest {
             id: &id,
             method: method.method,
             memory_kb: method.memory_kb,
-            arrived_unix_ms: pending.read_ms,
+            arrived_unix_ms,
             time_left_us: method.time_left_us,
             idempotency_key: method.token.as_deref(),
             tenant: pending.tenant,
--- a/crates/ochrewalk-node/tests/crossings/drain.rs
+++ b/crates/ochrewalk-node/tests/crossings/drain.rs
@@ -1,13 +1,16 @@
 //! Tests a drain (SIGTERM) at whose start something else arrives.
 
 use crate::helper::*;
-use crate::{is_rejected, WARM_WELCOME};
+use crate::{is_rejected, AJP_DIRECTIVES, WARM_WELCOME};
+use ochrewalk_lab::ajp::{piece, Call, Peer as AjpPeer};
 use std::time::Duration;
 
 /// The number of answers about gauges after which a node treats its executor as reliable.
 const RELIABLE_AFTER: usize = 5;
 /// The time by which the rules let a grace be longer.
 const GRACE_SLACK: Duration = Duration::from_millis(50);
+/// The time limit of every wait, far longer than any successful operation takes.
+const TIMEOUT: Duration = Duration::from_secs(10);
 const NO_MORE: &str = r#"{"jsonrpc":"2.0","method":"noMore"}"#;
 
 /// An executor that starts only after the drain has begun gets no run.
@@ -48,6 +51,37 @@
     assert!(node.wait().success());
 }
 
+/// Guards against an AJP request that is run although its last byte came later than the grace after the notice.
+#[test]
+fn an_ajp_request_whose_body_is_complete_after_the_grace_gets_no_run() {
+    let change = |config: &mut serde_json::Value| config["stop_ms"] = 4_000.into();
+    let (mut node, mut executor, mut caller) = TestNode::start_healthy_with(change, AJP_DIRECTIVES);
+    let connect = || AjpPeer::connect(node.ajp.parse().unwrap(), TIMEOUT).unwrap();
+    let request = |number| Call {
+        method: "POST",
+        uri: "/look",
+        headers: vec![("x-request-id", req(number))],
+        secret: None,
+        body: b"ABC",
+    };
+    let (mut early, mut late) = (connect(), connect());
+    early.send(&request(1).head()).unwrap();
+    late.send(&request(2).head()).unwrap();
+    assert!(connect().is_alive());
+    node.terminate();
+    assert_eq!(caller.read_line(), NO_MORE);
+    early.send(&piece(b"ABC")).unwrap();
+    executor.read_until(&exec(1, "look"));
+    let grace_ns = node.config()["settings"]["rules"]["drain-grace-ns"].as_u64().unwrap();
+    std::thread::sleep(Duration::from_nanos(grace_ns) + GRACE_SLACK);
+    late.send(&piece(b"ABC")).unwrap();
+    assert_eq!(late.answer().unwrap().status, 503);
+    executor.send_line(&exit(1, 1, "complete"));
+    assert_eq!(early.answer().unwrap().text(), "RES");
+    assert_eq!(executor.read_line(), "", "a run was started");
+    assert!(node.wait().success());
+}
+
 /// Further signals during a drain change nothing: a running RPC is answered, and the process exits in order.
 #[test]
 fn a_second_sigterm_and_a_sighup_during_a_drain_lose_nothing() {
