--- a/crates/ochrewalk-node/tests/drain_and_hand_over.rs
+++ b/crates/ochrewalk-node/tests/drain_and_hand_over.rs
@@ -25,6 +25,8 @@
 const GRACE: Duration = Duration::from_millis(300);
 /// The time that a notice may take to the program that serves.
 const GRACE_SLACK: Duration = Duration::from_millis(50);
+/// The time after which an unconfirmed change is reverted.
+const LEASE: Duration = Duration::from_millis(1_000);
 /// The number of attempts to have a notice meet a hand-over at a certain step.
 const MAX_ATTEMPTS: u32 = 10;
 
@@ -76,8 +78,9 @@
     process.wait().unwrap()
 }
 
-/// Returns the command that replaces the program by a restart with these settings.
-fn restart_with(operators: &Path) -> Request {
+/// Returns the command to use these settings, by a restart of the program or by a hand-over. With a lease the change is
+/// reverted unless it is confirmed within that time.
+fn change_to(operators: &Path, restart: bool, lease: Duration) -> Request {
     let target = Target {
         is_settings: true,
         path: operators.display().to_string(),
@@ -88,8 +91,8 @@
         controller,
         command,
         target: Some(target),
-        restart: true,
-        ..CommandMessage::default()
+        lease_ms: lease.as_millis() as u64,
+        restart,
     };
     Request::command(message)
 }
@@ -134,7 +137,7 @@
     executor.read_until(&exec(1, "look"));
     let serving = node.children();
     let settings = file(&(node.file_texts().1 + "# changed\n"));
-    let restart = restart_with(&settings);
+    let restart = change_to(&settings, true, Duration::ZERO);
     let (control, request) = (node.control.clone(), restart.clone());
     let requested = std::thread::spawn(move || rollout_reply(&control, &request));
     // The restart has begun once the program drains; the notice to the node comes then.
@@ -291,3 +294,30 @@
     assert!(json.read_line().contains(r#""id":1,"result""#));
     assert!(node.stand.wait().success());
 }
+
+/// Guards against the revert of an unconfirmed change that takes the place of a program that drains.
+#[test]
+fn an_unconfirmed_change_is_not_reverted_once_the_node_drains() {
+    let change = |config: &mut serde_json::Value| {
+        config["stop_ms"] = 3_000.into();
+        config["settings"]["rules"]["drain-grace-ns"] = 0.into();
+    };
+    let (mut node, mut executor) = SupervisedNode::up_with(change, "");
+    let mut json = node.stand.caller();
+    json.send_line(&rpc(1, "look"));
+    executor.read_until(&exec(1, "look"));
+    let settings = file(&(node.file_texts().1 + "# changed\n"));
+    let done = rollout_reply(&node.control, &change_to(&settings, false, LEASE));
+    assert_eq!(done, Reply::Finished(CommandOutcome::default()));
+    node.stand.terminate();
+    assert_eq!(json.read_line(), NO_MORE);
+    let serving = node.children();
+    // The revert is due now.
+    std::thread::sleep(LEASE + GRACE_SLACK);
+    assert_eq!(node.children(), serving, "no other program was started");
+    assert!(is_rejected(&json.request(&late_rpc(2)), 2));
+    executor.send_line(&exit(1, 1, "complete"));
+    assert!(json.read_line().contains(r#""id":1,"result""#));
+    assert!(node.stand.wait().success());
+    std::fs::remove_file(settings).unwrap();
+}
