Tests of drains: what several of them do alike stands once

The start and the orderly end of a node with one run, and the AJP request that three files built, are functions.

--- a/crates/ochrewalk-node/tests/drain_and_hand_over.rs
+++ b/crates/ochrewalk-node/tests/drain_and_hand_over.rs
@@ -3,9 +3,8 @@
 
 mod helper;
 
-use helper::supervised_node::SupervisedNode;
+use helper::supervised_node::{ajp_look, SupervisedNode};
 use helper::*;
-use ochrewalk_lab::ajp::Call;
 use ochrewalk_node::handover::fingerprint::fingerprint_of_file;
 use ochrewalk_node::handover::rollout_socket::send_request;
 use ochrewalk_rollout::messages::{CommandMessage, CommandOutcome, Reply, Request, Target};
@@ -37,6 +36,21 @@
     SupervisedNode::up_with(without_grace, failure)
 }
 
+/// Sends RPC 1 and waits until its run has started.
+fn start_run(node: &SupervisedNode, executor: &mut Peer) -> Peer {
+    let mut json = node.stand.caller();
+    json.send_line(&rpc(1, "look"));
+    executor.read_until(&exec(1, "look"));
+    json
+}
+
+/// Completes the run of RPC 1, and expects its answer and the end of the node.
+fn expect_orderly_end(mut node: SupervisedNode, mut executor: Peer, mut json: Peer) {
+    executor.send_line(&exit(1, 1, "complete"));
+    assert!(json.read_line().contains(r#""id":1,"result""#));
+    assert!(node.stand.wait().success());
+}
+
 /// Returns an RPC that arrives after the notice to drain, however coarse the clock is.
 fn late_rpc(number: u64) -> String {
     rpc_with(number, "look", unix_ms() + 60_000, "")
@@ -46,16 +60,6 @@
     line.contains(&format!(r#""id":{number},"error":{{"code":-32011"#))
 }
 
-fn ajp_look(number: u64) -> Call<'static> {
-    Call {
-        method: "GET",
-        uri: "/look",
-        headers: vec![("x-request-id", req(number))],
-        secret: None,
-        body: b"ABC",
-    }
-}
-
 fn signal(name: &str, pid: u32) {
     assert!(Command::new("kill").args([name, &pid.to_string()]).status().unwrap().success());
 }
@@ -131,10 +135,8 @@
 /// Guards against a restart that is cancelled by the notice to drain, after which the node grants replacements again.
 #[test]
 fn nothing_replaces_the_program_once_the_notice_has_cancelled_a_restart() {
-    let (mut node, mut executor) = start_without_grace("");
-    let mut json = node.stand.caller();
-    json.send_line(&rpc(1, "look"));
-    executor.read_until(&exec(1, "look"));
+    let (node, mut executor) = start_without_grace("");
+    let mut json = start_run(&node, &mut executor);
     let serving = node.children();
     let settings = file(&(node.file_texts().1 + "# changed\n"));
     let restart = change_to(&settings, true, Duration::ZERO);
@@ -151,9 +153,7 @@
     assert_eq!(rollout_reply(&node.control, &later), Reply::Busy("the node is draining".into()));
     assert_eq!(node.children(), serving, "no other program was started");
     assert!(is_rejected(&json.request(&late_rpc(2)), 2));
-    executor.send_line(&exit(1, 1, "complete"));
-    assert!(json.read_line().contains(r#""id":1,"result""#));
-    assert!(node.stand.wait().success());
+    expect_orderly_end(node, executor, json);
     std::fs::remove_file(settings).unwrap();
 }
 
@@ -161,10 +161,8 @@
 /// that keeps no record of it, or the signal reached the program alone.
 #[test]
 fn a_program_that_drains_hands_over_to_none() {
-    let (mut node, mut executor) = start_without_grace("");
-    let mut json = node.stand.caller();
-    json.send_line(&rpc(1, "look"));
-    executor.read_until(&exec(1, "look"));
+    let (node, mut executor) = start_without_grace("");
+    let mut json = start_run(&node, &mut executor);
     let serving = node.children();
     signal("-TERM", serving[0]);
     assert_eq!(json.read_line(), NO_MORE);
@@ -173,9 +171,7 @@
     }
     assert_eq!(node.children(), serving, "no other program is left");
     assert!(is_rejected(&json.request(&late_rpc(2)), 2));
-    executor.send_line(&exit(1, 1, "complete"));
-    assert!(json.read_line().contains(r#""id":1,"result""#));
-    assert!(node.stand.wait().success());
+    expect_orderly_end(node, executor, json);
 }
 
 /// Guards against a notice that is lost where it comes before the supervisor serves: the node served on.
@@ -268,10 +264,8 @@
 /// given that client up, 2 s for each.
 #[test]
 fn a_silent_client_of_the_control_socket_does_not_delay_the_notice() {
-    let (mut node, mut executor) = start_without_grace("");
-    let mut json = node.stand.caller();
-    json.send_line(&rpc(1, "look"));
-    executor.read_until(&exec(1, "look"));
+    let (node, mut executor) = start_without_grace("");
+    let mut json = start_run(&node, &mut executor);
     let mut silent: Vec<UnixStream> = ["", "upgr", "rollout\n", "rollout\n\u{9}"]
         .into_iter()
         .map(|half_request| {
@@ -290,9 +284,7 @@
     assert_eq!(json.read_line(), NO_MORE);
     let is_open = |client: &mut UnixStream| matches!(client.read(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock);
     assert!(silent.iter_mut().all(is_open), "the notice waited until a silent client was given up");
-    executor.send_line(&exit(1, 1, "complete"));
-    assert!(json.read_line().contains(r#""id":1,"result""#));
-    assert!(node.stand.wait().success());
+    expect_orderly_end(node, executor, json);
 }
 
 /// Guards against the revert of an unconfirmed change that takes the place of a program that drains.
@@ -302,10 +294,8 @@
         config["stop_ms"] = 3_000.into();
         config["settings"]["rules"]["drain-grace-ns"] = 0.into();
     };
-    let (mut node, mut executor) = SupervisedNode::up_with(change, "");
-    let mut json = node.stand.caller();
-    json.send_line(&rpc(1, "look"));
-    executor.read_until(&exec(1, "look"));
+    let (node, mut executor) = SupervisedNode::up_with(change, "");
+    let mut json = start_run(&node, &mut executor);
     let settings = file(&(node.file_texts().1 + "# changed\n"));
     let done = rollout_reply(&node.control, &change_to(&settings, false, LEASE));
     assert_eq!(done, Reply::Finished(CommandOutcome::default()));
@@ -316,8 +306,6 @@
     std::thread::sleep(LEASE + GRACE_SLACK);
     assert_eq!(node.children(), serving, "no other program was started");
     assert!(is_rejected(&json.request(&late_rpc(2)), 2));
-    executor.send_line(&exit(1, 1, "complete"));
-    assert!(json.read_line().contains(r#""id":1,"result""#));
-    assert!(node.stand.wait().success());
+    expect_orderly_end(node, executor, json);
     std::fs::remove_file(settings).unwrap();
 }
--- a/crates/ochrewalk-node/tests/drain_soak.rs
+++ b/crates/ochrewalk-node/tests/drain_soak.rs
@@ -4,9 +4,9 @@
 
 mod helper;
 
-use helper::supervised_node::SupervisedNode;
+use helper::supervised_node::{ajp_look, SupervisedNode};
 use helper::*;
-use ochrewalk_lab::ajp::{Call, Peer as AjpPeer};
+use ochrewalk_lab::ajp::Peer as AjpPeer;
 use ochrewalk_node::handover::fingerprint::fingerprint_of_file;
 use ochrewalk_node::handover::rollout_socket::send_request;
 use ochrewalk_rollout::messages::{CommandMessage, Request, Target};
@@ -157,9 +157,7 @@
     while observations.is_within(LAST_CONNECT) {
         let Ok(mut peer) = AjpPeer::connect(address.parse().unwrap(), TIMEOUT) else { return };
         let number = observations.begin_request();
-        let headers = vec![("x-request-id", req(number))];
-        let call = Call { method: "GET", uri: "/look", headers, secret: None, body: b"ABC" };
-        if peer.call(&call).is_err() {
+        if peer.call(&ajp_look(number)).is_err() {
             observations.unanswered.lock().unwrap().push(number);
         }
         std::thread::sleep(CALL_INTERVAL);
--- a/crates/ochrewalk-node/tests/helper/supervised_node.rs
+++ b/crates/ochrewalk-node/tests/helper/supervised_node.rs
@@ -1,7 +1,7 @@
 //! Starts a node under a supervisor, which can replace the running program.
 
-use super::{file, program, Peer, TestNode};
-use ochrewalk_lab::ajp::Peer as AjpPeer;
+use super::{file, program, req, Peer, TestNode};
+use ochrewalk_lab::ajp::{Call, Peer as AjpPeer};
 use std::path::PathBuf;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -9,6 +9,17 @@
 /// The time limit of every wait, far longer than any successful operation takes.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Returns an AJP request for the method `look`, with the id of the RPC of this number.
+pub fn ajp_look(number: u64) -> Call<'static> {
+    Call {
+        method: "GET",
+        uri: "/look",
+        headers: vec![("x-request-id", req(number))],
+        secret: None,
+        body: b"ABC",
+    }
+}
+
 /// A node under a supervisor, with its control socket.
 pub struct SupervisedNode {
     pub stand: TestNode,
--- a/crates/ochrewalk-node/tests/upgrade.rs
+++ b/crates/ochrewalk-node/tests/upgrade.rs
@@ -3,10 +3,10 @@
 
 mod helper;
 
-use helper::supervised_node::SupervisedNode;
+use helper::supervised_node::{ajp_look, SupervisedNode};
 use helper::*;
 use ochrewalk_ajp::request::Message;
-use ochrewalk_lab::ajp::{piece, plain, Call};
+use ochrewalk_lab::ajp::{piece, plain};
 use std::io::{BufRead, BufReader, Write};
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
@@ -15,16 +15,6 @@
     rpc_with(number, "sale", unix_ms(), &format!(r#","opkey":"{token}""#))
 }
 
-fn ajp_look(number: u64) -> Call<'static> {
-    Call {
-        method: "GET",
-        uri: "/look",
-        headers: vec![("x-request-id", req(number))],
-        secret: None,
-        body: b"ABC",
-    }
-}
-
 /// Checks the range of an answer's load signal, and replaces it by that of an idle node, as the signal falls on a busy machine.
 fn with_idle_signal(answer: &str) -> String {
     let mut answer: serde_json::Value = serde_json::from_str(answer).unwrap();
