Tests of drains: two of them wait for what they need to see

Beside eleven copies of itself a_successor_that_is_notified_before_its_first_act_drains failed in 9 of 36 runs (no answer to the upgrade within 60 s).

Cause, in the tests: the outcome of a hand-over is reported before the predecessor has ended, so that the list of children was read too early. And a signal and a request reach the supervisor by different threads: the request could come first, and an attempt then waits for a program that the test has stopped.

Change: the one waits until the successor alone is left, the other until SIGTERM is pending for the stopped successor. No check is changed.

--- a/crates/ochrewalk-node/tests/drain_and_hand_over.rs
+++ b/crates/ochrewalk-node/tests/drain_and_hand_over.rs
@@ -9,6 +9,7 @@
 use ochrewalk_node::handover::rollout_socket::send_request;
 use ochrewalk_rollout::messages::{CommandMessage, CommandOutcome, Reply, Request, Target};
 use ochrewalk_rollout::ControllerNumber;
+use signal_hook::consts::SIGTERM;
 use std::fs::OpenOptions;
 use std::io::{ErrorKind, Read, Write};
 use std::os::unix::net::UnixStream;
@@ -69,6 +70,13 @@
     status.lines().any(|line| line.starts_with("State:\tT"))
 }
 
+/// Whether SIGTERM is pending for a stopped process.
+fn has_pending_notice(pid: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let pending = status.lines().find_map(|line| line.strip_prefix("ShdPnd:")).unwrap();
+    u64::from_str_radix(pending.trim(), 16).unwrap() & 1 << (SIGTERM - 1) != 0
+}
+
 /// Waits for the end of a process, and kills it if it has not ended in time.
 fn wait_or_kill(mut process: Child) -> ExitStatus {
     let until = Instant::now() + TIMEOUT;
@@ -248,6 +256,10 @@
         }
     };
     node.stand.terminate();
+    // The supervisor has forwarded the notice, so that it handles the request after it.
+    while !has_pending_notice(successor) {
+        std::thread::sleep(Duration::from_millis(1));
+    }
     assert_eq!(node.upgrade(), "refused: the node is draining");
     signal("-CONT", successor);
     assert_eq!(json.read_line(), NO_MORE);
@@ -299,6 +311,10 @@
     let settings = file(&(node.file_texts().1 + "# changed\n"));
     let done = rollout_reply(&node.control, &change_to(&settings, false, LEASE));
     assert_eq!(done, Reply::Finished(CommandOutcome::default()));
+    // The outcome is reported before the predecessor has ended.
+    while node.children().len() > 1 {
+        std::thread::sleep(Duration::from_millis(1));
+    }
     node.stand.terminate();
     assert_eq!(json.read_line(), NO_MORE);
     let serving = node.children();
