AJP: in a drain the deadline still counts from the head of a request

The answer could come after the caller's deadline.

Cause: one time served for the comparison with the grace and for the deadline.

Change: the time of the last byte counts only where it came after the grace, and such a request is refused at once. The coordinator says whether the grace is over; `is_draining` is gone.

Test, on the code before: the_deadline_of_an_ajp_request_counts_from_its_head_in_a_drain: the later deadline of another request was answered first.

--- a/crates/ochrewalk-node/src/coordinator.rs
+++ b/crates/ochrewalk-node/src/coordinator.rs
@@ -604,9 +604,10 @@
         self.with_controller(|controller, _| notice.notify(controller));
     }
 
-    /// Whether this server drains.
-    pub fn is_draining(&self) -> bool {
-        self.with_host(|host| host.drain_notice.is_some())
+    /// Whether this server drains, and its grace for requests that still arrive is over.
+    pub fn is_past_drain_grace(&self) -> bool {
+        let notice = self.with_host(|host| host.drain_notice);
+        notice.is_some_and(|notice| self.clock.now_us() > notice.at_us + self.deployment.drain_grace_us)
     }
 
     /// Returns the health state.
--- a/crates/ochrewalk-node/src/net/ajp_ingress/inbound.rs
+++ b/crates/ochrewalk-node/src/net/ajp_ingress/inbound.rs
@@ -264,9 +264,9 @@
             format!("{:016x}", generator.u64(..))
         });
         let body = format!("\"{}\"", BASE64_STANDARD.encode(&body));
-        // Once the node drains, a request has arrived only with its last byte: the grace does not hold for a later one.
-        let is_draining = ingress.core.coordinator.is_draining();
-        let arrived_unix_ms = if is_draining { ingress.core.clock.unix_ms() } else { pending.read_ms };
+        // The deadline counts from the head. The grace of a drain does not hold for a request whose last byte came after it.
+        let is_late = ingress.core.coordinator.is_past_drain_grace();
+        let arrived_unix_ms = if is_late { ingress.core.clock.unix_ms() } else { pending.read_ms };
         let request = ParsedRequest {
             id: &id,
             method: method.method,
--- a/crates/ochrewalk-node/tests/crossings/drain.rs
+++ b/crates/ochrewalk-node/tests/crossings/drain.rs
@@ -3,6 +3,7 @@
 use crate::helper::*;
 use crate::{is_rejected, AJP_DIRECTIVES, WARM_WELCOME};
 use ochrewalk_lab::ajp::{piece, Call, Peer as AjpPeer};
+use std::io::ErrorKind;
 use std::time::Duration;
 
 /// The number of answers about gauges after which a node treats its executor as reliable.
@@ -82,6 +83,43 @@
     assert!(node.wait().success());
 }
 
+/// Guards against an AJP request whose deadline, in a drain, counts from its last byte and not from its head.
+#[test]
+fn the_deadline_of_an_ajp_request_counts_from_its_head_in_a_drain() {
+    let change = |config: &mut serde_json::Value| {
+        config["stop_ms"] = 6_000.into();
+        config["settings"]["rules"]["drain-grace-ns"] = 4_000_000_000u64.into();
+        config["settings"]["categories"][0]["on-time-ns"] = 1_900_000_000u64.into();
+        config["settings"]["categories"][0]["deadline-ns"] = 2_000_000_000u64.into();
+    };
+    let (mut node, mut executor, mut caller) = TestNode::start_healthy_with(change, AJP_DIRECTIVES);
+    let connect = || AjpPeer::connect(node.ajp.parse().unwrap(), TIMEOUT).unwrap();
+    let headers = vec![("x-request-id", req(1))];
+    let request = Call { method: "POST", uri: "/look", headers, secret: None, body: b"ABC" };
+    let mut ajp = connect();
+    ajp.send(&request.head()).unwrap();
+    assert!(connect().is_alive());
+    node.terminate();
+    assert_eq!(caller.read_line(), NO_MORE);
+    // The deadline of a second request is this much later than that of the first one, and earlier than that of the body.
+    std::thread::sleep(Duration::from_millis(900));
+    caller.send_line(&rpc(2, "look"));
+    executor.read_until(&exec(2, "look"));
+    std::thread::sleep(Duration::from_millis(50));
+    ajp.send(&piece(b"ABC")).unwrap();
+    executor.read_until(&exec(1, "look"));
+    // Neither run ends, so that each request is answered at its deadline.
+    let executor = std::thread::spawn(move || executor.read_to_end());
+    assert_eq!(ajp.answer().unwrap().status, 500);
+    caller.stream.set_nonblocking(true).unwrap();
+    let later = caller.stream.peek(&mut [0]);
+    assert_eq!(later.unwrap_err().kind(), ErrorKind::WouldBlock, "the later deadline came first");
+    caller.stream.set_nonblocking(false).unwrap();
+    assert!(caller.read_line().contains(r#""id":2,"error":{"code":-32000"#));
+    assert!(node.wait().success());
+    executor.join().unwrap();
+}
+
 /// Further signals during a drain change nothing: a running RPC is answered, and the process exits in order.
 #[test]
 fn a_second_sigterm_and_a_sighup_during_a_drain_lose_nothing() {
